--- /dev/null
+++ b/Makefile
@@ -0,0 +1,58 @@
+# Entry points; each does its own set-up.
+PRESET ?= release
+SITE ?= alliance
+HOSTS ?= 3
+SEED ?= 1
+DURATION ?= 60
+SEEDS ?= 2000
+JOBS ?= $(shell nproc)
+BUILD := build/$(PRESET)
+export CCACHE_DIR ?= $(HOME)/.ccache
+
+.PHONY: packages configure build test test-asan demo bench soak torture capacity format format-check lint generate clean
+
+packages:
+	@scripts/install_packages.sh
+
+configure: packages
+	@cmake --preset $(PRESET) >build-configure.log 2>&1 || { cat build-configure.log; exit 1; }
+
+build: configure
+	@cmake --build $(BUILD) -j $(JOBS)
+	@mkdir -p build && ln -sfn $(PRESET)/bin build/bin
+
+test: build
+	@scripts/run_tests.sh $(BUILD)/bin
+
+test-asan:
+	@$(MAKE) --no-print-directory test PRESET=asan
+
+demo: build
+	@scripts/demo.sh $(SITE) $(HOSTS)
+
+bench: build
+	@scripts/run_benches.sh $(BUILD)/bin
+
+soak: build
+	@scripts/soak.sh $(SEED) $(DURATION)
+
+torture: build
+	@scripts/torture.sh $(BUILD)/bin $(SEEDS)
+
+capacity: build
+	@scripts/capacity.sh $(BUILD)/bin
+
+format:
+	@git ls-files '*.cpp' '*.hpp' | grep -v '^generated/' | xargs clang-format -i
+
+format-check:
+	@git ls-files -co --exclude-standard '*.cpp' '*.hpp' | grep -v '^generated/' | xargs clang-format --dry-run -Werror
+
+lint: configure
+	@scripts/lint.sh $(BUILD) $(JOBS)
+
+generate:
+	@scripts/generate.sh
+
+clean:
+	@rm -rf build
--- /dev/null
+++ b/cmake/galenabay.cmake
@@ -0,0 +1,36 @@
+# Compiler settings and helper functions shared by every directory.
+
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+find_package(Poco REQUIRED COMPONENTS Foundation Net JSON Util Crypto)
+find_package(CapnProto REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS program_options)
+pkg_check_modules(YAML REQUIRED IMPORTED_TARGET yaml-cpp)
+pkg_check_modules(COAP REQUIRED IMPORTED_TARGET libcoap-3-notls)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+
+add_library(galenabay_options INTERFACE)
+target_include_directories(galenabay_options INTERFACE ${PROJECT_SOURCE_DIR}/include)
+target_include_directories(galenabay_options SYSTEM INTERFACE ${PROJECT_SOURCE_DIR})
+target_compile_options(galenabay_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+if(GALENABAY_SANITIZE)
+  target_compile_options(galenabay_options INTERFACE -fsanitize=${GALENABAY_SANITIZE} -fno-omit-frame-pointer)
+  target_link_options(galenabay_options INTERFACE -fsanitize=${GALENABAY_SANITIZE})
+endif()
+
+# galenabay_library(NAME SOURCES... [LINK targets...])
+# Adds the static library galenabay_NAME.
+function(galenabay_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+  add_library(galenabay_${name} STATIC ${ARG_SOURCES})
+  target_link_libraries(galenabay_${name} PUBLIC galenabay_options ${ARG_LINK})
+endfunction()
+
+# galenabay_program(NAME SOURCES... [LINK targets...])
+function(galenabay_program name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE galenabay_options ${ARG_LINK})
+endfunction()
--- /dev/null
+++ b/schema/peer.capnp
@@ -0,0 +1,93 @@
+@0xd8a15f3c6027be01;
+
+# Messages between galena_balancerd processes: RPC over TCP for control, single
+# datagrams for relayed packets.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("galenabay::schema");
+
+struct Endpoint {
+  addressHigh @0 :UInt64;
+  addressLow @1 :UInt64;
+  port @2 :UInt16;
+}
+
+enum HostState {
+  starting @0;
+  ready @1;
+  leaving @2;
+}
+
+struct HostReport {
+  # What a host says of itself in each heartbeat.
+  name @0 :Text;
+  dataCentre @1 :Text;
+  incarnation @2 :UInt64;
+  # Larger after each start of the process.
+  sequence @3 :UInt64;
+  # Larger in each report of one incarnation.
+  state @4 :HostState;
+  control @5 :Endpoint;
+  relay @6 :Endpoint;
+  platformVersion @7 :UInt64;
+  # Version of the manifest in force; 0: none.
+  digest @8 :Data;
+  # SHA-256 of the service set in force.
+  platformReachable @9 :Bool;
+}
+
+struct FlowRecord {
+  # One entry of a flow registry.
+  key @0 :UInt64;
+  service @1 :UInt32;
+  upstream @2 :UInt32;
+}
+
+struct FlowBatch {
+  records @0 :List(FlowRecord);
+}
+
+struct DispatchIntent {
+  # Announces that a request is about to leave for an upstream.
+  request @0 :UInt64;
+  # Key of the request.
+  upstream @1 :UInt64;
+  from @2 :Text;
+  sequence @3 :UInt64;
+}
+
+struct DispatchIntentReply {
+  request @0 :UInt64;
+  sequence @1 :UInt64;
+  accepted @2 :Bool;
+  from @3 :Text;
+}
+
+struct RelayedPacket {
+  service @0 :Endpoint;
+  caller @1 :Endpoint;
+  payload @2 :Data;
+  hops @3 :UInt8;
+  platformVersion @4 :UInt64;
+}
+
+struct PeerDatagram {
+  # One UDP datagram between hosts.
+  from @0 :Text;
+  union {
+    relay @1 :RelayedPacket;
+    intent @2 :DispatchIntent;
+    intentReply @3 :DispatchIntentReply;
+    flows @4 :FlowBatch;
+  }
+}
+
+interface Peer {
+  heartbeat @0 (report :HostReport, flows :FlowBatch) -> (report :HostReport);
+  # Exchanges reports; `flows` carries registry entries that fit the budget.
+  fetchRevision @1 (afterVersion :UInt64) -> (version :UInt64, manifest :Data, chunks :List(Data));
+  # The newest revision that the peer has when newer than `afterVersion`;
+  # otherwise version 0.
+  fetchReports @2 () -> (reports :List(HostReport));
+  # Reports of all hosts that the peer knows, for the aggregating host.
+}
--- /dev/null
+++ b/src/base/log.cpp
@@ -0,0 +1,110 @@
+#include <galenabay/base/log.hpp>
+
+#include <easylogging++.h>
+
+#include <atomic>
+#include <utility>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace galenabay::base
+{
+
+namespace
+{
+
+std::string common_pairs;
+std::atomic<log_level> lowest_level{log_level::info};
+
+const char* name_of(log_level level)
+{
+    switch (level)
+    {
+    case log_level::debug:
+        return "debug";
+    case log_level::info:
+        return "info";
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        return "error";
+    }
+    return "unknown";
+}
+
+bool needs_quotes(std::string_view value)
+{
+    return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+}
+
+void append_quoted(std::string& line, std::string_view value)
+{
+    line += '"';
+    for (const char c : value)
+    {
+        if (c == '"' || c == '\\')
+        {
+            line += '\\';
+        }
+        line += (c == '\n' || c == '\r') ? ' ' : c;
+    }
+    line += '"';
+}
+
+} // namespace
+
+void configure_log(std::string host, std::string data_centre, log_level lowest)
+{
+    common_pairs = " host=" + std::move(host) + " data_centre=" + std::move(data_centre);
+    el::Configurations settings;
+    settings.setToDefault();
+    settings.setGlobally(el::ConfigurationType::ToFile, "false");
+    settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    settings.setGlobally(el::ConfigurationType::Format, "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
+    el::Loggers::reconfigureLogger("default", settings);
+    set_log_level(lowest);
+}
+
+void set_log_level(log_level lowest)
+{
+    lowest_level.store(lowest, std::memory_order_relaxed);
+}
+
+log_event::log_event(log_level level, std::string_view event) : level_{level}
+{
+    line_ = std::string{"level="} + name_of(level) + " event=" + std::string{event} + common_pairs;
+}
+
+log_event::~log_event()
+{
+    if (level_ >= lowest_level.load(std::memory_order_relaxed))
+    {
+        LOG(INFO) << line_;
+    }
+}
+
+log_event& log_event::with(std::string_view key, std::string_view value)
+{
+    line_ += ' ';
+    line_ += key;
+    line_ += '=';
+    if (needs_quotes(value))
+    {
+        append_quoted(line_, value);
+    }
+    else
+    {
+        line_ += value;
+    }
+    return *this;
+}
+
+log_event& log_event::with(const error& value)
+{
+    return with("step", value.step())
+        .with("peer", value.peer())
+        .with("code", base::name_of(value.code()))
+        .with("detail", value.detail());
+}
+
+} // namespace galenabay::base
--- /dev/null
+++ b/src/revision/placeholder.cpp
@@ -0,0 +1,3 @@
+namespace galenabay::revision
+{
+}
