Public headers of every library

Cause: the daemon, the tools and the decision libraries are built side by side and need their interfaces first.

--- /dev/null
+++ b/include/galenabay/config/codec.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <galenabay/base/result.hpp>
+#include <galenabay/config/accepted_revision.hpp>
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace galenabay::config
+{
+
+/// Canonical form of a set: packed Cap'n Proto, services and upstreams sorted by
+/// name. Equal sets give equal bytes.
+std::vector<std::byte> encode_service_set(const service_set& set);
+
+/// SHA-256 of the canonical form.
+digest digest_of(const service_set& set);
+
+std::string to_hex(const digest& value);
+
+/// A whole revision for transfer between hosts or through the platform.
+std::vector<std::byte> encode_revision(const accepted_revision& revision);
+
+/// Errors: `malformed`, `corrupt` (digest does not match the set).
+base::result<accepted_revision> decode_revision(std::span<const std::byte> bytes);
+
+/// The revision that follows `previous` when `next` is accepted: number, digest
+/// and lineage. `previous` may be null for the first one.
+accepted_revision succeed(const accepted_revision* previous, service_set next, std::string author,
+                          std::int64_t accepted_at);
+
+} // namespace galenabay::config
--- /dev/null
+++ b/include/galenabay/config/load.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <galenabay/base/result.hpp>
+#include <galenabay/config/service_set.hpp>
+
+#include <span>
+#include <string>
+
+namespace galenabay::config
+{
+
+/// Largest settings file that is read, in bytes.
+constexpr std::size_t max_file_size = 16U << 20U;
+
+/// Reads one or more YAML files as a single service set: names must agree,
+/// services are joined. Checks everything that `validate` checks.
+///
+/// Errors carry "FILE:LINE" as peer; the detail names the key and what was
+/// expected.
+base::result<service_set> load_service_set(std::span<const std::string> files);
+
+/// Checks a set by itself: at least one upstream per service that is not
+/// draining, no address or name used twice.
+base::result<void> validate(const service_set& set);
+
+} // namespace galenabay::config
--- /dev/null
+++ b/include/galenabay/config/service_set.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/hash.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace galenabay::config
+{
+
+/// Identity of a service across revisions: hash of its name.
+using service_id = std::uint64_t;
+/// Identity of an upstream across revisions: hash of service name, upstream
+/// name and endpoint. Never 0.
+using upstream_id = std::uint64_t;
+
+enum class service_kind
+{
+    datagram,
+    coap,
+};
+
+/// One target of a service. Plain value.
+struct upstream
+{
+    std::string name;
+    base::endpoint endpoint;
+    std::string data_centre;
+    /// Share of new flows in relation to the other upstreams; at least 1.
+    std::uint32_t weight = 100;
+    /// Requests that run at the same time; at least 1.
+    std::uint32_t slots = 3;
+    std::uint32_t connections = 2000;
+    /// True: takes no new flow or request; established flows stay.
+    bool draining = false;
+
+    friend auto operator<=>(const upstream&, const upstream&) = default;
+};
+
+struct flow_policy
+{
+    std::uint32_t idle_timeout_s = 300;
+
+    friend auto operator<=>(const flow_policy&, const flow_policy&) = default;
+};
+
+struct request_policy
+{
+    std::uint32_t deadline_ms = 5000;
+    std::uint32_t queue_limit = 256;
+    std::uint32_t retry_budget_percent = 10;
+    std::uint32_t max_age_s = 2;
+
+    friend auto operator<=>(const request_policy&, const request_policy&) = default;
+};
+
+/// One service: an address and the upstreams behind it. Plain value.
+struct service
+{
+    std::string name;
+    service_kind kind = service_kind::datagram;
+    /// Address and port that callers send to.
+    base::endpoint address;
+    std::vector<upstream> upstreams;
+    flow_policy flows;
+    request_policy requests;
+    bool draining = false;
+
+    service_id id() const noexcept { return base::hash_text(name); }
+
+    friend auto operator<=>(const service&, const service&) = default;
+};
+
+/// All services of a deployment, as one operator applied them. Plain value;
+/// validated by `validate()` before it is accepted.
+struct service_set
+{
+    std::string name;
+    std::vector<service> services;
+
+    friend auto operator<=>(const service_set&, const service_set&) = default;
+};
+
+inline upstream_id id_of(const service& owner, const upstream& target) noexcept
+{
+    const std::uint64_t value = base::hash_endpoint(target.endpoint, base::hash_text(target.name, owner.id()));
+    return value == 0 ? 1 : value;
+}
+
+} // namespace galenabay::config
--- /dev/null
+++ b/include/galenabay/dispatch/action.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/dispatch/request.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace galenabay::dispatch
+{
+
+/// Why a request was refused or its answer withheld; a counter for each.
+enum class refusal
+{
+    queue_full,
+    deadline_unreachable,
+    caller_over_share,
+    no_upstream,
+    service_draining,
+    host_leaving,
+    not_deciding,
+    upstream_refused,
+    outcome_unknown,
+    no_deciding_host,
+};
+constexpr std::size_t refusal_count = 10;
+const char* name_of(refusal reason);
+
+/// Why a request was sent to an upstream once more; a counter for each.
+enum class retry_reason
+{
+    upstream_refused,
+    upstream_silent,
+    upstream_gone,
+    hedge,
+};
+constexpr std::size_t retry_reason_count = 4;
+const char* name_of(retry_reason reason);
+
+/// Send the request to an upstream.
+struct send_to_upstream
+{
+    request_key key = 0;
+    base::endpoint upstream;
+    base::endpoint service_address;
+    base::endpoint caller;
+    /// Time left for the upstream; written to the PROXY header.
+    std::uint32_t deadline_ms = 0;
+    std::uint8_t attempt = 1;
+    datagram bytes;
+};
+
+/// Cancel a request at an upstream (RST of its message id).
+struct cancel_at_upstream
+{
+    request_key key = 0;
+    base::endpoint upstream;
+    base::endpoint service_address;
+    base::endpoint caller;
+    std::uint16_t message_id = 0;
+};
+
+/// Pass an upstream's answer to the caller.
+struct deliver
+{
+    request_key key = 0;
+    base::endpoint service_address;
+    base::endpoint caller;
+    datagram bytes;
+};
+
+/// Answer the caller with 5.03 (`run_excluded`) or 5.04.
+struct refuse
+{
+    request_key key = 0;
+    base::endpoint service_address;
+    base::endpoint caller;
+    std::uint64_t token = 0;
+    std::uint8_t token_length = 0;
+    std::uint16_t message_id = 0;
+    bool confirmable = true;
+    /// True: the request certainly did not run (5.03). False: unknown (5.04).
+    bool run_excluded = false;
+    std::uint32_t max_age_s = 0;
+    refusal reason = refusal::queue_full;
+};
+
+/// Hand the request to the deciding host.
+struct relay_request
+{
+    request_key key = 0;
+    std::string host;
+    base::endpoint service_address;
+    base::endpoint caller;
+    datagram bytes;
+};
+
+/// Tell a host which request is about to leave for which upstream.
+struct send_intent
+{
+    std::string host;
+    request_key key = 0;
+    config::upstream_id upstream = 0;
+    std::uint64_t sequence = 0;
+};
+
+/// Answer another host's intent.
+struct send_intent_reply
+{
+    std::string host;
+    request_key key = 0;
+    std::uint64_t sequence = 0;
+    bool accepted = false;
+};
+
+using action =
+    std::variant<send_to_upstream, cancel_at_upstream, deliver, refuse, relay_request, send_intent, send_intent_reply>;
+using actions = std::vector<action>;
+
+} // namespace galenabay::dispatch
--- /dev/null
+++ b/include/galenabay/platform/object_client.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/result.hpp>
+#include <galenabay/membership/host.hpp>
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace galenabay::platform
+{
+
+/// Largest value of an object, in bytes.
+constexpr std::size_t max_object_size = 1U << 20U;
+
+/// An object as the platform holds it. Plain value.
+struct object
+{
+    std::string key;
+    /// Grows with each change of any object; 0: the object does not exist.
+    std::uint64_t version = 0;
+    std::string value;
+
+    friend auto operator<=>(const object&, const object&) = default;
+};
+
+/// Client of the platform's HTTP/JSON object API. Blocking; one thread at a time.
+///
+///     GET    /v1/objects/KEY                      200 {"key","version","value"} | 404
+///     GET    /v1/objects?prefix=P                 200 {"objects":[{"key","version","value"}]}
+///     PUT    /v1/objects/KEY  If-Match: "V"       200 {"version"} | 412 {"version"}
+///            If-None-Match: *  (must not exist)   body {"value": TEXT}
+///     DELETE /v1/objects/KEY  If-Match: "V"       200 | 404 | 412
+///     GET    /v1/watch/KEY?after=V&wait_ms=N      200 as GET when newer than V | 204
+///     GET    /v1/hosts                            200 {"hosts":[{"name","data_centre","control","relay","leaving"}]}
+///
+/// Values are text; binary values are Base64. Any call may get 429 or 503.
+/// Errors: `not_found`, `conflict` (412), `exhausted` (429), `unavailable` (503,
+/// refused connection), `timeout` (the write may have taken effect), `malformed`.
+class object_client
+{
+public:
+    static object_client make(const base::endpoint& platform, std::chrono::milliseconds timeout);
+
+    base::result<object> get(const std::string& key) const;
+    base::result<std::vector<object>> list(const std::string& prefix) const;
+    /// Writes when the object's version is `expected` (0: does not exist);
+    /// returns the new version.
+    base::result<std::uint64_t> put(const std::string& key, const std::string& value, std::uint64_t expected) const;
+    base::result<void> remove(const std::string& key, std::uint64_t expected) const;
+    /// Waits for a version newer than `after`; an object with version 0 when
+    /// nothing changed in time.
+    base::result<object> watch(const std::string& key, std::uint64_t after, std::chrono::milliseconds wait) const;
+    base::result<std::vector<membership::listed_host>> hosts() const;
+
+private:
+    object_client(const base::endpoint& platform, std::chrono::milliseconds timeout);
+
+    base::endpoint platform_;
+    std::chrono::milliseconds timeout_;
+};
+
+} // namespace galenabay::platform
--- /dev/null
+++ b/include/galenabay/wire/peer_datagram.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/result.hpp>
+#include <galenabay/flow/flow_record.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace galenabay::wire
+{
+
+/// A caller's packet that another host decides on.
+struct relayed_packet
+{
+    base::endpoint service;
+    base::endpoint caller;
+    std::vector<std::byte> payload;
+    std::uint8_t hops = 0;
+
+    friend bool operator==(const relayed_packet&, const relayed_packet&) = default;
+};
+
+struct intent
+{
+    std::uint64_t request = 0;
+    std::uint64_t upstream = 0;
+    std::uint64_t sequence = 0;
+
+    friend bool operator==(const intent&, const intent&) = default;
+};
+
+struct intent_reply
+{
+    std::uint64_t request = 0;
+    std::uint64_t sequence = 0;
+    bool accepted = false;
+
+    friend bool operator==(const intent_reply&, const intent_reply&) = default;
+};
+
+struct flow_batch
+{
+    std::vector<flow::flow_record> records;
+
+    friend bool operator==(const flow_batch&, const flow_batch&) = default;
+};
+
+/// One datagram between two hosts (schema PeerDatagram, packed encoding).
+struct peer_datagram
+{
+    /// Name of the sending host.
+    std::string from;
+    std::variant<relayed_packet, intent, intent_reply, flow_batch> body;
+
+    friend bool operator==(const peer_datagram&, const peer_datagram&) = default;
+};
+
+std::vector<std::byte> encode_peer_datagram(const peer_datagram& value);
+
+/// Errors: `malformed`, `out_of_range`.
+base::result<peer_datagram> decode_peer_datagram(std::span<const std::byte> bytes);
+
+} // namespace galenabay::wire
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -29,11 +29,9 @@
   state @4 :HostState;
   control @5 :Endpoint;
   relay @6 :Endpoint;
-  platformVersion @7 :UInt64;
-  # Version of the manifest in force; 0: none.
-  digest @8 :Data;
-  # SHA-256 of the service set in force.
-  platformReachable @9 :Bool;
+  revision @7 :UInt64;
+  # Number of the revision in force; 0: none.
+  platformReachable @8 :Bool;
 }
 
 struct FlowRecord {
@@ -52,15 +50,13 @@
   request @0 :UInt64;
   # Key of the request.
   upstream @1 :UInt64;
-  from @2 :Text;
-  sequence @3 :UInt64;
+  sequence @2 :UInt64;
 }
 
 struct DispatchIntentReply {
   request @0 :UInt64;
   sequence @1 :UInt64;
   accepted @2 :Bool;
-  from @3 :Text;
 }
 
 struct RelayedPacket {
@@ -68,7 +64,6 @@
   caller @1 :Endpoint;
   payload @2 :Data;
   hops @3 :UInt8;
-  platformVersion @4 :UInt64;
 }
 
 struct PeerDatagram {
@@ -85,9 +80,9 @@
 interface Peer {
   heartbeat @0 (report :HostReport, flows :FlowBatch) -> (report :HostReport);
   # Exchanges reports; `flows` carries registry entries that fit the budget.
-  fetchRevision @1 (afterVersion :UInt64) -> (version :UInt64, manifest :Data, chunks :List(Data));
-  # The newest revision that the peer has when newer than `afterVersion`;
-  # otherwise version 0.
+  fetchRevision @1 (after :UInt64) -> (number :UInt64, revision :Data);
+  # The revision in force at the peer when its number is larger than `after`;
+  # otherwise number 0.
   fetchReports @2 () -> (reports :List(HostReport));
   # Reports of all hosts that the peer knows, for the aggregating host.
 }
