Share compiler cache entries between checkouts

Cause: absolute paths in the hash make every checkout compile from nothing. Change: ccache's base directory is the checkout and the directory is not hashed. Measured: not measured beyond a clean build.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,8 @@
 JOBS ?= $(shell nproc)
 BUILD := build/$(PRESET)
 export CCACHE_DIR ?= $(HOME)/.ccache
+export CCACHE_BASEDIR ?= $(CURDIR)
+export CCACHE_NOHASHDIR ?= 1
 
 .PHONY: packages configure build test test-asan demo bench soak torture capacity format format-check lint generate clean
 
