--- /dev/null
+++ b/daemons/galena_balancerd.cpp
@@ -0,0 +1,143 @@
+#include <galenabay/base/log.hpp>
+#include <galenabay/config/host_settings.hpp>
+#include <galenabay/daemon/balancer.hpp>
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+
+#include <iostream>
+#include <string>
+
+namespace
+{
+
+namespace options = boost::program_options;
+using galenabay::base::log_event;
+using galenabay::base::log_level;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+
+constexpr const char* version_text = "galena_balancerd 0.1.0";
+constexpr const char* usage_text = R"(Usage: galena_balancerd --config FILE [--check]
+
+Entry host of galenabay: steers datagrams and requests to upstreams.
+Example: galena_balancerd --config /etc/galenabay/host.yaml
+
+Exit codes: 0 planned stop or settings valid, 1 could not start, 2 bad settings or usage.
+Signals: TERM and INT begin a planned stop, HUP reads the log level again.
+)";
+
+options::options_description described_options()
+{
+    options::options_description described{"Options"};
+    described.add_options()("config", options::value<std::string>(), "settings file (YAML)")(
+        "check", "check the settings and exit")("help", "show this text")("version", "show the version");
+    return described;
+}
+
+/// Blocks the handled signals in this thread and those it starts.
+sigset_t block_signals()
+{
+    sigset_t handled;
+    sigemptyset(&handled);
+    sigaddset(&handled, SIGTERM);
+    sigaddset(&handled, SIGINT);
+    sigaddset(&handled, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &handled, nullptr);
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c)
+    return handled;
+}
+
+void reload(const std::string& file, galenabay::daemon::balancer& running)
+{
+    const auto settings = galenabay::config::load_host_settings(file);
+    if (settings)
+    {
+        galenabay::base::set_log_level(settings.value().log_level);
+        log_event{log_level::info, "settings_reloaded"}.with("file", file);
+    }
+    else
+    {
+        log_event{log_level::error, "settings_refused"}.with(settings.error());
+    }
+    running.reload();
+}
+
+int serve(const std::string& file, const galenabay::config::host_settings& settings)
+{
+    galenabay::base::configure_log(settings.name, settings.data_centre, settings.log_level);
+    const sigset_t handled = block_signals();
+    auto started = galenabay::daemon::balancer::start(settings);
+    if (!started)
+    {
+        log_event{log_level::error, "start_failed"}.with(started.error());
+        return exit_failure;
+    }
+    log_event{log_level::info, "started"}.with("address", settings.address.address_string());
+    for (int signal_number = 0; sigwait(&handled, &signal_number) == 0;)
+    {
+        if (signal_number != SIGHUP)
+        {
+            break;
+        }
+        reload(file, started.value());
+    }
+    log_event{log_level::info, "stop_begun"};
+    const auto summary = started.value().stop();
+    log_event{log_level::info, "stopped"}
+        .with("open_requests", summary.open_requests)
+        .with("took_ms", summary.took.count() / 1000);
+    return exit_ok;
+}
+
+int run(const options::variables_map& values)
+{
+    if (values.count("help") != 0)
+    {
+        std::cout << usage_text << described_options();
+        return exit_ok;
+    }
+    if (values.count("version") != 0)
+    {
+        std::cout << version_text << '\n';
+        return exit_ok;
+    }
+    if (values.count("config") == 0)
+    {
+        std::cerr << "galena_balancerd: --config FILE is required; see --help\n";
+        return exit_usage;
+    }
+    const auto file = values["config"].as<std::string>();
+    const auto settings = galenabay::config::load_host_settings(file);
+    if (!settings)
+    {
+        std::cerr << settings.error().peer() << ": " << settings.error().detail() << '\n';
+        return exit_usage;
+    }
+    if (values.count("check") != 0)
+    {
+        std::cout << file << ": valid\n";
+        return exit_ok;
+    }
+    return serve(file, settings.value());
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        options::variables_map values;
+        options::store(options::parse_command_line(argc, argv, described_options()), values);
+        return run(values);
+    }
+    catch (const options::error& failure)
+    {
+        std::cerr << "galena_balancerd: " << failure.what() << "; see --help\n";
+        return exit_usage;
+    }
+}
--- /dev/null
+++ b/src/daemon/balancer.cpp
@@ -0,0 +1,158 @@
+#include <galenabay/daemon/balancer.hpp>
+
+#include "channels.hpp"
+#include "control_duty.hpp"
+#include "decide_duty.hpp"
+#include "metric_board.hpp"
+#include "metrics_duty.hpp"
+#include "packet_pool.hpp"
+#include "platform_duty.hpp"
+#include "receive_duty.hpp"
+#include "send_duty.hpp"
+#include "thread_state.hpp"
+#include "udp_socket.hpp"
+
+#include <galenabay/base/hash.hpp>
+#include <galenabay/base/log.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace galenabay::daemon
+{
+
+namespace
+{
+
+/// Packets in flight between the threads.
+constexpr std::size_t pool_size = 16384;
+/// Time for peers to hear that this host leaves, even when nothing is open.
+constexpr base::duration announce_time{1'500'000};
+constexpr std::chrono::milliseconds stop_poll_interval{20};
+
+std::uint64_t process_seed()
+{
+    std::random_device source;
+    return (std::uint64_t{source()} << 32U) | source();
+}
+
+} // namespace
+
+class balancer::threads
+{
+public:
+    threads(const config::host_settings& settings, udp_socket upstream_socket, udp_socket relay_socket,
+            std::uint64_t seed)
+        : settings_{settings}, links_{settings.ring_size}, pool_{pool_size}, metrics_{std::make_shared<metric_board>()},
+          upstream_socket_{std::move(upstream_socket)}, relay_socket_{std::move(relay_socket)},
+          receive_{links_, pool_, *metrics_, state_, upstream_socket_, relay_socket_},
+          decide_{settings,
+                  seed,
+                  links_,
+                  pool_,
+                  *metrics_,
+                  state_,
+                  upstream_socket_.descriptor(),
+                  relay_socket_.descriptor()},
+          send_{links_, pool_, *metrics_, state_}, watcher_{settings.platform, *metrics_, state_},
+          caller_{settings.platform, *metrics_, state_}, control_{settings, seed + 1, links_, *metrics_,
+                                                                  state_,   watcher_, caller_}
+    {
+    }
+    threads(const threads&) = delete;
+    threads& operator=(const threads&) = delete;
+
+    ~threads() { end(); }
+
+    base::result<void> start()
+    {
+        const auto local = settings_.address.with_port(settings_.metrics_port);
+        BOOST_OUTCOME_TRY(server, metrics_duty::start(local, metrics_, state_));
+        http_ = std::make_unique<metrics_duty>(std::move(server));
+        running_.emplace_back([this] { receive_.run(); });
+        running_.emplace_back([this] { decide_.run(); });
+        running_.emplace_back([this] { send_.run(); });
+        running_.emplace_back([this] { watcher_.run(); });
+        running_.emplace_back([this] { caller_.run(); });
+        running_.emplace_back([this] { control_.run(); });
+        return base::outcome::success();
+    }
+
+    void reload() { control_.reload(); }
+
+    stop_summary stop()
+    {
+        const auto began = steady_now();
+        state_.leaving.store(true);
+        while (steady_now() - began < settings_.stop_timeout)
+        {
+            std::this_thread::sleep_for(stop_poll_interval);
+            if (steady_now() - began > announce_time && state_.open_requests.load() == 0)
+            {
+                break;
+            }
+        }
+        const stop_summary summary{state_.open_requests.load(), steady_now() - began};
+        end();
+        return summary;
+    }
+
+private:
+    void end()
+    {
+        state_.stop.store(true);
+        for (auto& thread : running_)
+        {
+            thread.join();
+        }
+        running_.clear();
+        http_.reset();
+    }
+
+    config::host_settings settings_;
+    thread_state state_;
+    channels links_;
+    packet_pool pool_;
+    std::shared_ptr<metric_board> metrics_;
+    udp_socket upstream_socket_;
+    udp_socket relay_socket_;
+    receive_duty receive_;
+    decide_duty decide_;
+    send_duty send_;
+    platform_duty watcher_;
+    platform_duty caller_;
+    control_duty control_;
+    std::unique_ptr<metrics_duty> http_;
+    std::vector<std::thread> running_;
+};
+
+base::result<balancer> balancer::start(const config::host_settings& settings)
+{
+    BOOST_OUTCOME_TRY(upstream_socket, udp_socket::bind(settings.address.with_port(settings.upstream_port)));
+    BOOST_OUTCOME_TRY(relay_socket, udp_socket::bind(settings.address.with_port(settings.relay_port)));
+    auto running =
+        std::make_unique<threads>(settings, std::move(upstream_socket), std::move(relay_socket), process_seed());
+    BOOST_OUTCOME_TRYV(running->start());
+    return balancer{std::move(running)};
+}
+
+balancer::balancer(std::unique_ptr<threads> running) : threads_{std::move(running)} {}
+balancer::balancer(balancer&&) noexcept = default;
+balancer& balancer::operator=(balancer&&) noexcept = default;
+balancer::~balancer() = default;
+
+void balancer::reload()
+{
+    threads_->reload();
+}
+
+stop_summary balancer::stop()
+{
+    return threads_->stop();
+}
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/channels.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "packet.hpp"
+#include "reach_table.hpp"
+#include "waker.hpp"
+
+#include <galenabay/base/ring.hpp>
+#include <galenabay/config/accepted_revision.hpp>
+#include <galenabay/flow/flow_record.hpp>
+#include <galenabay/membership/host.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+namespace galenabay::daemon
+{
+
+/// Control thread to decide thread.
+struct revision_event
+{
+    std::shared_ptr<const config::accepted_revision> revision;
+};
+struct hosts_event
+{
+    std::vector<membership::live_host> hosts;
+};
+struct records_event
+{
+    std::vector<flow::flow_record> records;
+};
+/// The control thread has heard its peers again after the pause with this
+/// number.
+struct resumed_event
+{
+    std::uint64_t pause = 0;
+};
+/// A planned stop has begun.
+struct leave_event
+{
+};
+using decide_event =
+    std::variant<std::monostate, revision_event, hosts_event, records_event, resumed_event, leave_event>;
+
+/// Decide thread to control thread: flow records for one peer.
+struct outgoing_records
+{
+    std::string host;
+    std::vector<flow::flow_record> records;
+};
+
+/// Decide thread to receive thread: a descriptor to read from now on, or to
+/// stop reading.
+struct socket_change
+{
+    int descriptor = -1;
+    base::endpoint service;
+    bool open = false;
+};
+
+/// IP addresses (ports ignored) that this host may not talk to; for tests of
+/// partitions.
+using cut_addresses = std::unordered_set<std::string>;
+
+/// Decide and control threads to send thread.
+using send_rules =
+    std::variant<std::monostate, std::shared_ptr<const reach_table>, std::shared_ptr<const cut_addresses>>;
+
+/// All rings between the threads of one process, with the wakers of their
+/// consumers. Each ring has one producer and one consumer.
+struct channels
+{
+    explicit channels(std::size_t ring_size)
+        : receive_to_decide{ring_size}, decide_to_send{ring_size}, control_to_decide{control_ring_size},
+          decide_to_control{control_ring_size}, decide_to_receive{control_ring_size},
+          decide_to_send_rules{control_ring_size}, control_to_send_rules{control_ring_size}, control_to_receive_rules{
+                                                                                                 control_ring_size}
+    {
+    }
+
+    static constexpr std::size_t control_ring_size = 1024;
+
+    base::ring<packet*> receive_to_decide;
+    base::ring<packet*> decide_to_send;
+    base::ring<decide_event> control_to_decide;
+    base::ring<outgoing_records> decide_to_control;
+    base::ring<socket_change> decide_to_receive;
+    base::ring<send_rules> decide_to_send_rules;
+    base::ring<send_rules> control_to_send_rules;
+    base::ring<send_rules> control_to_receive_rules;
+
+    waker receive_waker;
+    waker decide_waker;
+    waker send_waker;
+};
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/control_duty.cpp
@@ -0,0 +1,470 @@
+#include "control_duty.hpp"
+
+#include "counting_stream.hpp"
+
+#include <galenabay/base/log.hpp>
+#include <galenabay/config/codec.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+namespace galenabay::daemon
+{
+
+namespace
+{
+
+const auto tick_interval = 10 * kj::MILLISECONDS;
+constexpr base::duration list_interval{2'000'000};
+constexpr base::duration pause_limit{1'000'000};
+/// A paused host that hears no peer serves again after this long.
+constexpr base::duration resume_limit{5'000'000};
+/// A new host that hears no peer serves after this long.
+constexpr base::duration lonely_start_limit{3'000'000};
+
+std::uint64_t incarnation_now()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
+}
+
+membership::member_settings member_settings_of(const config::host_settings& settings)
+{
+    return {settings.name, settings.data_centre, settings.peer_timeout, pause_limit};
+}
+
+std::vector<membership::listed_host> configured_peers(const config::host_settings& settings)
+{
+    std::vector<membership::listed_host> rows;
+    for (const auto& peer : settings.peers)
+    {
+        rows.push_back({peer.name, peer.data_centre, peer.control, peer.relay, false});
+    }
+    return rows;
+}
+
+} // namespace
+
+control_duty::control_duty(const config::host_settings& settings, std::uint64_t seed, channels& links,
+                           metric_board& metrics, thread_state& state, platform_duty& watcher, platform_duty& caller)
+    : settings_{settings}, links_{links}, metrics_{metrics}, state_{state}, watcher_{watcher}, caller_{caller},
+      random_{seed}, members_{member_settings_of(settings)}, follower_{revision::follower_settings{.seed = seed}}
+{
+    self_.name = settings.name;
+    self_.data_centre = settings.data_centre;
+    self_.incarnation = incarnation_now();
+    self_.control = settings.address.with_port(settings.control_port);
+    self_.relay = settings.address.with_port(settings.relay_port);
+}
+
+control_duty::~control_duty() noexcept = default;
+
+membership::host_report control_duty::own_report()
+{
+    ++self_.sequence;
+    return self_;
+}
+
+std::uint64_t control_duty::revision_number() const
+{
+    const auto* current = follower_.current();
+    return current == nullptr ? 0 : current->number;
+}
+
+std::vector<membership::host_report> control_duty::known_reports() const
+{
+    return members_.reports(steady_now());
+}
+
+bool control_duty::on_heartbeat(const membership::host_report& report, const std::vector<flow::flow_record>& records)
+{
+    if (cuts_.has(report.data_centre))
+    {
+        return false;
+    }
+    hear(report, records);
+    return true;
+}
+
+void control_duty::hear(const membership::host_report& report, const std::vector<flow::flow_record>& records)
+{
+    const auto now = steady_now();
+    members_.on_report(report, now);
+    heard_since_pause_ = true;
+    if (!records.empty())
+    {
+        links_.control_to_decide.push(records_event{records});
+        links_.decide_waker.notify();
+    }
+    if (const auto found = contacts_.find(report.name); found != contacts_.end())
+    {
+        found->second.due = now + settings_.heartbeat_interval;
+    }
+    carry_out(follower_.on_peer_number(report.name, report.revision, now), now);
+}
+
+void control_duty::task_log::taskFailed(kj::Exception&& failure)
+{
+    base::log_event{base::log_level::debug, "control_task_failed"}.with("detail", failure.getDescription().cStr());
+}
+
+void control_duty::carry_out(const revision::actions& decided, base::time_point now)
+{
+    for (const auto& each : decided)
+    {
+        if (const auto* platform = std::get_if<revision::fetch_from_platform>(&each))
+        {
+            watcher_.submit(watch_request{platform->after});
+        }
+        else if (const auto* peer = std::get_if<revision::fetch_from_peer>(&each))
+        {
+            fetch_from_peer(peer->host, peer->after);
+        }
+        else if (std::holds_alternative<revision::adopt>(each))
+        {
+            adopt(now);
+        }
+        else if (const auto* alarm = std::get_if<revision::raise_alarm>(&each))
+        {
+            metrics_.add(metric::revision_alarms);
+            base::log_event{base::log_level::error, "revision_alarm"}
+                .with("peer", alarm->source)
+                .with("offered", alarm->offered)
+                .with("in_force", alarm->in_force);
+        }
+    }
+}
+
+void control_duty::adopt(base::time_point now)
+{
+    const auto* current = follower_.current();
+    encoded_revision_ = config::encode_revision(*current);
+    links_.control_to_decide.push(revision_event{std::make_shared<const config::accepted_revision>(*current)});
+    links_.decide_waker.notify();
+    self_.revision = current->number;
+    base::log_event{base::log_level::info, "revision_adopted"}
+        .with("revision", current->number)
+        .with("digest", config::to_hex(current->digest).substr(0, 12))
+        .with("author", current->author);
+    for (auto& [name, to] : contacts_)
+    {
+        to.due = now;
+    }
+    published_cuts_ = nullptr;
+}
+
+void control_duty::fetch_from_peer(const std::string& host, std::uint64_t after)
+{
+    const auto found = contacts_.find(host);
+    if (found == contacts_.end())
+    {
+        carry_out(follower_.on_peer_failure(host, steady_now()), steady_now());
+        return;
+    }
+    auto fetching = found->second.link->fetch_revision(after).then(
+        [this, host](std::vector<std::byte> bytes)
+        {
+            const auto now = steady_now();
+            const auto offered = config::decode_revision(bytes);
+            if (offered)
+            {
+                carry_out(follower_.on_peer_revision(host, offered.value(), now), now);
+                return;
+            }
+            metrics_.add(metric::revision_failed_fetches);
+            carry_out(follower_.on_peer_failure(host, now), now);
+        },
+        [this, host](kj::Exception&&)
+        {
+            metrics_.add(metric::revision_failed_fetches);
+            carry_out(follower_.on_peer_failure(host, steady_now()), steady_now());
+        });
+    tasks_->add(kj::mv(fetching));
+}
+
+void control_duty::handle(const platform_event& event, base::time_point now)
+{
+    if (const auto* read = std::get_if<revision_read>(&event))
+    {
+        carry_out(follower_.on_platform_revision(*read->revision, now), now);
+    }
+    else if (std::holds_alternative<revision_unchanged>(event))
+    {
+        carry_out(follower_.on_platform_unchanged(now), now);
+    }
+    else if (const auto* failed = std::get_if<revision_failed>(&event))
+    {
+        base::log_event{base::log_level::debug, "platform_watch_failed"}.with(failed->why);
+        carry_out(follower_.on_platform_failure(now), now);
+    }
+    else if (const auto* listed = std::get_if<hosts_listed>(&event))
+    {
+        listed_once_ = true;
+        members_.on_platform_list(listed->hosts, now);
+    }
+}
+
+void control_duty::take_platform_events(base::time_point now)
+{
+    for (platform_event event; watcher_.poll(event);)
+    {
+        handle(event, now);
+    }
+    for (platform_event event; caller_.poll(event);)
+    {
+        handle(event, now);
+    }
+}
+
+void control_duty::ask_platform(base::time_point now)
+{
+    if (now >= next_list_)
+    {
+        const auto jitter = static_cast<std::int64_t>(random_.below(list_interval.count() / 4));
+        next_list_ = now + list_interval + base::duration{jitter};
+        caller_.submit(list_request{});
+    }
+}
+
+void control_duty::update_contacts(base::time_point now)
+{
+    for (const auto& row : members_.contacts(now))
+    {
+        auto& to = contacts_[row.name];
+        if (to.link.get() == nullptr || (to.link->control() != row.control && !to.link->busy()))
+        {
+            to.link =
+                kj::heap<peer_link>(io_->provider->getNetwork(), io_->provider->getTimer(), metrics_, row.control);
+            to.due = now;
+        }
+    }
+}
+
+bool control_duty::initiates(const std::string& name, base::time_point now) const
+{
+    // One exchange per pair and interval is enough; the other side starts one
+    // when it has not heard for longer than that.
+    return settings_.name < name || members_.silence(name, now) > settings_.heartbeat_interval * 3 / 2;
+}
+
+void control_duty::send_heartbeat(const std::string& name, contact& to, base::time_point now)
+{
+    to.due = now + settings_.heartbeat_interval;
+    auto exchange = to.link->exchange(own_report(), std::exchange(to.records, {}))
+                        .then(
+                            [this, name](membership::host_report report)
+                            {
+                                metrics_.add(metric::heartbeats_ok);
+                                contacts_[name].tried = true;
+                                if (report.name == name)
+                                {
+                                    hear(report, {});
+                                }
+                            },
+                            [this, name](kj::Exception&&)
+                            {
+                                metrics_.add(metric::heartbeats_failed);
+                                contacts_[name].tried = true;
+                            });
+    tasks_->add(kj::mv(exchange));
+}
+
+void control_duty::send_heartbeats(base::time_point now)
+{
+    for (const auto& row : members_.contacts(now))
+    {
+        auto& to = contacts_[row.name];
+        if (to.link->busy() || cuts_.has(row.data_centre))
+        {
+            continue;
+        }
+        const bool due = now >= to.due && initiates(row.name, now);
+        if (due || !to.records.empty())
+        {
+            send_heartbeat(row.name, to, now);
+        }
+    }
+}
+
+void control_duty::take_outgoing_records()
+{
+    for (outgoing_records batch; links_.decide_to_control.pop(batch);)
+    {
+        auto& waiting = contacts_[batch.host].records;
+        waiting.insert(waiting.end(), batch.records.begin(), batch.records.end());
+    }
+    std::erase_if(contacts_, [](const auto& entry) { return entry.second.link.get() == nullptr; });
+}
+
+bool control_duty::knows_peers(base::time_point now) const
+{
+    if (now - started_ > lonely_start_limit)
+    {
+        return true;
+    }
+    const auto contacts = members_.contacts(now);
+    const bool told = listed_once_ || !settings_.peers.empty();
+    return told && std::all_of(contacts.begin(), contacts.end(),
+                               [&](const membership::listed_host& row)
+                               {
+                                   const auto found = contacts_.find(row.name);
+                                   return found != contacts_.end() && found->second.tried;
+                               });
+}
+
+void control_duty::update_self(base::time_point now)
+{
+    self_.platform_reachable = follower_.platform_reachable();
+    metrics_.set(metric::platform_reachable, self_.platform_reachable ? 1 : 0);
+    if (leaving_)
+    {
+        self_.state = membership::host_state::leaving;
+    }
+    else if (self_.state == membership::host_state::starting && state_.serving.load() && knows_peers(now))
+    {
+        self_.state = membership::host_state::ready;
+        base::log_event{base::log_level::info, "host_ready"}.with("revision", self_.revision);
+        for (auto& [name, to] : contacts_)
+        {
+            to.due = now;
+        }
+    }
+    metrics_.set(metric::ready, self_.state == membership::host_state::ready ? 1 : 0);
+    members_.set_self(self_);
+}
+
+void control_duty::publish_hosts(base::time_point now)
+{
+    auto hosts = members_.deciding_hosts(now);
+    if (hosts == published_hosts_)
+    {
+        return;
+    }
+    std::string names;
+    for (const auto& host : hosts)
+    {
+        names += (names.empty() ? "" : ",") + host.name;
+    }
+    base::log_event{base::log_level::info, "hosts_changed"}.with("count", hosts.size()).with("hosts", names);
+    published_hosts_ = hosts;
+    links_.control_to_decide.push(hosts_event{std::move(hosts)});
+    links_.decide_waker.notify();
+}
+
+void control_duty::watch_pauses(base::time_point now)
+{
+    if (members_.on_tick(now))
+    {
+        state_.pauses.fetch_add(1);
+    }
+    if (const auto pauses = state_.pauses.load(); pauses != handled_pauses_)
+    {
+        handled_pauses_ = pauses;
+        open_pause_ = pauses;
+        pause_noticed_ = now;
+        heard_since_pause_ = false;
+        for (auto& [name, to] : contacts_)
+        {
+            to.due = now;
+        }
+    }
+    const bool alone = members_.contacts(now).empty() || now - pause_noticed_ > resume_limit;
+    if (open_pause_ != 0 && (heard_since_pause_ || alone))
+    {
+        base::log_event{base::log_level::info, "pause_recovered"}.with("heard_peer", heard_since_pause_ ? 1 : 0);
+        publish_hosts(now);
+        links_.control_to_decide.push(resumed_event{open_pause_});
+        open_pause_ = 0;
+    }
+}
+
+void control_duty::apply_cuts(base::time_point now)
+{
+    if (reload_.exchange(false))
+    {
+        cuts_ = cut_list::read(settings_.drop_peers_file);
+        watcher_.set_cut(cuts_.has_platform());
+        caller_.set_cut(cuts_.has_platform());
+        published_cuts_ = nullptr;
+    }
+    if (published_cuts_ == nullptr)
+    {
+        published_cuts_ = cuts_.addresses(members_.contacts(now), follower_.current());
+        links_.control_to_send_rules.push(published_cuts_);
+        links_.control_to_receive_rules.push(published_cuts_);
+        links_.receive_waker.notify();
+        links_.send_waker.notify();
+    }
+}
+
+void control_duty::begin_leaving(base::time_point now)
+{
+    if (leaving_ || !state_.leaving.load())
+    {
+        return;
+    }
+    leaving_ = true;
+    update_self(now);
+    publish_hosts(now);
+    links_.control_to_decide.push(leave_event{});
+    links_.decide_waker.notify();
+    for (auto& [name, to] : contacts_)
+    {
+        if (!to.link->busy())
+        {
+            send_heartbeat(name, to, now);
+        }
+    }
+}
+
+void control_duty::tick(base::time_point now)
+{
+    watch_pauses(now);
+    take_platform_events(now);
+    carry_out(follower_.on_tick(now), now);
+    ask_platform(now);
+    update_contacts(now);
+    take_outgoing_records();
+    begin_leaving(now);
+    update_self(now);
+    send_heartbeats(now);
+    publish_hosts(now);
+    apply_cuts(now);
+}
+
+kj::Promise<void> control_duty::accept_loop(kj::ConnectionReceiver& receiver, capnp::TwoPartyServer& server)
+{
+    return receiver.accept().then(
+        [this, &receiver, &server](kj::Own<kj::AsyncIoStream> connection)
+        {
+            server.accept(kj::heap<counting_stream>(kj::mv(connection), metrics_));
+            return accept_loop(receiver, server);
+        });
+}
+
+void control_duty::run()
+{
+    auto io = kj::setupAsyncIo();
+    io_ = &io;
+    tasks_ = kj::heap<kj::TaskSet>(task_log_);
+    auto& network = io.provider->getNetwork();
+    auto address = network.parseAddress(self_.control.to_string()).wait(io.waitScope);
+    auto receiver = address->listen();
+    capnp::TwoPartyServer server{kj::heap<peer_server>(static_cast<peer_handler&>(*this))};
+    tasks_->add(accept_loop(*receiver, server));
+    started_ = steady_now();
+    members_.on_platform_list(configured_peers(settings_), started_);
+    auto& timer = io.provider->getTimer();
+    while (!state_.stop.load(std::memory_order_relaxed))
+    {
+        timer.afterDelay(tick_interval).wait(io.waitScope);
+        tick(steady_now());
+    }
+    tasks_ = nullptr;
+    contacts_.clear();
+    io_ = nullptr;
+}
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/control_duty.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "channels.hpp"
+#include "cut_list.hpp"
+#include "metric_board.hpp"
+#include "peer_link.hpp"
+#include "peer_server.hpp"
+#include "platform_duty.hpp"
+#include "thread_state.hpp"
+
+#include <galenabay/base/random.hpp>
+#include <galenabay/base/time.hpp>
+#include <galenabay/config/host_settings.hpp>
+#include <galenabay/membership/member_view.hpp>
+#include <galenabay/revision/follower.hpp>
+
+#include <kj/async-io.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace galenabay::daemon
+{
+
+/// Control thread: heartbeats with peers, which hosts take part, which revision
+/// is in force, status to the platform.
+class control_duty : private peer_handler
+{
+public:
+    control_duty(const config::host_settings& settings, std::uint64_t seed, channels& links, metric_board& metrics,
+                 thread_state& state, platform_duty& watcher, platform_duty& caller);
+    ~control_duty() noexcept override;
+
+    /// Runs until the process stops.
+    void run();
+
+    /// Any thread: read the test settings again.
+    void reload() { reload_.store(true); }
+
+private:
+    /// Logs tasks that fail; the failures themselves are handled in the tasks.
+    class task_log final : public kj::TaskSet::ErrorHandler
+    {
+        void taskFailed(kj::Exception&& failure) override; // NOLINT(readability-identifier-naming)
+    };
+
+    struct contact
+    {
+        kj::Own<peer_link> link;
+        base::time_point due{};
+        bool tried = false;
+        std::vector<flow::flow_record> records;
+    };
+
+    // peer_handler
+    bool on_heartbeat(const membership::host_report& report, const std::vector<flow::flow_record>& records) override;
+    membership::host_report own_report() override;
+    const std::vector<std::byte>& encoded_revision() const override { return encoded_revision_; }
+    std::uint64_t revision_number() const override;
+    std::vector<membership::host_report> known_reports() const override;
+
+    kj::Promise<void> accept_loop(kj::ConnectionReceiver& receiver, capnp::TwoPartyServer& server);
+
+    void tick(base::time_point now);
+    void take_platform_events(base::time_point now);
+    void handle(const platform_event& event, base::time_point now);
+    void carry_out(const revision::actions& decided, base::time_point now);
+    void adopt(base::time_point now);
+    void fetch_from_peer(const std::string& host, std::uint64_t after);
+    void ask_platform(base::time_point now);
+
+    void update_contacts(base::time_point now);
+    void send_heartbeats(base::time_point now);
+    void send_heartbeat(const std::string& name, contact& to, base::time_point now);
+    void hear(const membership::host_report& report, const std::vector<flow::flow_record>& records);
+    bool initiates(const std::string& name, base::time_point now) const;
+    void take_outgoing_records();
+
+    void update_self(base::time_point now);
+    void publish_hosts(base::time_point now);
+    void watch_pauses(base::time_point now);
+    void apply_cuts(base::time_point now);
+    void begin_leaving(base::time_point now);
+    bool knows_peers(base::time_point now) const;
+
+    config::host_settings settings_;
+    channels& links_;
+    metric_board& metrics_;
+    thread_state& state_;
+    platform_duty& watcher_;
+    platform_duty& caller_;
+    base::random_source random_;
+    membership::member_view members_;
+    revision::follower follower_;
+    membership::host_report self_;
+    std::vector<std::byte> encoded_revision_;
+    std::vector<membership::live_host> published_hosts_;
+    std::map<std::string, contact> contacts_;
+    cut_list cuts_;
+    std::shared_ptr<const cut_addresses> published_cuts_;
+    std::atomic<bool> reload_{true};
+    base::time_point started_{};
+    base::time_point next_list_{};
+    bool listed_once_ = false;
+    bool leaving_ = false;
+    /// Number of the pause being recovered from; 0: none.
+    std::uint64_t open_pause_ = 0;
+    std::uint64_t handled_pauses_ = 0;
+    base::time_point pause_noticed_{};
+    bool heard_since_pause_ = false;
+
+    kj::AsyncIoContext* io_ = nullptr;
+    task_log task_log_;
+    kj::Own<kj::TaskSet> tasks_;
+};
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/decide_duty.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "channels.hpp"
+#include "metric_board.hpp"
+#include "packet_path.hpp"
+#include "packet_pool.hpp"
+#include "thread_state.hpp"
+
+#include <galenabay/base/time.hpp>
+#include <galenabay/config/host_settings.hpp>
+
+#include <cstdint>
+
+namespace galenabay::daemon
+{
+
+/// Decide thread: feeds packets, events and time to the decision logic and
+/// passes its decisions on.
+class decide_duty
+{
+public:
+    decide_duty(const config::host_settings& settings, std::uint64_t seed, channels& links, packet_pool& pool,
+                metric_board& metrics, thread_state& state, int upstream_socket, int relay_socket);
+
+    /// Runs until the process stops.
+    void run();
+
+private:
+    bool work(base::time_point now);
+    bool handle_events(base::time_point now);
+    bool handle_packets(base::time_point now);
+    void handle(const decide_event& event, base::time_point now);
+    void notice_pause(base::time_point now);
+    void tick(base::time_point now);
+    void send_records(base::time_point now);
+
+    config::host_settings settings_;
+    channels& links_;
+    packet_pool& pool_;
+    metric_board& metrics_;
+    thread_state& state_;
+    packet_path path_;
+    base::time_point last_round_{};
+    base::time_point next_tick_{};
+    base::time_point next_records_{};
+    base::time_point next_metrics_{};
+    /// Number of the pause that has not been recovered from; 0: none.
+    std::uint64_t open_pause_ = 0;
+};
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/health_prober.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/random.hpp>
+#include <galenabay/base/time.hpp>
+#include <galenabay/config/accepted_revision.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace galenabay::daemon
+{
+
+/// A CoAP GET of an upstream's load report that is due.
+struct probe
+{
+    config::service_id service = 0;
+    base::endpoint service_address;
+    base::endpoint upstream;
+    std::vector<std::byte> bytes;
+};
+
+/// What a probe's answer says, or a lack of answers.
+struct health_change
+{
+    config::upstream_id upstream = 0;
+    bool healthy = true;
+    std::uint32_t running = 0;
+};
+
+/// Reads the load reports of all upstreams of CoAP services at a steady rate.
+/// No I/O: probes go out, answers come in. Owned by the decide thread.
+class health_prober
+{
+public:
+    explicit health_prober(std::uint64_t seed) : random_{seed} {}
+
+    void on_revision(const config::accepted_revision& revision, base::time_point now);
+
+    /// Probes that are due; upstreams that stopped answering go to `changes`.
+    std::vector<probe> on_tick(base::time_point now, std::vector<health_change>& changes);
+
+    /// The answer to a probe; nullopt when it answers none.
+    std::optional<health_change> on_answer(const base::endpoint& upstream, std::uint64_t token,
+                                           std::span<const std::byte> payload);
+
+    std::size_t unhealthy() const;
+
+private:
+    struct target
+    {
+        config::upstream_id id = 0;
+        config::service_id service = 0;
+        base::endpoint service_address;
+        base::time_point due{};
+        std::uint64_t token = 0;
+        std::uint32_t missed = 0;
+        bool healthy = true;
+    };
+
+    probe make_probe(const base::endpoint& upstream, target& to);
+
+    base::random_source random_;
+    std::uint16_t next_message_id_ = 1;
+    std::map<base::endpoint, target> targets_;
+};
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/packet_path.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "health_prober.hpp"
+#include "metric_board.hpp"
+#include "outbox.hpp"
+#include "registration_log.hpp"
+#include "service_table.hpp"
+
+#include <galenabay/config/host_settings.hpp>
+#include <galenabay/dispatch/dispatcher.hpp>
+#include <galenabay/flow/steering.hpp>
+#include <galenabay/wire/coap_view.hpp>
+#include <galenabay/wire/peer_datagram.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace galenabay::daemon
+{
+
+/// Takes each packet from where it arrived to where it has to go: asks steering
+/// or the dispatcher and carries out what they decide. Owned by the decide
+/// thread.
+class packet_path
+{
+public:
+    packet_path(const config::host_settings& settings, std::uint64_t seed, channels& links, packet_pool& pool,
+                metric_board& metrics, int upstream_socket, int relay_socket);
+
+    /// Handles one packet; takes it over.
+    void on_packet(packet* received, base::time_point now);
+
+    void on_revision(const std::shared_ptr<const config::accepted_revision>& revision, base::time_point now);
+    void on_hosts(const std::vector<membership::live_host>& hosts, base::time_point now);
+    void on_records(const std::vector<flow::flow_record>& records, base::time_point now);
+    void on_pause(base::time_point now);
+    void on_leave(base::time_point now);
+    void on_tick(base::time_point now);
+
+    /// Flow records for a peer, at most `budget_bytes`.
+    std::vector<outgoing_records> take_records(std::size_t budget_bytes, base::time_point now);
+
+    std::size_t open_requests() const noexcept { return dispatcher_.open_requests(); }
+    void publish_metrics();
+    void flush() { outbox_.flush(); }
+
+private:
+    /// A caller's packet, direct or relayed.
+    struct arrival
+    {
+        packet* received = nullptr;
+        base::endpoint service;
+        base::endpoint caller;
+        std::uint8_t hops = 0;
+    };
+
+    void on_caller_packet(const arrival& from, base::time_point now);
+    void on_upstream_packet(packet* received, base::time_point now);
+    void on_host_packet(packet* received, base::time_point now);
+    void on_coap_packet(const arrival& from, const service_entry& entry, base::time_point now);
+    void on_request(const arrival& from, const service_entry& entry, const wire::coap_view& view, base::time_point now);
+    void steer(const arrival& from, const wire::coap_view* view, base::time_point now);
+    void carry_out(const arrival& from, const flow::decision& decided, const wire::coap_view* view);
+    void refuse_registration(const arrival& from, const wire::coap_view& view);
+    void answer_malformed(const arrival& from, const service_entry& entry);
+    void return_to_caller(packet* received, const wire::proxy_header& header, base::time_point now);
+    bool take_as_answer(const packet& received, const wire::proxy_header& header, const wire::coap_view& view,
+                        base::time_point now);
+    void on_probe_answer(const packet& received, base::time_point now);
+    void apply_health(const health_change& change, base::time_point now);
+    void send_coap(const wire::coap_message& message, const base::endpoint& service, const base::endpoint& caller);
+    bool is_known_host(const std::string& name, const base::endpoint& sender) const;
+
+    void carry_out(const dispatch::actions& decided);
+    void carry_out(const dispatch::send_to_upstream& what);
+    void carry_out(const dispatch::cancel_at_upstream& what);
+    void carry_out(const dispatch::deliver& what);
+    void carry_out(const dispatch::refuse& what);
+    void carry_out(const dispatch::relay_request& what);
+    void carry_out(const dispatch::send_intent& what);
+    void carry_out(const dispatch::send_intent_reply& what);
+
+    std::string self_;
+    base::endpoint upstream_address_;
+    channels& links_;
+    metric_board& metrics_;
+    service_table services_;
+    outbox outbox_;
+    flow::steering steering_;
+    dispatch::dispatcher dispatcher_;
+    health_prober prober_;
+    registration_log registrations_;
+    std::shared_ptr<const config::accepted_revision> revision_;
+    reach_table reach_;
+    std::vector<membership::live_host> hosts_;
+    std::map<std::string, base::endpoint> relays_;
+    base::time_point next_steering_tick_{};
+};
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/packet_pool.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "packet.hpp"
+
+#include <boost/lockfree/stack.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+namespace galenabay::daemon
+{
+
+/// Fixed number of packet buffers shared by the packet threads. Thread-safe.
+class packet_pool
+{
+public:
+    explicit packet_pool(std::size_t count) : free_{count}
+    {
+        packets_.reserve(count);
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            packets_.push_back(std::make_unique<packet>());
+            free_.bounded_push(packets_.back().get());
+        }
+    }
+
+    /// A free buffer, or null when all are in use.
+    packet* take()
+    {
+        packet* free_packet = nullptr;
+        return free_.pop(free_packet) ? free_packet : nullptr;
+    }
+
+    void give_back(packet* used) { free_.bounded_push(used); }
+
+private:
+    std::vector<std::unique_ptr<packet>> packets_;
+    boost::lockfree::stack<packet*> free_;
+};
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/peer_link.cpp
@@ -0,0 +1,122 @@
+#include "peer_link.hpp"
+
+#include "counting_stream.hpp"
+#include "report_codec.hpp"
+
+#include <memory>
+#include <utility>
+
+namespace galenabay::daemon
+{
+
+namespace
+{
+
+const auto exchange_timeout = 1 * kj::SECONDS;
+const auto fetch_timeout = 10 * kj::SECONDS;
+
+} // namespace
+
+peer_link::peer_link(kj::Network& network, kj::Timer& timer, metric_board& metrics, const base::endpoint& control)
+    : network_{network}, timer_{timer}, metrics_{metrics}, control_{control}
+{
+}
+
+kj::Promise<void> peer_link::connect()
+{
+    if (connection_ != nullptr)
+    {
+        return kj::READY_NOW;
+    }
+    return network_.parseAddress(control_.to_string())
+        .then(
+            [](kj::Own<kj::NetworkAddress> address)
+            {
+                auto connecting = address->connect();
+                return connecting.attach(kj::mv(address));
+            })
+        .then(
+            [this](kj::Own<kj::AsyncIoStream> raw)
+            {
+                auto stream = kj::heap<counting_stream>(kj::mv(raw), metrics_);
+                auto client = kj::heap<capnp::TwoPartyClient>(*stream);
+                auto peer = client->bootstrap().castAs<schema::Peer>();
+                connection_ = kj::heap<connection>(connection{kj::mv(stream), kj::mv(client), kj::mv(peer)});
+            });
+}
+
+void peer_link::drop_connection()
+{
+    connection_ = nullptr;
+}
+
+kj::Promise<membership::host_report> peer_link::send_report(const membership::host_report& own,
+                                                            const std::vector<flow::flow_record>& records)
+{
+    auto& open = *KJ_ASSERT_NONNULL(connection_);
+    auto request = open.peer.heartbeatRequest();
+    write_report(own, request.initReport());
+    if (!records.empty())
+    {
+        write_records(records, request.initFlows());
+    }
+    return request.send().then(
+        [](capnp::Response<schema::Peer::HeartbeatResults> response)
+        {
+            auto report = read_report(response.getReport());
+            KJ_REQUIRE(report.has_value(), "malformed report");
+            return std::move(report).value();
+        });
+}
+
+kj::Promise<membership::host_report> peer_link::exchange(const membership::host_report& own,
+                                                         std::vector<flow::flow_record> records)
+{
+    ++open_calls_;
+    auto whole = connect().then([this, own, records = std::move(records)]() { return send_report(own, records); });
+    return timer_.timeoutAfter(exchange_timeout, kj::mv(whole))
+        .then(
+            [this](membership::host_report report)
+            {
+                --open_calls_;
+                return report;
+            },
+            [this](kj::Exception&& failure) -> membership::host_report
+            {
+                --open_calls_;
+                drop_connection();
+                kj::throwFatalException(kj::mv(failure));
+            });
+}
+
+kj::Promise<std::vector<std::byte>> peer_link::fetch_revision(std::uint64_t after)
+{
+    ++open_calls_;
+    auto whole = connect().then(
+        [this, after]()
+        {
+            auto request = KJ_ASSERT_NONNULL(connection_)->peer.fetchRevisionRequest();
+            request.setAfter(after);
+            return request.send().then(
+                [](capnp::Response<schema::Peer::FetchRevisionResults> response)
+                {
+                    const auto bytes = response.getRevision();
+                    const auto* begin = reinterpret_cast<const std::byte*>(bytes.begin());
+                    return std::vector<std::byte>{begin, begin + bytes.size()};
+                });
+        });
+    return timer_.timeoutAfter(fetch_timeout, kj::mv(whole))
+        .then(
+            [this](std::vector<std::byte> bytes)
+            {
+                --open_calls_;
+                return bytes;
+            },
+            [this](kj::Exception&& failure) -> std::vector<std::byte>
+            {
+                --open_calls_;
+                kj::throwFatalException(kj::mv(failure));
+            });
+}
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/peer_link.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "metric_board.hpp"
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/flow/flow_record.hpp>
+#include <galenabay/membership/host.hpp>
+
+#include <generated/peer.capnp.h>
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace galenabay::daemon
+{
+
+/// Connection to one peer. Connects on first use and again after a failure.
+/// Owned by the control thread; used inside its event loop only.
+class peer_link
+{
+public:
+    peer_link(kj::Network& network, kj::Timer& timer, metric_board& metrics, const base::endpoint& control);
+
+    /// Sends this host's report and flow records; gives the peer's report.
+    /// Rejected when the peer can't be reached in time.
+    kj::Promise<membership::host_report> exchange(const membership::host_report& own,
+                                                  std::vector<flow::flow_record> records);
+
+    /// The peer's revision when its number is larger than `after`; otherwise an
+    /// empty vector.
+    kj::Promise<std::vector<std::byte>> fetch_revision(std::uint64_t after);
+
+    const base::endpoint& control() const noexcept { return control_; }
+
+    /// True while a call has no answer yet; the link must not be destroyed then.
+    bool busy() const noexcept { return open_calls_ > 0; }
+
+private:
+    struct connection
+    {
+        kj::Own<kj::AsyncIoStream> stream;
+        kj::Own<capnp::TwoPartyClient> client;
+        schema::Peer::Client peer;
+    };
+
+    kj::Promise<void> connect();
+    kj::Promise<membership::host_report> send_report(const membership::host_report& own,
+                                                     const std::vector<flow::flow_record>& records);
+    void drop_connection();
+
+    kj::Network& network_;
+    kj::Timer& timer_;
+    metric_board& metrics_;
+    base::endpoint control_;
+    kj::Maybe<kj::Own<connection>> connection_;
+    std::uint32_t open_calls_ = 0;
+};
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/peer_server.cpp
@@ -0,0 +1,45 @@
+#include "peer_server.hpp"
+
+#include "report_codec.hpp"
+
+#include <kj/debug.h>
+
+namespace galenabay::daemon
+{
+
+kj::Promise<void> peer_server::heartbeat(HeartbeatContext context)
+{
+    const auto report = read_report(context.getParams().getReport());
+    KJ_REQUIRE(report.has_value(), "malformed report");
+    const auto records = read_records(context.getParams().getFlows());
+    KJ_REQUIRE(records.has_value(), "malformed flow records");
+    KJ_REQUIRE(handler_.on_heartbeat(report.value(), records.value()), "not accepted");
+    write_report(handler_.own_report(), context.getResults().initReport());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> peer_server::fetchRevision(FetchRevisionContext context)
+{
+    const auto number = handler_.revision_number();
+    if (number > context.getParams().getAfter())
+    {
+        const auto& bytes = handler_.encoded_revision();
+        context.getResults().setNumber(number);
+        context.getResults().setRevision(
+            capnp::Data::Reader{reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()});
+    }
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> peer_server::fetchReports(FetchReportsContext context)
+{
+    const auto reports = handler_.known_reports();
+    auto list = context.getResults().initReports(static_cast<unsigned>(reports.size()));
+    for (unsigned i = 0; i < list.size(); ++i)
+    {
+        write_report(reports[i], list[i]);
+    }
+    return kj::READY_NOW;
+}
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/platform_duty.cpp
@@ -0,0 +1,189 @@
+#include "platform_duty.hpp"
+
+#include <galenabay/platform/object_client.hpp>
+#include <galenabay/platform/revision_store.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace galenabay::daemon
+{
+
+namespace
+{
+
+constexpr std::size_t queue_size = 64;
+constexpr std::chrono::milliseconds call_timeout{3'000};
+/// Time that one watch call waits at the platform.
+constexpr std::chrono::milliseconds watch_wait{5'000};
+constexpr std::chrono::milliseconds idle_wait{100};
+
+base::error cut_off(const base::endpoint& platform)
+{
+    return base::error::make(base::error_code::unavailable, "platform_call", platform.to_string(),
+                             "cut off by test settings");
+}
+
+} // namespace
+
+platform_duty::platform_duty(const base::endpoint& platform, metric_board& metrics, const thread_state& state)
+    : platform_{platform}, metrics_{metrics}, state_{state}, requests_{queue_size}, events_{queue_size}
+{
+}
+
+bool platform_duty::submit(platform_request request)
+{
+    const bool queued = requests_.push(std::move(request));
+    waker_.notify();
+    return queued;
+}
+
+void platform_duty::count(bool succeeded)
+{
+    metrics_.add(metric::platform_calls);
+    if (!succeeded)
+    {
+        metrics_.add(metric::platform_failures);
+    }
+}
+
+void platform_duty::watch(const watch_request& request)
+{
+    const auto client = platform::object_client::make(platform_, call_timeout + watch_wait);
+    const platform::revision_store store{client};
+    if (request.after == 0)
+    {
+        manifest_version_ = 0;
+    }
+    auto found = manifest_version_ == 0 ? store.read() : store.watch(manifest_version_, watch_wait);
+    count(found.has_value());
+    if (!found)
+    {
+        events_.push(revision_failed{found.error()});
+        return;
+    }
+    if (!found.value())
+    {
+        events_.push(revision_unchanged{});
+        return;
+    }
+    auto& stored = *found.value();
+    manifest_version_ = stored.manifest_version;
+    events_.push(revision_read{std::make_shared<const config::accepted_revision>(std::move(stored.revision))});
+}
+
+void platform_duty::list_hosts()
+{
+    auto listed = platform::object_client::make(platform_, call_timeout).hosts();
+    count(listed.has_value());
+    if (listed)
+    {
+        events_.push(hosts_listed{std::move(listed).value()});
+    }
+    else
+    {
+        events_.push(hosts_failed{listed.error()});
+    }
+}
+
+void platform_duty::write(const write_request& request)
+{
+    const auto written =
+        platform::object_client::make(platform_, call_timeout).put(request.key, request.value, request.expected);
+    count(written.has_value());
+    object_written outcome{request.key, 0, std::nullopt};
+    if (written)
+    {
+        outcome.version = written.value();
+    }
+    else
+    {
+        outcome.failure = written.error();
+    }
+    events_.push(std::move(outcome));
+}
+
+void platform_duty::read(const read_request& request)
+{
+    auto found = platform::object_client::make(platform_, call_timeout).get(request.key);
+    count(found.has_value() || found.error().code() == base::error_code::not_found);
+    object_read outcome{request.key, "", 0, std::nullopt};
+    if (found)
+    {
+        outcome.value = std::move(found.value().value);
+        outcome.version = found.value().version;
+    }
+    else
+    {
+        outcome.failure = found.error();
+    }
+    events_.push(std::move(outcome));
+}
+
+bool platform_duty::refuse_when_cut(const platform_request& request)
+{
+    if (!cut_.load())
+    {
+        return false;
+    }
+    const auto why = cut_off(platform_);
+    if (std::holds_alternative<watch_request>(request))
+    {
+        events_.push(revision_failed{why});
+    }
+    else if (std::holds_alternative<list_request>(request))
+    {
+        events_.push(hosts_failed{why});
+    }
+    else if (const auto* write_to = std::get_if<write_request>(&request))
+    {
+        events_.push(object_written{write_to->key, 0, why});
+    }
+    else if (const auto* read_from = std::get_if<read_request>(&request))
+    {
+        events_.push(object_read{read_from->key, "", 0, why});
+    }
+    return true;
+}
+
+void platform_duty::handle(const platform_request& request)
+{
+    if (refuse_when_cut(request))
+    {
+        return;
+    }
+    if (const auto* watched = std::get_if<watch_request>(&request))
+    {
+        watch(*watched);
+    }
+    else if (std::holds_alternative<list_request>(request))
+    {
+        list_hosts();
+    }
+    else if (const auto* written = std::get_if<write_request>(&request))
+    {
+        write(*written);
+    }
+    else if (const auto* wanted = std::get_if<read_request>(&request))
+    {
+        read(*wanted);
+    }
+}
+
+void platform_duty::run()
+{
+    while (!state_.stop.load(std::memory_order_relaxed))
+    {
+        platform_request request;
+        waker_.prepare();
+        if (!requests_.pop(request))
+        {
+            waker_.wait(idle_wait);
+            continue;
+        }
+        waker_.cancel();
+        handle(request);
+    }
+}
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/platform_duty.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "metric_board.hpp"
+#include "thread_state.hpp"
+#include "waker.hpp"
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/error.hpp>
+#include <galenabay/base/ring.hpp>
+#include <galenabay/config/accepted_revision.hpp>
+#include <galenabay/membership/host.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace galenabay::daemon
+{
+
+/// Control thread to platform threads.
+struct watch_request
+{
+    /// Number of the revision in force; news are reported only when different.
+    std::uint64_t after = 0;
+};
+struct write_request
+{
+    std::string key;
+    std::string value;
+    std::uint64_t expected = 0;
+};
+struct read_request
+{
+    std::string key;
+};
+struct list_request
+{
+};
+using platform_request = std::variant<std::monostate, watch_request, write_request, read_request, list_request>;
+
+/// Platform threads to control thread.
+struct revision_read
+{
+    std::shared_ptr<const config::accepted_revision> revision;
+};
+struct revision_unchanged
+{
+};
+struct revision_failed
+{
+    base::error why;
+};
+struct hosts_listed
+{
+    std::vector<membership::listed_host> hosts;
+};
+struct hosts_failed
+{
+    base::error why;
+};
+struct object_written
+{
+    std::string key;
+    std::uint64_t version = 0;
+    std::optional<base::error> failure;
+};
+struct object_read
+{
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0;
+    std::optional<base::error> failure;
+};
+using platform_event = std::variant<std::monostate, revision_read, revision_unchanged, revision_failed, hosts_listed,
+                                    hosts_failed, object_written, object_read>;
+
+/// A thread that makes blocking calls to the platform: requests in, events out.
+/// The process runs one for the long watch and one for everything else.
+class platform_duty
+{
+public:
+    platform_duty(const base::endpoint& platform, metric_board& metrics, const thread_state& state);
+
+    /// Runs until the process stops.
+    void run();
+
+    /// Control thread: queues a request; false when the queue is full.
+    bool submit(platform_request request);
+    /// Control thread: takes an event.
+    bool poll(platform_event& event) { return events_.pop(event); }
+
+    /// Control thread: refuses all calls while true (partition test).
+    void set_cut(bool cut) { cut_.store(cut); }
+
+private:
+    void handle(const platform_request& request);
+    void watch(const watch_request& request);
+    void list_hosts();
+    void write(const write_request& request);
+    void read(const read_request& request);
+    bool refuse_when_cut(const platform_request& request);
+    void count(bool succeeded);
+
+    base::endpoint platform_;
+    metric_board& metrics_;
+    const thread_state& state_;
+    std::atomic<bool> cut_{false};
+    /// Version of the manifest read last; 0: none.
+    std::uint64_t manifest_version_ = 0;
+    base::ring<platform_request> requests_;
+    base::ring<platform_event> events_;
+    waker waker_;
+};
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/report_codec.cpp
@@ -0,0 +1,119 @@
+#include "report_codec.hpp"
+
+#include <boost/endian/conversion.hpp>
+
+#include <cstring>
+#include <string>
+#include <utility>
+
+namespace galenabay::daemon
+{
+
+namespace
+{
+
+constexpr std::size_t max_name_length = 63;
+constexpr std::size_t max_records = 65536;
+
+void write_endpoint(const base::endpoint& value, schema::Endpoint::Builder out)
+{
+    std::uint64_t halves[2] = {};
+    std::memcpy(halves, value.address().data(), sizeof halves);
+    out.setAddressHigh(boost::endian::big_to_native(halves[0]));
+    out.setAddressLow(boost::endian::big_to_native(halves[1]));
+    out.setPort(value.port());
+}
+
+base::endpoint read_endpoint(schema::Endpoint::Reader in)
+{
+    const std::uint64_t halves[2] = {boost::endian::native_to_big(in.getAddressHigh()),
+                                     boost::endian::native_to_big(in.getAddressLow())};
+    base::endpoint::address_bytes bytes{};
+    std::memcpy(bytes.data(), halves, sizeof halves);
+    return base::endpoint::make_v6(bytes, in.getPort());
+}
+
+base::result<std::string> read_name(capnp::Text::Reader in)
+{
+    if (in.size() == 0 || in.size() > max_name_length)
+    {
+        return base::error::make(base::error_code::out_of_range, "read_report", "", "name of 1 to 63 bytes expected");
+    }
+    return std::string{in.cStr(), in.size()};
+}
+
+base::result<membership::host_state> read_state(schema::HostState in)
+{
+    switch (in)
+    {
+    case schema::HostState::STARTING:
+        return membership::host_state::starting;
+    case schema::HostState::READY:
+        return membership::host_state::ready;
+    case schema::HostState::LEAVING:
+        return membership::host_state::leaving;
+    }
+    return base::error::make(base::error_code::malformed, "read_report", "", "unknown host state");
+}
+
+} // namespace
+
+void write_report(const membership::host_report& report, schema::HostReport::Builder out)
+{
+    out.setName(report.name);
+    out.setDataCentre(report.data_centre);
+    out.setIncarnation(report.incarnation);
+    out.setSequence(report.sequence);
+    out.setState(static_cast<schema::HostState>(report.state));
+    write_endpoint(report.control, out.initControl());
+    write_endpoint(report.relay, out.initRelay());
+    out.setRevision(report.revision);
+    out.setPlatformReachable(report.platform_reachable);
+}
+
+base::result<membership::host_report> read_report(schema::HostReport::Reader in)
+{
+    membership::host_report report;
+    BOOST_OUTCOME_TRY(name, read_name(in.getName()));
+    BOOST_OUTCOME_TRY(data_centre, read_name(in.getDataCentre()));
+    BOOST_OUTCOME_TRY(state, read_state(in.getState()));
+    report.name = std::move(name);
+    report.data_centre = std::move(data_centre);
+    report.state = state;
+    report.incarnation = in.getIncarnation();
+    report.sequence = in.getSequence();
+    report.control = read_endpoint(in.getControl());
+    report.relay = read_endpoint(in.getRelay());
+    report.revision = in.getRevision();
+    report.platform_reachable = in.getPlatformReachable();
+    return report;
+}
+
+void write_records(std::span<const flow::flow_record> records, schema::FlowBatch::Builder out)
+{
+    auto list = out.initRecords(static_cast<unsigned>(records.size()));
+    for (unsigned i = 0; i < list.size(); ++i)
+    {
+        list[i].setKey(records[i].key);
+        list[i].setService(records[i].service);
+        list[i].setUpstream(records[i].upstream);
+    }
+}
+
+base::result<std::vector<flow::flow_record>> read_records(schema::FlowBatch::Reader in)
+{
+    const auto list = in.getRecords();
+    if (list.size() > max_records)
+    {
+        return base::error::make(base::error_code::out_of_range, "read_records", "", "too many flow records");
+    }
+    std::vector<flow::flow_record> records;
+    records.reserve(list.size());
+    for (const auto& record : list)
+    {
+        records.push_back({record.getKey(), record.getService(), record.getUpstream()});
+    }
+    return records;
+}
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/service_table.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "channels.hpp"
+#include "udp_socket.hpp"
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/hash.hpp>
+#include <galenabay/base/time.hpp>
+#include <galenabay/config/accepted_revision.hpp>
+#include <galenabay/config/host_settings.hpp>
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace galenabay::daemon
+{
+
+/// What the packet path has to know of a service address.
+struct service_entry
+{
+    config::service_id id = 0;
+    config::service_kind kind = config::service_kind::datagram;
+    /// Socket towards callers.
+    int socket = -1;
+};
+
+/// The sockets towards callers, one for each service address. Owned by the
+/// decide thread.
+class service_table
+{
+public:
+    service_table(const config::host_settings& settings, channels& links);
+
+    /// Opens sockets of new addresses, stops reading those that are gone. A
+    /// socket that can't be opened is logged and its service is not served.
+    void on_revision(const config::accepted_revision& revision, base::time_point now);
+
+    /// Closes sockets that were taken out of use a while ago.
+    void on_tick(base::time_point now);
+
+    /// Null when no service has this address.
+    const service_entry* find(const base::endpoint& service) const;
+
+private:
+    struct open_socket
+    {
+        udp_socket socket;
+        service_entry entry;
+    };
+    struct retired_socket
+    {
+        udp_socket socket;
+        base::time_point close_at;
+    };
+
+    base::endpoint local_address(const base::endpoint& service) const;
+    void open(const config::service& service);
+    void retire_missing(const config::accepted_revision& revision, base::time_point now);
+
+    config::host_settings settings_;
+    channels& links_;
+    std::map<base::endpoint, open_socket> sockets_;
+    std::vector<retired_socket> retired_;
+};
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/udp_socket.cpp
@@ -0,0 +1,141 @@
+#include "udp_socket.hpp"
+
+#include <boost/endian/conversion.hpp>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+namespace galenabay::daemon
+{
+
+namespace
+{
+
+constexpr int socket_buffer_bytes = 4 << 20;
+
+socklen_t to_sockaddr(const base::endpoint& value, sockaddr_storage& out)
+{
+    std::memset(&out, 0, sizeof out);
+    if (value.is_v4())
+    {
+        auto& v4 = reinterpret_cast<sockaddr_in&>(out);
+        v4.sin_family = AF_INET;
+        v4.sin_port = boost::endian::native_to_big(value.port());
+        v4.sin_addr.s_addr = boost::endian::native_to_big(value.v4());
+        return sizeof(sockaddr_in);
+    }
+    auto& v6 = reinterpret_cast<sockaddr_in6&>(out);
+    v6.sin6_family = AF_INET6;
+    v6.sin6_port = boost::endian::native_to_big(value.port());
+    std::memcpy(&v6.sin6_addr, value.address().data(), value.address().size());
+    return sizeof(sockaddr_in6);
+}
+
+base::endpoint from_sockaddr(const sockaddr_storage& in)
+{
+    if (in.ss_family == AF_INET)
+    {
+        const auto& v4 = reinterpret_cast<const sockaddr_in&>(in);
+        return base::endpoint::make_v4(boost::endian::big_to_native(v4.sin_addr.s_addr),
+                                       boost::endian::big_to_native(v4.sin_port));
+    }
+    const auto& v6 = reinterpret_cast<const sockaddr_in6&>(in);
+    base::endpoint::address_bytes bytes{};
+    std::memcpy(bytes.data(), &v6.sin6_addr, bytes.size());
+    return base::endpoint::make_v6(bytes, boost::endian::big_to_native(v6.sin6_port));
+}
+
+base::error io_error(const char* step, const base::endpoint& local)
+{
+    return base::error::make(base::error_code::io_failure, step, local.to_string(), std::strerror(errno));
+}
+
+} // namespace
+
+base::result<udp_socket> udp_socket::bind(const base::endpoint& local)
+{
+    const int descriptor = ::socket(local.is_v4() ? AF_INET : AF_INET6, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+    {
+        return io_error("open_socket", local);
+    }
+    udp_socket opened{descriptor};
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &socket_buffer_bytes, sizeof socket_buffer_bytes);
+    setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &socket_buffer_bytes, sizeof socket_buffer_bytes);
+    sockaddr_storage address{};
+    const socklen_t length = to_sockaddr(local, address);
+    if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&address), length) != 0)
+    {
+        return io_error("bind_socket", local);
+    }
+    return opened;
+}
+
+udp_socket& udp_socket::operator=(udp_socket&& other) noexcept
+{
+    std::swap(descriptor_, other.descriptor_);
+    return *this;
+}
+
+udp_socket::~udp_socket()
+{
+    if (descriptor_ >= 0)
+    {
+        close(descriptor_);
+    }
+}
+
+receive_result receive_batch(int descriptor, std::span<packet* const> packets)
+{
+    std::array<mmsghdr, batch_size> headers{};
+    std::array<iovec, batch_size> vectors{};
+    std::array<sockaddr_storage, batch_size> addresses;
+    const std::size_t count = std::min(packets.size(), batch_size);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const auto area = packets[i]->receive_area();
+        vectors[i] = {area.data(), area.size()};
+        headers[i].msg_hdr.msg_iov = &vectors[i];
+        headers[i].msg_hdr.msg_iovlen = 1;
+        headers[i].msg_hdr.msg_name = &addresses[i];
+        headers[i].msg_hdr.msg_namelen = sizeof addresses[i];
+    }
+    const int got = recvmmsg(descriptor, headers.data(), static_cast<unsigned>(count), MSG_DONTWAIT, nullptr);
+    receive_result outcome;
+    for (std::size_t i = 0; got > 0 && i < static_cast<std::size_t>(got); ++i)
+    {
+        const bool truncated = (headers[i].msg_hdr.msg_flags & MSG_TRUNC) != 0;
+        packets[i]->set_received(truncated ? 0 : headers[i].msg_len);
+        packets[i]->peer = from_sockaddr(addresses[i]);
+        packets[i]->socket = descriptor;
+        outcome.oversize += truncated ? 1 : 0;
+        ++outcome.received;
+    }
+    return outcome;
+}
+
+std::size_t send_batch(int descriptor, std::span<packet* const> packets)
+{
+    std::array<mmsghdr, batch_size> headers{};
+    std::array<iovec, batch_size> vectors{};
+    std::array<sockaddr_storage, batch_size> addresses;
+    const std::size_t count = std::min(packets.size(), batch_size);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const auto payload = packets[i]->payload();
+        vectors[i] = {const_cast<std::byte*>(payload.data()), payload.size()};
+        headers[i].msg_hdr.msg_iov = &vectors[i];
+        headers[i].msg_hdr.msg_iovlen = 1;
+        headers[i].msg_hdr.msg_name = &addresses[i];
+        headers[i].msg_hdr.msg_namelen = to_sockaddr(packets[i]->peer, addresses[i]);
+    }
+    const int sent = sendmmsg(descriptor, headers.data(), static_cast<unsigned>(count), MSG_DONTWAIT);
+    return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+}
+
+} // namespace galenabay::daemon
--- /dev/null
+++ b/src/daemon/waker.cpp
@@ -0,0 +1,50 @@
+#include "waker.hpp"
+
+#include <galenabay/base/invariant.hpp>
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <cstdint>
+
+namespace galenabay::daemon
+{
+
+waker::waker() : descriptor_{eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)}
+{
+    GALENABAY_INVARIANT(descriptor_ >= 0);
+}
+
+waker::~waker()
+{
+    close(descriptor_);
+}
+
+void waker::notify()
+{
+    std::atomic_thread_fence(std::memory_order_seq_cst);
+    if (sleeping_.load(std::memory_order_relaxed) && sleeping_.exchange(false))
+    {
+        const std::uint64_t one = 1;
+        [[maybe_unused]] const auto written = write(descriptor_, &one, sizeof one);
+    }
+}
+
+void waker::wait(std::chrono::milliseconds timeout)
+{
+    pollfd entry{descriptor_, POLLIN, 0};
+    if (poll(&entry, 1, static_cast<int>(timeout.count())) > 0)
+    {
+        clear();
+    }
+    cancel();
+}
+
+void waker::clear()
+{
+    std::uint64_t count = 0;
+    [[maybe_unused]] const auto got = read(descriptor_, &count, sizeof count);
+}
+
+} // namespace galenabay::daemon
