--- /dev/null
+++ b/src/flow/flow_key.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/hash.hpp>
+#include <galenabay/config/service_set.hpp>
+
+#include <cstdint>
+
+namespace galenabay::flow
+{
+
+/// Low bits of a flow key that are always 0; peer records use them.
+constexpr unsigned key_spare_bits = 3;
+constexpr std::uint64_t key_mask = ~std::uint64_t{(1U << key_spare_bits) - 1};
+
+/// Key of a flow; never 0.
+inline std::uint64_t make_flow_key(const base::endpoint& caller, const base::endpoint& address,
+                                   config::service_id service) noexcept
+{
+    const auto destination = base::mix(base::hash_endpoint(address), service);
+    const auto key = base::mix(base::hash_endpoint(caller), destination) & key_mask;
+    return key == 0 ? ~key_mask + 1 : key;
+}
+
+} // namespace galenabay::flow
--- /dev/null
+++ b/src/flow/flow_table.hpp
@@ -0,0 +1,162 @@
+#pragma once
+
+#include <galenabay/base/time.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace galenabay::flow
+{
+
+/// Coarse time of a flow entry in units of 16 ms. Only differences of less than
+/// two years are meaningful.
+class coarse_time
+{
+public:
+    static constexpr std::int64_t unit_us = 16'000;
+
+    constexpr coarse_time() noexcept = default;
+    static constexpr coarse_time of(base::time_point now) noexcept
+    {
+        return coarse_time{static_cast<std::uint32_t>(now.time_since_epoch().count() / unit_us)};
+    }
+
+    /// Time from `earlier` to this; 0 when `earlier` is later.
+    constexpr base::duration since(coarse_time earlier) const noexcept
+    {
+        const auto units = static_cast<std::int32_t>(units_ - earlier.units_);
+        return base::duration{units < 0 ? 0 : units * unit_us};
+    }
+
+private:
+    explicit constexpr coarse_time(std::uint32_t units) noexcept : units_{units} {}
+
+    std::uint32_t units_ = 0;
+};
+
+/// What a host remembers of one flow. 16 bytes.
+struct flow_entry
+{
+    /// Index of the upstream in `service_index`.
+    std::uint32_t upstream : 28 = 0;
+    /// Seen for longer than `flow_table::probation`, or learned from a peer.
+    std::uint32_t established : 1 = 0;
+    /// The deciding host is known to remember this flow since `confirmed`.
+    std::uint32_t is_confirmed : 1 = 0;
+    /// The upstream is not the one that the tables in force give.
+    std::uint32_t pinned : 1 = 0;
+    /// Waits in the queue of records for the deciding host.
+    std::uint32_t queued : 1 = 0;
+    coarse_time first_seen;
+    coarse_time last_seen;
+    coarse_time confirmed;
+};
+
+/// Bounded map from flow key to upstream, held by one host.
+///
+/// Set-associative: a key lives in one bucket of `ways` entries. A new flow
+/// takes, in this order, a free entry, an expired one, or the one of the
+/// longest silent flow still on probation. Established flows may fill all but
+/// `probation_ways` entries of a bucket, so a flood of new flows evicts other
+/// new flows only. Owned by one thread.
+class flow_table
+{
+public:
+    static constexpr std::size_t ways = 16;
+    /// Entries of a bucket that established flows can't take.
+    static constexpr std::size_t probation_ways = 2;
+    /// A flow that is seen again this long after its first packet counts as
+    /// established.
+    static constexpr base::duration probation{5'000'000};
+    static constexpr std::uint64_t no_key = 0;
+
+    /// `capacity` in flows; rounded up to whole buckets.
+    explicit flow_table(std::size_t capacity);
+
+    /// nullptr when unknown.
+    flow_entry* find(std::uint64_t key) noexcept;
+
+    /// Adds an unknown flow. `is_expired(entry)` tells which flows have timed
+    /// out. Never fails.
+    template <typename Predicate>
+    flow_entry& insert(std::uint64_t key, base::time_point now, const Predicate& is_expired);
+
+    /// Marks the flow as seen now.
+    void touch(std::uint64_t key, flow_entry& entry, base::time_point now) noexcept;
+
+    /// Moves a flow into the established part of its bucket.
+    void establish(std::uint64_t key, flow_entry& entry) noexcept;
+
+    void erase(std::uint64_t key) noexcept;
+
+    std::size_t bucket_count() const noexcept { return buckets_.size(); }
+
+    /// Calls `visit(key, entry)` for each flow of a bucket; when it returns
+    /// false the flow is erased.
+    template <typename Visitor> void visit_bucket(std::size_t bucket, const Visitor& visit);
+
+    std::size_t size() const noexcept { return size_; }
+    std::size_t memory_bytes() const noexcept { return buckets_.size() * sizeof(bucket); }
+    std::uint64_t evicted_idle() const noexcept { return evicted_idle_; }
+    std::uint64_t evicted_full() const noexcept { return evicted_full_; }
+    /// Flows erased by a visitor or `insert` because they had timed out.
+    void count_idle_eviction() noexcept { ++evicted_idle_; }
+
+private:
+    struct bucket
+    {
+        std::array<std::uint64_t, ways> keys{};
+        std::array<flow_entry, ways> entries{};
+    };
+
+    bucket& bucket_of(std::uint64_t key) noexcept;
+    std::size_t longest_silent(const bucket& where, bool established, coarse_time now) const noexcept;
+    flow_entry& put(bucket& where, std::size_t way, std::uint64_t key, coarse_time now) noexcept;
+
+    std::vector<bucket> buckets_;
+    std::size_t size_ = 0;
+    std::uint64_t evicted_idle_ = 0;
+    std::uint64_t evicted_full_ = 0;
+};
+
+template <typename Predicate>
+flow_entry& flow_table::insert(std::uint64_t key, base::time_point now, const Predicate& is_expired)
+{
+    bucket& where = bucket_of(key);
+    const auto time = coarse_time::of(now);
+    for (std::size_t way = 0; way < ways; ++way)
+    {
+        if (where.keys[way] == no_key)
+        {
+            ++size_;
+            return put(where, way, key, time);
+        }
+    }
+    for (std::size_t way = 0; way < ways; ++way)
+    {
+        if (is_expired(where.entries[way]))
+        {
+            ++evicted_idle_;
+            return put(where, way, key, time);
+        }
+    }
+    ++evicted_full_;
+    return put(where, longest_silent(where, false, time), key, time);
+}
+
+template <typename Visitor> void flow_table::visit_bucket(std::size_t index, const Visitor& visit)
+{
+    bucket& where = buckets_[index];
+    for (std::size_t way = 0; way < ways; ++way)
+    {
+        if (where.keys[way] != no_key && !visit(where.keys[way], where.entries[way]))
+        {
+            where.keys[way] = no_key;
+            --size_;
+        }
+    }
+}
+
+} // namespace galenabay::flow
--- /dev/null
+++ b/src/flow/service_index.cpp
@@ -0,0 +1,297 @@
+#include "service_index.hpp"
+
+#include <galenabay/base/invariant.hpp>
+
+#include <algorithm>
+
+namespace galenabay::flow
+{
+
+namespace
+{
+
+std::uint64_t low_bits(std::uint32_t service, std::uint32_t upstream)
+{
+    return (static_cast<std::uint64_t>(service) << 32) | upstream;
+}
+
+std::uint64_t tag_of(const std::vector<config::upstream>& upstreams, std::uint64_t seed)
+{
+    std::uint64_t tag = seed;
+    for (const auto& target : upstreams)
+    {
+        tag = base::mix(tag, base::hash_text(target.name));
+        tag = base::mix(tag, base::hash_endpoint(target.endpoint));
+        tag = base::mix(tag, target.weight * 2ULL + (target.draining ? 1 : 0));
+    }
+    return tag;
+}
+
+std::uint64_t fingerprint_of(const config::service& from, const std::vector<config::generation>* lineage)
+{
+    std::uint64_t print = tag_of(from.upstreams, base::hash_endpoint(from.address));
+    print = base::mix(print, from.flows.idle_timeout_s * 2ULL + (from.draining ? 1 : 0));
+    if (lineage != nullptr)
+    {
+        for (const auto& earlier : *lineage)
+        {
+            print = tag_of(earlier.upstreams, base::mix(print, base::hash_endpoint(earlier.address)));
+        }
+    }
+    return print;
+}
+
+} // namespace
+
+std::uint32_t service_index::slot_of(config::service_id id)
+{
+    const auto [found, added] = by_service_.try_emplace(id, static_cast<std::uint32_t>(services_.size()));
+    if (added)
+    {
+        services_.emplace_back().id = id;
+    }
+    return found->second;
+}
+
+std::uint32_t service_index::slot_of(std::uint32_t service, const config::service& owner,
+                                     const config::upstream& target)
+{
+    const auto id = config::id_of(owner, target);
+    const auto [found, added] = by_upstream_.try_emplace(id, static_cast<std::uint32_t>(upstreams_.size()));
+    if (added)
+    {
+        auto& slot = upstreams_.emplace_back();
+        slot.id = id;
+        slot.endpoint = target.endpoint;
+        slot.service = service;
+        by_low_bits_[low_bits(static_cast<std::uint32_t>(owner.id()), static_cast<std::uint32_t>(id))] = found->second;
+    }
+    return found->second;
+}
+
+void service_index::add_version(service_slot& slot, std::uint32_t index, const config::service& owner,
+                                const std::vector<config::upstream>& upstreams, bool in_force)
+{
+    slot.choice.add_version();
+    slot.version_tags.push_back(tag_of(upstreams, owner.id()));
+    for (const auto& target : upstreams)
+    {
+        const auto place = slot_of(index, owner, target);
+        auto& entry = upstreams_[place];
+        if (!entry.listed)
+        {
+            entry.listed = true;
+            slot.upstreams.push_back(place);
+        }
+        entry.in_set |= in_force;
+        entry.open |= in_force && !target.draining;
+        if (!target.draining)
+        {
+            slot.choice.add(place, entry.id, target.weight);
+        }
+    }
+}
+
+void service_index::clear(service_slot& slot)
+{
+    for (const auto place : slot.upstreams)
+    {
+        upstreams_[place].listed = false;
+        upstreams_[place].in_set = false;
+        upstreams_[place].open = false;
+    }
+    slot.upstreams.clear();
+    slot.version_tags.clear();
+    slot.choice = upstream_choice{};
+    slot.fingerprint = 0;
+}
+
+void service_index::build(std::uint32_t index, const config::service& from,
+                          const std::vector<config::generation>* lineage, base::time_point now)
+{
+    const auto print = fingerprint_of(from, lineage);
+    if (services_[index].fingerprint == print)
+    {
+        return;
+    }
+    auto& slot = services_[index];
+    const auto old_tag = slot.version_tags.empty() ? 0 : slot.version_tags.front();
+    clear(slot);
+    slot.fingerprint = print;
+    slot.draining = from.draining;
+    slot.idle_timeout = base::duration{from.flows.idle_timeout_s * 1'000'000LL};
+    add_version(slot, index, from, from.upstreams, true);
+    if (lineage != nullptr)
+    {
+        for (const auto& earlier : *lineage)
+        {
+            if (slot.choice.versions() < max_versions)
+            {
+                add_version(slot, index, from, earlier.upstreams, false);
+            }
+        }
+    }
+    if (slot.version_tags.front() != old_tag)
+    {
+        slot.adopted = now;
+    }
+}
+
+void service_index::take_address(const config::service& owner, std::uint32_t index)
+{
+    auto& owners = by_address_[owner.address];
+    owners.current = index;
+    std::erase_if(owners.former, [&](const former_owner& one) { return one.service == index; });
+}
+
+void service_index::lose_address(const base::endpoint& address, std::uint32_t index, base::time_point now)
+{
+    auto& owners = by_address_[address];
+    if (owners.current == index)
+    {
+        return;
+    }
+    const auto known = std::find_if(owners.former.begin(), owners.former.end(),
+                                    [&](const former_owner& one) { return one.service == index; });
+    if (known == owners.former.end())
+    {
+        owners.former.push_back({index, now, true});
+        return;
+    }
+    known->in_lineage = true;
+}
+
+void service_index::release_addresses(base::time_point now)
+{
+    for (auto& [address, owners] : by_address_)
+    {
+        for (auto& former : owners.former)
+        {
+            former.in_lineage = false;
+        }
+        if (owners.current != address_owners::none)
+        {
+            owners.former.push_back({owners.current, now, true});
+            owners.current = address_owners::none;
+        }
+    }
+}
+
+void service_index::drop_unnamed(base::time_point now)
+{
+    for (auto& slot : services_)
+    {
+        if (!slot.named)
+        {
+            clear(slot);
+        }
+    }
+    for (auto entry = by_address_.begin(); entry != by_address_.end();)
+    {
+        auto& owners = entry->second;
+        std::erase_if(owners.former,
+                      [&](const former_owner& one) { return !one.in_lineage && !in_transition(one, now); });
+        const bool unused = owners.current == address_owners::none && owners.former.empty();
+        entry = unused ? by_address_.erase(entry) : std::next(entry);
+    }
+}
+
+void service_index::take_in(const config::accepted_revision& revision, base::time_point now)
+{
+    for (auto& slot : services_)
+    {
+        slot.present = false;
+        slot.named = false;
+    }
+    release_addresses(now);
+    for (const auto& from : revision.set.services)
+    {
+        const auto index = slot_of(from.id());
+        const auto lineage = revision.lineage.find(from.name);
+        build(index, from, lineage == revision.lineage.end() ? nullptr : &lineage->second, now);
+        services_[index].present = true;
+        services_[index].named = true;
+        services_[index].address = from.address;
+        take_address(from, index);
+    }
+    for (const auto& [name, lineage] : revision.lineage)
+    {
+        const auto index = slot_of(base::hash_text(name));
+        if (!services_[index].present)
+        {
+            config::service gone;
+            gone.name = name;
+            gone.draining = true;
+            gone.flows.idle_timeout_s = static_cast<std::uint32_t>(services_[index].idle_timeout.count() / 1'000'000);
+            build(index, gone, &lineage, now);
+            services_[index].named = true;
+        }
+        for (const auto& earlier : lineage)
+        {
+            lose_address(earlier.address, index, now);
+        }
+    }
+    drop_unnamed(now);
+    mark_taken_over();
+}
+
+void service_index::mark_taken_over()
+{
+    std::unordered_map<base::endpoint, std::uint32_t, endpoint_hash> users;
+    users.reserve(upstreams_.size());
+    for (const auto& slot : upstreams_)
+    {
+        if (slot.in_set)
+        {
+            users[slot.endpoint] = slot.service;
+        }
+    }
+    for (auto& slot : upstreams_)
+    {
+        const auto user = users.find(slot.endpoint);
+        slot.taken_over = !slot.in_set && user != users.end() && user->second != slot.service;
+    }
+}
+
+const address_owners* service_index::find_address(const base::endpoint& address) const
+{
+    const auto found = by_address_.find(address);
+    return found == by_address_.end() ? nullptr : &found->second;
+}
+
+std::uint32_t service_index::find_service(config::service_id id) const
+{
+    const auto found = by_service_.find(id);
+    return found == by_service_.end() ? address_owners::none : found->second;
+}
+
+std::uint32_t service_index::find_upstream(std::uint32_t service_low, std::uint32_t upstream_low) const
+{
+    const auto found = by_low_bits_.find(low_bits(service_low, upstream_low));
+    return found == by_low_bits_.end() ? no_upstream_index : found->second;
+}
+
+std::uint32_t service_index::find_upstream(config::upstream_id id) const
+{
+    const auto found = by_upstream_.find(id);
+    return found == by_upstream_.end() ? no_upstream_index : found->second;
+}
+
+std::uint32_t service_index::find_upstream(std::uint32_t service, const base::endpoint& endpoint) const
+{
+    for (const auto index : services_[service].upstreams)
+    {
+        if (upstreams_[index].endpoint == endpoint)
+        {
+            return index;
+        }
+    }
+    return no_upstream_index;
+}
+
+bool service_index::in_transition(const former_owner& owner, base::time_point now) const
+{
+    return now - owner.since < services_[owner.service].idle_timeout;
+}
+
+} // namespace galenabay::flow
--- /dev/null
+++ b/src/flow/service_index.hpp
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "upstream_choice.hpp"
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/time.hpp>
+#include <galenabay/config/accepted_revision.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace galenabay::flow
+{
+
+/// One upstream of the revision in force or of its lineage.
+struct upstream_slot
+{
+    config::upstream_id id = 0;
+    base::endpoint endpoint;
+    std::uint32_t service = 0;
+    /// Named by the revision in force or its lineage.
+    bool listed = false;
+    /// Named by the revision in force.
+    bool in_set = false;
+    /// Takes new flows when healthy.
+    bool open = false;
+    /// Another service uses its endpoint now.
+    bool taken_over = false;
+    bool healthy = true;
+    /// Last time at which the upstream was known to be unhealthy.
+    base::time_point unhealthy_at{};
+    bool was_unhealthy = false;
+
+    /// True when packets of known flows may go there.
+    bool reachable() const noexcept { return listed && !taken_over; }
+};
+
+/// One service of the revision in force or of its lineage.
+struct service_slot
+{
+    config::service_id id = 0;
+    base::endpoint address;
+    /// False: only the lineage names it.
+    bool present = false;
+    /// Neither the set nor the lineage names it when false.
+    bool named = false;
+    bool draining = false;
+    base::duration idle_timeout{300'000'000};
+    upstream_choice choice;
+    /// All upstreams, those of the lineage included.
+    std::vector<std::uint32_t> upstreams;
+    /// Hash of the upstreams and weights of each version; 0 is in force.
+    std::vector<std::uint64_t> version_tags;
+    /// When the version in force was adopted here.
+    base::time_point adopted{};
+    /// What the slot was built from, to skip unchanged services.
+    std::uint64_t fingerprint = 0;
+};
+
+/// A service that owned an address before.
+struct former_owner
+{
+    std::uint32_t service = 0;
+    /// When this host learned that the service had lost the address.
+    base::time_point since{};
+    /// The lineage of the revision in force names it.
+    bool in_lineage = true;
+};
+
+/// The services of an address.
+struct address_owners
+{
+    static constexpr std::uint32_t none = 0xffffffff;
+    std::uint32_t current = none;
+    std::vector<former_owner> former;
+};
+
+/// Services, upstreams and addresses of the revision in force and its lineage,
+/// by index. Indexes stay valid across revisions. Owned by one thread.
+class service_index
+{
+public:
+    /// Takes in a revision. Services whose state did not change are kept.
+    void take_in(const config::accepted_revision& revision, base::time_point now);
+
+    /// nullptr when no service has or had the address.
+    const address_owners* find_address(const base::endpoint& address) const;
+    /// `address_owners::none` when unknown.
+    std::uint32_t find_service(config::service_id id) const;
+    /// By the low 32 bits of both ids; `no_upstream_index` when unknown.
+    std::uint32_t find_upstream(std::uint32_t service_low, std::uint32_t upstream_low) const;
+    std::uint32_t find_upstream(config::upstream_id id) const;
+    std::uint32_t find_upstream(std::uint32_t service, const base::endpoint& endpoint) const;
+
+    service_slot& service(std::uint32_t index) { return services_[index]; }
+    const service_slot& service(std::uint32_t index) const { return services_[index]; }
+    upstream_slot& upstream(std::uint32_t index) { return upstreams_[index]; }
+    const upstream_slot& upstream(std::uint32_t index) const { return upstreams_[index]; }
+    std::size_t service_count() const noexcept { return services_.size(); }
+    std::size_t upstream_count() const noexcept { return upstreams_.size(); }
+
+    /// True when a former owner's flows may still arrive.
+    bool in_transition(const former_owner& owner, base::time_point now) const;
+
+private:
+    struct endpoint_hash
+    {
+        std::size_t operator()(const base::endpoint& value) const noexcept { return base::hash_endpoint(value); }
+    };
+
+    std::uint32_t slot_of(config::service_id id);
+    std::uint32_t slot_of(std::uint32_t service, const config::service& owner, const config::upstream& target);
+    void build(std::uint32_t index, const config::service& from, const std::vector<config::generation>* lineage,
+               base::time_point now);
+    void add_version(service_slot& slot, std::uint32_t index, const config::service& owner,
+                     const std::vector<config::upstream>& upstreams, bool in_force);
+    void take_address(const config::service& owner, std::uint32_t index);
+    void release_addresses(base::time_point now);
+    void drop_unnamed(base::time_point now);
+    void clear(service_slot& slot);
+    void lose_address(const base::endpoint& address, std::uint32_t index, base::time_point now);
+    void mark_taken_over();
+
+    std::vector<service_slot> services_;
+    std::vector<upstream_slot> upstreams_;
+    std::unordered_map<config::service_id, std::uint32_t> by_service_;
+    std::unordered_map<config::upstream_id, std::uint32_t> by_upstream_;
+    std::unordered_map<std::uint64_t, std::uint32_t> by_low_bits_;
+    std::unordered_map<base::endpoint, address_owners, endpoint_hash> by_address_;
+};
+
+} // namespace galenabay::flow
