Configuration: YAML decoder driven by the schema, revision codec

One decoder reads any settings file through the Cap'n Proto schema: it builds its own small tree from yaml-cpp's events, so depth, node count, aliases, tags and duplicate keys are refused while the file is still being read, and every error names FILE:LINE and the key. YAML keys are the schema names in snake case. The set's canonical form is packed and canonicalised Cap'n Proto; generations are written as indexes into the current upstreams, which keeps a lineage small. Ruled out: YAML::Load, which loses duplicate keys and expands aliases.

--- a/include/galenabay/config/codec.hpp
+++ b/include/galenabay/config/codec.hpp
@@ -15,6 +15,8 @@
 /// name. Equal sets give equal bytes.
 std::vector<std::byte> encode_service_set(const service_set& set);
 
+digest digest_of_bytes(std::span<const std::byte> bytes);
+
 /// SHA-256 of the canonical form.
 digest digest_of(const service_set& set);
 
@@ -26,6 +28,16 @@
 /// Errors: `malformed`, `corrupt` (digest does not match the set).
 base::result<accepted_revision> decode_revision(std::span<const std::byte> bytes);
 
+/// What turns `before` into `after`, which follows it directly; much smaller than
+/// the whole when few services differ.
+std::vector<std::byte> encode_change(const accepted_revision& before, const accepted_revision& after);
+
+/// Errors: `stale` (the change has another base), `malformed`, `corrupt`.
+base::result<accepted_revision> decode_change(const accepted_revision& before, std::span<const std::byte> bytes);
+
+/// Revisions for which the lineage of a removed service is kept.
+constexpr std::uint64_t removed_service_revisions = 64;
+
 /// The revision that follows `previous` when `next` is accepted: number, digest
 /// and lineage. `previous` may be null for the first one.
 accepted_revision succeed(const accepted_revision* previous, service_set next, std::string author,
--- a/include/galenabay/config/host_settings.hpp
+++ b/include/galenabay/config/host_settings.hpp
@@ -8,6 +8,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace galenabay::config
@@ -55,4 +56,7 @@
 /// its detail names the key and what was expected.
 base::result<host_settings> load_host_settings(const std::string& file);
 
+/// As `load_host_settings`, from text; `file` is used in errors.
+base::result<host_settings> parse_host_settings(std::string_view text, const std::string& file);
+
 } // namespace galenabay::config
--- a/include/galenabay/config/load.hpp
+++ b/include/galenabay/config/load.hpp
@@ -5,6 +5,7 @@
 
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace galenabay::config
 {
@@ -19,8 +20,12 @@
 /// expected.
 base::result<service_set> load_service_set(std::span<const std::string> files);
 
-/// Checks a set by itself: at least one upstream per service that is not
-/// draining, no address or name used twice.
+/// As `load_service_set`, from the text of one file; `file` is used in errors.
+base::result<service_set> parse_service_set(std::string_view text, const std::string& file);
+
+/// Checks a set by itself: at least one upstream that takes new flows per
+/// service that is not draining, no name, service address or upstream endpoint
+/// used twice. Errors: `conflict`, `invalid_argument`, with the service as peer.
 base::result<void> validate(const service_set& set);
 
 } // namespace galenabay::config
--- /dev/null
+++ b/src/config/revision_schema.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <galenabay/base/result.hpp>
+#include <galenabay/config/accepted_revision.hpp>
+
+#include <generated/revision.capnp.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace galenabay::config
+{
+
+using lineage_map = std::map<std::string, std::vector<generation>>;
+
+/// Writes services and, for the services that `lineage` names, their lineage.
+void write_part(const std::vector<service>& services, const lineage_map& lineage,
+                schema::RevisionPart::Builder target);
+
+/// Adds the services and lineage of a part to a revision. Errors: `malformed`,
+/// `out_of_range`.
+base::result<void> read_part(schema::RevisionPart::Reader reader, accepted_revision& revision);
+
+/// Errors: `malformed`.
+base::result<digest> read_digest(capnp::Data::Reader reader);
+
+/// Sorts the set and checks it against the digest. Errors: `corrupt`,
+/// `malformed`.
+base::result<accepted_revision> checked_revision(accepted_revision revision);
+
+} // namespace galenabay::config
