--- /dev/null
+++ b/src/wire/peer_datagram.cpp
@@ -0,0 +1,200 @@
+#include <galenabay/wire/peer_datagram.hpp>
+
+#include <galenabay/wire/proxy_header.hpp>
+
+#include <generated/peer.capnp.h>
+
+#include <boost/endian/conversion.hpp>
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <cstring>
+#include <optional>
+#include <utility>
+
+namespace galenabay::wire
+{
+
+namespace
+{
+
+using base::error;
+using base::error_code;
+
+constexpr std::size_t max_encoded = 16384;
+constexpr std::uint64_t max_decoded_words = 4096;
+constexpr int max_nesting = 8;
+constexpr std::size_t max_name = 63;
+constexpr std::size_t max_records = 512;
+
+error malformed(const char* detail)
+{
+    return error::make(error_code::malformed, "decode_peer_datagram", "", detail);
+}
+
+void write_endpoint(const base::endpoint& value, schema::Endpoint::Builder out)
+{
+    std::uint64_t halves[2] = {};
+    std::memcpy(halves, value.address().data(), sizeof halves);
+    out.setAddressHigh(boost::endian::big_to_native(halves[0]));
+    out.setAddressLow(boost::endian::big_to_native(halves[1]));
+    out.setPort(value.port());
+}
+
+base::endpoint read_endpoint(schema::Endpoint::Reader in)
+{
+    const std::uint64_t halves[2] = {boost::endian::native_to_big(in.getAddressHigh()),
+                                     boost::endian::native_to_big(in.getAddressLow())};
+    base::endpoint::address_bytes bytes{};
+    std::memcpy(bytes.data(), halves, sizeof halves);
+    return base::endpoint::make_v6(bytes, in.getPort());
+}
+
+/// Writes each alternative of the body.
+struct body_writer
+{
+    schema::PeerDatagram::Builder out;
+
+    void operator()(const relayed_packet& value)
+    {
+        auto relay = out.initRelay();
+        write_endpoint(value.service, relay.initService());
+        write_endpoint(value.caller, relay.initCaller());
+        relay.setPayload({reinterpret_cast<const kj::byte*>(value.payload.data()), value.payload.size()});
+        relay.setHops(value.hops);
+    }
+
+    void operator()(const intent& value)
+    {
+        auto body = out.initIntent();
+        body.setRequest(value.request);
+        body.setUpstream(value.upstream);
+        body.setSequence(value.sequence);
+    }
+
+    void operator()(const intent_reply& value)
+    {
+        auto body = out.initIntentReply();
+        body.setRequest(value.request);
+        body.setSequence(value.sequence);
+        body.setAccepted(value.accepted);
+    }
+
+    void operator()(const flow_batch& value)
+    {
+        auto records = out.initFlows().initRecords(static_cast<unsigned>(value.records.size()));
+        for (unsigned at = 0; at < records.size(); ++at)
+        {
+            const auto& record = value.records[at];
+            records[at].setKey(record.key);
+            records[at].setService(record.service);
+            records[at].setUpstream(record.upstream);
+        }
+    }
+};
+
+std::optional<relayed_packet> read_relay(schema::RelayedPacket::Reader in)
+{
+    const auto payload = in.getPayload();
+    if (payload.size() > max_datagram)
+    {
+        return std::nullopt;
+    }
+    const auto* first = reinterpret_cast<const std::byte*>(payload.begin());
+    return relayed_packet{
+        read_endpoint(in.getService()), read_endpoint(in.getCaller()), {first, first + payload.size()}, in.getHops()};
+}
+
+std::optional<flow_batch> read_flows(schema::FlowBatch::Reader in)
+{
+    const auto records = in.getRecords();
+    if (records.size() > max_records)
+    {
+        return std::nullopt;
+    }
+    flow_batch batch;
+    batch.records.reserve(records.size());
+    for (const auto record : records)
+    {
+        batch.records.push_back({record.getKey(), record.getService(), record.getUpstream()});
+    }
+    return batch;
+}
+
+template <typename T> base::result<peer_datagram> make_value(std::string from, std::optional<T> body)
+{
+    if (!body)
+    {
+        return error::make(error_code::out_of_range, "decode_peer_datagram", "", "body too large");
+    }
+    return peer_datagram{std::move(from), std::move(*body)};
+}
+
+base::result<peer_datagram> read_value(schema::PeerDatagram::Reader in)
+{
+    const auto from = in.getFrom();
+    if (from.size() > max_name)
+    {
+        return error::make(error_code::out_of_range, "decode_peer_datagram", "", "name too long");
+    }
+    std::string name{from.cStr(), from.size()};
+    switch (in.which())
+    {
+    case schema::PeerDatagram::RELAY:
+        return make_value(std::move(name), read_relay(in.getRelay()));
+    case schema::PeerDatagram::INTENT:
+    {
+        const auto body = in.getIntent();
+        return peer_datagram{std::move(name), intent{body.getRequest(), body.getUpstream(), body.getSequence()}};
+    }
+    case schema::PeerDatagram::INTENT_REPLY:
+    {
+        const auto body = in.getIntentReply();
+        return peer_datagram{std::move(name), intent_reply{body.getRequest(), body.getSequence(), body.getAccepted()}};
+    }
+    case schema::PeerDatagram::FLOWS:
+        return make_value(std::move(name), read_flows(in.getFlows()));
+    }
+    return malformed("unknown kind of body");
+}
+
+} // namespace
+
+std::vector<std::byte> encode_peer_datagram(const peer_datagram& value)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::PeerDatagram>();
+    root.setFrom(value.from);
+    std::visit(body_writer{root}, value.body);
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, message);
+    const auto bytes = stream.getArray();
+    const auto* first = reinterpret_cast<const std::byte*>(bytes.begin());
+    return {first, first + bytes.size()};
+}
+
+base::result<peer_datagram> decode_peer_datagram(std::span<const std::byte> bytes)
+{
+    if (bytes.empty() || bytes.size() > max_encoded)
+    {
+        return error::make(error_code::out_of_range, "decode_peer_datagram", "", "size of the datagram");
+    }
+    try
+    {
+        kj::ArrayInputStream stream{{reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()}};
+        capnp::ReaderOptions limits;
+        limits.traversalLimitInWords = max_decoded_words;
+        limits.nestingLimit = max_nesting;
+        capnp::PackedMessageReader reader{stream, limits};
+        return read_value(reader.getRoot<schema::PeerDatagram>());
+    }
+    catch (const kj::Exception&)
+    {
+        return malformed("no valid message");
+    }
+}
+
+} // namespace galenabay::wire
--- a/src/wire/placeholder.cpp
+++ /dev/null
@@ -1,3 +0,0 @@
-namespace galenabay::wire
-{
-}
