Request dispatch: one deciding host per shard, claims before non-idempotent runs

Implements dispatch::dispatcher: home shard by weighted rendezvous, deciding host by rendezvous over live hosts, fair bounded queue, slots per upstream, deadlines, retry budget, duplicate suppression, answer matching by exchange, and claims with witnesses before a non-idempotent request leaves.

Public API: added dispatcher::on_data_centres, dispatcher_settings retransmission_span, settle_time, reply_span, key_span, and the constants intent_to_run and intent_to_refuse (values of send_intent::upstream). Nothing was removed.

--- a/include/galenabay/dispatch/action.hpp
+++ b/include/galenabay/dispatch/action.hpp
@@ -98,7 +98,12 @@
     datagram bytes;
 };
 
-/// Tell a host which request is about to leave for which upstream.
+/// Values of `send_intent::upstream`: what is about to happen to the request.
+constexpr config::upstream_id intent_to_refuse = 0;
+constexpr config::upstream_id intent_to_run = 1;
+
+/// Ask a host to remember that this host is about to run or refuse a request.
+/// It declines when the request may have run elsewhere, or is claimed.
 struct send_intent
 {
     std::string host;
--- a/include/galenabay/dispatch/dispatcher.hpp
+++ b/include/galenabay/dispatch/dispatcher.hpp
@@ -23,6 +23,18 @@
     /// A gap between two ticks that is longer than this means that the process
     /// was paused.
     base::duration pause_limit{1'000'000};
+    /// Time in which a caller may repeat a request (RFC 7252 section 4.8.2,
+    /// MAX_TRANSMIT_SPAN). A host that started, or lost sight of others, less
+    /// than this ago can't exclude that a request ran before.
+    base::duration retransmission_span{45'000'000};
+    /// Time after a start or pause in which a host that sees no other host
+    /// doesn't run requests that aren't idempotent.
+    base::duration settle_time{3'500'000};
+    /// Time for which replies are kept for retransmissions.
+    base::duration reply_span{93'000'000};
+    /// Time for which the identity of a request that has ended, or that another
+    /// host has claimed, is kept (RFC 7252, EXCHANGE_LIFETIME).
+    base::duration key_span{247'000'000};
 };
 
 /// Counts kept by `dispatcher` since it was made.
@@ -56,6 +68,11 @@
     /// The hosts that decide, sorted by name, this host included when ready.
     actions on_hosts(std::span<const membership::live_host> hosts, base::time_point now);
 
+    /// The data centres that have hosts, whether alive or not: those of hosts
+    /// that the platform lists or that were heard. Requests are divided among
+    /// them. Without this call they are the ones seen in `on_hosts`.
+    void on_data_centres(std::span<const std::string> names, base::time_point now);
+
     /// A request from a caller, directly (`relayed` false) or from another host.
     actions on_request(const request& arrived, bool relayed, base::time_point now);
 
@@ -65,6 +82,7 @@
     /// True when an answer belongs to a request that this host sent.
     bool expects(const answer& arrived) const;
 
+    /// Another host asks whether it may run or refuse a request.
     actions on_intent(const std::string& from, request_key key, config::upstream_id upstream, std::uint64_t sequence,
                       base::time_point now);
     actions on_intent_reply(const std::string& from, request_key key, std::uint64_t sequence, bool accepted,
--- /dev/null
+++ b/src/dispatch/claim_log.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <galenabay/base/time.hpp>
+#include <galenabay/dispatch/request.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+namespace galenabay::dispatch
+{
+
+/// A request that another host has claimed.
+struct foreign_claim
+{
+    std::string holder;
+    std::uint64_t sequence = 0;
+    /// Last time a retransmission was passed on to the holder.
+    base::time_point relayed = base::time_point::min();
+};
+
+/// The claims of other hosts that this host has accepted as a witness.
+///
+/// A claim stays for as long as its caller may retransmit. When the log is
+/// full, new claims are refused: forgetting one could let a request run twice.
+class claim_log
+{
+public:
+    explicit claim_log(base::duration memory) : memory_{memory} {}
+
+    /// Remembers a claim. False when another claim for the key is remembered,
+    /// or the log is full. A repeated claim is accepted again.
+    bool accept(request_key key, const std::string& holder, std::uint64_t sequence, base::time_point now);
+
+    /// The accepted claim for a key; null when there is none.
+    foreign_claim* find(request_key key);
+
+    void on_tick(base::time_point now);
+
+private:
+    struct dated_key
+    {
+        request_key key = 0;
+        base::time_point added{};
+    };
+
+    base::duration memory_;
+    std::unordered_map<request_key, foreign_claim> claims_;
+    std::deque<dated_key> order_;
+};
+
+} // namespace galenabay::dispatch
--- /dev/null
+++ b/src/dispatch/dispatcher_claims.cpp
@@ -0,0 +1,267 @@
+#include "dispatcher_state.hpp"
+
+#include <galenabay/base/hash.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace galenabay::dispatch
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr base::duration intent_interval = 20ms;
+/// Time after which a witness that doesn't answer is passed over, when another
+/// one has answered.
+constexpr base::duration witness_timeout = 500ms;
+
+} // namespace
+
+bool dispatcher::state::is_fresh(base::time_point now) const
+{
+    return now - fresh_since_ < settings_.retransmission_span;
+}
+
+bool dispatcher::state::may_go_alone(base::time_point now) const
+{
+    return now - fresh_since_ >= settings_.settle_time;
+}
+
+bool dispatcher::state::collect_witnesses(const service_state& service, const request& arrived,
+                                          std::vector<claim_witness>& witnesses) const
+{
+    std::vector<std::string> names = service.witnesses;
+    const auto add_home = [&](const shard_map& map)
+    {
+        const shard* home = map.home(routing_of(arrived));
+        if (home == nullptr || home->data_centre == settings_.data_centre)
+        {
+            return true;
+        }
+        const auto ranked = service.deciders.find(home->data_centre);
+        if (ranked == service.deciders.end() || ranked->second.empty())
+        {
+            return false;
+        }
+        names.push_back(ranked->second.front());
+        return true;
+    };
+    bool is_complete = add_home(service.map);
+    for (const auto& old : service.former)
+    {
+        is_complete = add_home(old.map) && is_complete;
+    }
+    std::sort(names.begin(), names.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
+    for (const auto& name : names)
+    {
+        witnesses.push_back({name, false});
+    }
+    return is_complete;
+}
+
+void dispatcher::state::ask_witnesses(service_state& service, open_request& open, base::time_point now)
+{
+    open.held.is_granted = false;
+    open.held.asked = now;
+    open.held.witnesses.clear();
+    if (!collect_witnesses(service, open.arrived, open.held.witnesses))
+    {
+        end_refused(open, false, refusal::no_deciding_host, now);
+        return;
+    }
+    open.held.next_send = now + intent_interval;
+    send_intents(open);
+    update_claim(service, open, now);
+}
+
+void dispatcher::state::refresh_claim(service_state& service, open_request& open, base::time_point now)
+{
+    std::vector<claim_witness> next;
+    if (!collect_witnesses(service, open.arrived, next))
+    {
+        end_refused(open, false, refusal::no_deciding_host, now);
+        return;
+    }
+    for (auto& witness : next)
+    {
+        const auto known = std::find_if(open.held.witnesses.begin(), open.held.witnesses.end(),
+                                        [&](const claim_witness& w) { return w.host == witness.host; });
+        witness.acknowledged = known != open.held.witnesses.end() && known->acknowledged;
+    }
+    open.held.witnesses = std::move(next);
+    open.held.next_send = now + intent_interval;
+    send_intents(open);
+    update_claim(service, open, now);
+}
+
+void dispatcher::state::send_intents(const open_request& open)
+{
+    const bool is_closing = open.phase == request_phase::closing;
+    for (const auto& witness : open.held.witnesses)
+    {
+        if (!witness.acknowledged)
+        {
+            ++counters_.intents_sent;
+            out_.emplace_back(send_intent{witness.host, open.arrived.key, is_closing ? intent_to_refuse : intent_to_run,
+                                          open.held.sequence});
+        }
+    }
+}
+
+bool dispatcher::state::is_granted(const claim& held, base::time_point now) const
+{
+    if (held.witnesses.empty())
+    {
+        return may_go_alone(now);
+    }
+    const auto acknowledged = static_cast<std::size_t>(
+        std::count_if(held.witnesses.begin(), held.witnesses.end(), [](const auto& w) { return w.acknowledged; }));
+    const bool is_late = now - held.asked >= witness_timeout;
+    return acknowledged == held.witnesses.size() || (is_late && acknowledged > 0);
+}
+
+void dispatcher::state::update_claim(service_state& service, open_request& open, base::time_point now)
+{
+    if (is_granted(open.held, now))
+    {
+        open.held.is_granted = true;
+        on_granted(service, open, now);
+    }
+}
+
+void dispatcher::state::on_granted(service_state& service, open_request& open, base::time_point now)
+{
+    if (open.phase == request_phase::closing)
+    {
+        end_refused(open, true, open.closing_reason, now);
+        return;
+    }
+    if (leaving_)
+    {
+        begin_refusal(service, open, refusal::host_leaving, now);
+        return;
+    }
+    enqueue(service, open, now);
+}
+
+void dispatcher::state::on_claim_refused(service_state& service, open_request& open, base::time_point now)
+{
+    ++counters_.intents_refused;
+    if (open.phase == request_phase::closing)
+    {
+        end_refused(open, false, refusal::outcome_unknown, now);
+        return;
+    }
+    if (open.phase == request_phase::queued || open.phase == request_phase::backing_off)
+    {
+        leave_queue(service, open);
+    }
+    open.next_attempt = base::time_point::max();
+    open.phase = request_phase::held_elsewhere;
+}
+
+bool dispatcher::state::is_exclusive(const open_request& open, base::time_point now) const
+{
+    return !is_idempotent(open.arrived.method) && open.held.is_granted && !open.held.witnesses.empty() &&
+           !is_fresh(now);
+}
+
+bool dispatcher::state::may_vouch(const service_state& service, const open_request& open, base::time_point now) const
+{
+    const base::duration span = settings_.retransmission_span;
+    const bool has_witness = !service.witnesses.empty();
+    if (!is_idempotent(open.arrived.method))
+    {
+        return has_witness || (!is_fresh(now) && !hosts_.lost_neighbour(span, now));
+    }
+    // An idempotent request runs without a claim: whoever may have run it has
+    // to be alive and asked.
+    const shard* home = service.map.home(routing_of(open.arrived));
+    const bool is_home = home != nullptr && home->data_centre == settings_.data_centre;
+    return is_home && service.former.empty() && !is_fresh(now) && !hosts_.lost_neighbour(span, now) &&
+           !hosts_.lost_data_centre(span, now);
+}
+
+actions dispatcher::state::on_intent_reply(const std::string& from, request_key key, std::uint64_t sequence,
+                                           bool accepted, base::time_point now)
+{
+    enter(now);
+    const auto place = open_.find(key);
+    if (place == open_.end() || place->second.held.sequence != sequence)
+    {
+        return take_actions();
+    }
+    open_request& open = place->second;
+    service_state& service = *find_service(open.arrived.service);
+    const auto witness = std::find_if(open.held.witnesses.begin(), open.held.witnesses.end(),
+                                      [&](const claim_witness& w) { return w.host == from; });
+    const bool is_asking = open.phase == request_phase::claiming || open.phase == request_phase::closing;
+    const bool is_unsent = is_asking || open.phase == request_phase::queued || open.phase == request_phase::backing_off;
+    if (witness == open.held.witnesses.end() || !is_unsent)
+    {
+        return take_actions();
+    }
+    if (!accepted)
+    {
+        on_claim_refused(service, open, now);
+        return take_actions();
+    }
+    witness->acknowledged = true;
+    if (is_asking)
+    {
+        update_claim(service, open, now);
+    }
+    return take_actions();
+}
+
+actions dispatcher::state::on_intent(const std::string& from, request_key key, config::upstream_id upstream,
+                                     std::uint64_t sequence, base::time_point now)
+{
+    enter(now);
+    const bool accepted = judge_intent(from, key, upstream == intent_to_refuse, sequence, now);
+    out_.emplace_back(send_intent_reply{from, key, sequence, accepted});
+    return take_actions();
+}
+
+bool dispatcher::state::judge_intent(const std::string& from, request_key key, bool is_closing, std::uint64_t sequence,
+                                     base::time_point now)
+{
+    if (finished_.contains(key))
+    {
+        const auto reply = finished_.reply(key);
+        if (const auto* answered = reply ? std::get_if<deliver>(&*reply) : nullptr; answered != nullptr)
+        {
+            out_.emplace_back(*answered);
+        }
+        return false;
+    }
+    if (const auto own = open_.find(key); own != open_.end())
+    {
+        open_request& open = own->second;
+        if (open.phase == request_phase::claiming && yields_to(from, open))
+        {
+            open.phase = request_phase::held_elsewhere;
+        }
+        if (open.phase != request_phase::held_elsewhere)
+        {
+            return false;
+        }
+    }
+    if (is_closing && is_fresh(now))
+    {
+        return false;
+    }
+    return claims_.accept(key, from, sequence, now);
+}
+
+bool dispatcher::state::yields_to(const std::string& from, const open_request& open) const
+{
+    const request_key key = open.arrived.key;
+    return base::mix(base::hash_text(from), key) > base::mix(base::hash_text(settings_.self), key);
+}
+
+} // namespace galenabay::dispatch
--- /dev/null
+++ b/src/dispatch/dispatcher_endings.cpp
@@ -0,0 +1,88 @@
+#include "dispatcher_state.hpp"
+
+#include <galenabay/base/invariant.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace galenabay::dispatch
+{
+
+void dispatcher::state::begin_refusal(service_state& service, open_request& open, refusal reason, base::time_point now)
+{
+    open.phase = request_phase::closing;
+    open.next_attempt = base::time_point::max();
+    open.closing_reason = reason;
+    if (open.may_have_run())
+    {
+        end_refused(open, false, refusal::outcome_unknown, now);
+        return;
+    }
+    if (is_exclusive(open, now))
+    {
+        end_refused(open, true, reason, now);
+        return;
+    }
+    if (!may_vouch(service, open, now))
+    {
+        end_refused(open, false, reason, now);
+        return;
+    }
+    ask_witnesses(service, open, now);
+}
+
+void dispatcher::state::end_refused(open_request& open, bool run_excluded, refusal reason, base::time_point now)
+{
+    GALENABAY_INVARIANT(!run_excluded || !open.may_have_run());
+    const refuse reply = make_refusal(open.arrived, run_excluded, reason);
+    out_.emplace_back(reply);
+    finish(open, reply, now);
+}
+
+void dispatcher::state::end_delivered(open_request& open, const answer& arrived, base::time_point now)
+{
+    ++counters_.delivered;
+    const deliver reply{open.arrived.key, arrived.service_address, arrived.caller, arrived.bytes};
+    out_.emplace_back(reply);
+    finish(open, reply, now);
+}
+
+void dispatcher::state::finish(open_request& open, final_reply reply, base::time_point now)
+{
+    service_state& service = *find_service(open.arrived.service);
+    abandon_runs(service, open, now);
+    GALENABAY_INVARIANT(service.open > 0);
+    --service.open;
+    const request_key key = open.arrived.key;
+    finished_.add(key, std::move(reply), now);
+    open_.erase(key);
+}
+
+refuse dispatcher::state::make_refusal(const request& arrived, bool run_excluded, refusal reason)
+{
+    ++counters_.refused[static_cast<std::size_t>(reason)];
+    const service_state* service = find_service(arrived.service);
+    const std::uint32_t base_age = service != nullptr ? service->settings.requests.max_age_s : 1;
+    refuse reply;
+    reply.key = arrived.key;
+    reply.service_address = arrived.service_address;
+    reply.caller = arrived.caller;
+    reply.token = arrived.token;
+    reply.token_length = arrived.token_length;
+    reply.message_id = arrived.message_id;
+    reply.confirmable = arrived.confirmable;
+    reply.run_excluded = run_excluded;
+    // Spread over one to three times the configured age, so that callers don't
+    // come back in step.
+    reply.max_age_s =
+        std::max<std::uint32_t>(1, base_age) + static_cast<std::uint32_t>(random_.below(2 * base_age + 1));
+    reply.reason = reason;
+    return reply;
+}
+
+void dispatcher::state::reply_unknown(const request& arrived, refusal reason)
+{
+    out_.emplace_back(make_refusal(arrived, false, reason));
+}
+
+} // namespace galenabay::dispatch
--- /dev/null
+++ b/src/dispatch/dispatcher_membership.cpp
@@ -0,0 +1,165 @@
+#include "dispatcher_state.hpp"
+
+#include <galenabay/base/hash.hpp>
+
+#include <algorithm>
+
+namespace galenabay::dispatch
+{
+
+namespace
+{
+
+/// Hosts of the same data centre that witness a claim.
+constexpr std::size_t max_witnesses = 2;
+
+} // namespace
+
+void dispatcher::state::on_revision(const config::accepted_revision& revision, base::time_point now)
+{
+    enter(now);
+    for (const auto& settings : revision.set.services)
+    {
+        const bool is_new = !services_.contains(settings.id());
+        service_state& service = services_[settings.id()];
+        service.settings = settings;
+        service.budget.set_percent(settings.requests.retry_budget_percent);
+        const auto lineage = revision.lineage.find(settings.name);
+        if (is_new && lineage != revision.lineage.end() && !lineage->second.empty())
+        {
+            // Other hosts may have decided by the earlier state until now.
+            service.map = shard_map::make(lineage->second.front().upstreams, hosts_.data_centres());
+        }
+        refresh_service(service, now);
+    }
+    for (auto& [id, service] : services_)
+    {
+        const bool is_configured =
+            std::any_of(revision.set.services.begin(), revision.set.services.end(),
+                        [&, service_id = id](const auto& settings) { return settings.id() == service_id; });
+        if (!is_configured)
+        {
+            service.settings.draining = true;
+        }
+    }
+    adopted_ = true;
+}
+
+void dispatcher::state::refresh_services(base::time_point now)
+{
+    for (auto& [id, service] : services_)
+    {
+        refresh_service(service, now);
+    }
+}
+
+void dispatcher::state::refresh_service(service_state& service, base::time_point now)
+{
+    replace_map(service, shard_map::make(service.settings.upstreams, hosts_.data_centres()), now);
+    const shard* own = service.map.find(settings_.data_centre);
+    const std::span<const config::upstream> members =
+        own != nullptr ? std::span<const config::upstream>{own->upstreams} : std::span<const config::upstream>{};
+    service.pool.adopt(service.settings, members, !adopted_);
+    refresh_hosts(service);
+}
+
+void dispatcher::state::replace_map(service_state& service, shard_map next, base::time_point now)
+{
+    std::erase_if(service.former, [now](const former_map& old) { return old.until <= now; });
+    if (service.map == next)
+    {
+        return;
+    }
+    if (!service.map.shards().empty())
+    {
+        service.former.push_back({std::move(service.map), now + settings_.retransmission_span});
+    }
+    service.map = std::move(next);
+}
+
+void dispatcher::state::refresh_hosts(service_state& service)
+{
+    service.deciders.clear();
+    const std::uint64_t service_id = service.settings.id();
+    for (const auto& name : hosts_.data_centres())
+    {
+        auto ranked = hosts_.ranked(name, base::mix(service_id, base::hash_text(name)));
+        if (leaving_)
+        {
+            std::erase(ranked, settings_.self);
+        }
+        service.deciders[name] = std::move(ranked);
+    }
+    service.witnesses = service.deciders[settings_.data_centre];
+    std::erase(service.witnesses, settings_.self);
+    service.witnesses.resize(std::min(service.witnesses.size(), max_witnesses));
+    if (service.witnesses.empty())
+    {
+        service.witnesses = hosts_.ranked_elsewhere(settings_.data_centre,
+                                                    base::mix(service_id, base::hash_text(settings_.data_centre)));
+        service.witnesses.resize(std::min<std::size_t>(service.witnesses.size(), 1));
+    }
+}
+
+actions dispatcher::state::on_hosts(std::span<const membership::live_host> hosts, base::time_point now)
+{
+    enter(now);
+    hosts_.replace(hosts, now);
+    refresh_services(now);
+    for (auto& [key, open] : open_)
+    {
+        const bool is_asking = open.phase == request_phase::claiming || open.phase == request_phase::closing;
+        service_state* service = find_service(open.arrived.service);
+        if (is_asking && service != nullptr)
+        {
+            open.held.next_send = now;
+        }
+    }
+    return take_actions();
+}
+
+void dispatcher::state::on_data_centres(std::span<const std::string> names, base::time_point now)
+{
+    enter(now);
+    hosts_.set_data_centres(names);
+    refresh_services(now);
+}
+
+actions dispatcher::state::on_leave(base::time_point now)
+{
+    enter(now);
+    leaving_ = true;
+    refresh_services(now);
+    std::vector<request_key> keys;
+    for (const auto& [key, open] : open_)
+    {
+        if (open.phase == request_phase::queued || open.phase == request_phase::backing_off)
+        {
+            keys.push_back(key);
+        }
+    }
+    for (const request_key key : keys)
+    {
+        hand_on(open_.at(key), now);
+    }
+    return take_actions();
+}
+
+void dispatcher::state::hand_on(open_request& open, base::time_point now)
+{
+    service_state& service = *find_service(open.arrived.service);
+    leave_queue(service, open);
+    const auto& next = service.deciders[settings_.data_centre];
+    const bool may_pass = is_idempotent(open.arrived.method) && open.runs.empty() && !next.empty();
+    if (!may_pass)
+    {
+        begin_refusal(service, open, refusal::host_leaving, now);
+        return;
+    }
+    relay(open.arrived, next.front());
+    relayed_while_leaving_.insert(open.arrived.key);
+    --service.open;
+    open_.erase(open.arrived.key);
+}
+
+} // namespace galenabay::dispatch
--- /dev/null
+++ b/src/dispatch/dispatcher_requests.cpp
@@ -0,0 +1,250 @@
+#include "dispatcher_state.hpp"
+
+#include <galenabay/base/hash.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace galenabay::dispatch
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Least time between two retransmissions passed on to the same holder.
+constexpr base::duration relay_interval = 1s;
+/// Requests open at a time, as a multiple of the queue limit.
+constexpr std::uint32_t open_factor = 4;
+
+} // namespace
+
+actions dispatcher::state::on_request(const request& arrived, bool relayed, base::time_point now)
+{
+    enter(now);
+    ++counters_.requests;
+    if (const auto known = open_.find(arrived.key); known != open_.end())
+    {
+        on_known(known->second);
+        return take_actions();
+    }
+    if (finished_.contains(arrived.key))
+    {
+        repeat_reply(arrived);
+        return take_actions();
+    }
+    if (foreign_claim* held = claims_.find(arrived.key))
+    {
+        on_claimed_elsewhere(*held, arrived, now);
+        return take_actions();
+    }
+    service_state* service = find_service(arrived.service);
+    if (service == nullptr)
+    {
+        reply_unknown(arrived, refusal::no_upstream);
+        return take_actions();
+    }
+    route(*service, arrived, relayed, now);
+    return take_actions();
+}
+
+void dispatcher::state::on_known(open_request& /*open*/)
+{
+    // The reply under way answers the retransmission too.
+    ++counters_.retransmissions;
+}
+
+void dispatcher::state::repeat_reply(const request& arrived)
+{
+    ++counters_.retransmissions;
+    const auto reply = finished_.reply(arrived.key);
+    if (!reply)
+    {
+        reply_unknown(arrived, refusal::outcome_unknown);
+        return;
+    }
+    std::visit([this](const auto& value) { out_.emplace_back(value); }, *reply);
+}
+
+void dispatcher::state::on_claimed_elsewhere(foreign_claim& held, const request& arrived, base::time_point now)
+{
+    ++counters_.retransmissions;
+    if (held.holder == settings_.self || !hosts_.is_live(held.holder))
+    {
+        reply_unknown(arrived, refusal::outcome_unknown);
+        return;
+    }
+    if (held.relayed != base::time_point::min() && now - held.relayed < relay_interval)
+    {
+        return;
+    }
+    held.relayed = now;
+    relay(arrived, held.holder);
+}
+
+void dispatcher::state::route(service_state& service, const request& arrived, bool relayed, base::time_point now)
+{
+    if (relayed && !leaving_)
+    {
+        admit(service, arrived, now);
+        return;
+    }
+    const auto decider = decider_of(service, arrived);
+    const bool is_repeated = leaving_ && !relayed_while_leaving_.insert(arrived.key).second;
+    if (!decider || (relayed && is_repeated))
+    {
+        reply_unknown(arrived, leaving_ ? refusal::host_leaving : refusal::no_deciding_host);
+        return;
+    }
+    if (*decider == settings_.self)
+    {
+        admit(service, arrived, now);
+        return;
+    }
+    relay(arrived, *decider);
+}
+
+std::uint64_t dispatcher::state::routing_of(const request& arrived) const
+{
+    // All blocks of an answer have to reach the host that knows who served the
+    // first one.
+    const bool may_have_blocks = arrived.method == method::get || arrived.method == method::fetch;
+    return may_have_blocks ? base::mix(base::hash_endpoint(arrived.caller, arrived.service), arrived.path)
+                           : base::mix(arrived.key, arrived.service);
+}
+
+std::optional<std::string> dispatcher::state::decider_of(const service_state& service, const request& arrived) const
+{
+    const auto first_of = [&](const std::string& data_centre) -> std::optional<std::string>
+    {
+        const auto ranked = service.deciders.find(data_centre);
+        const bool has_host = ranked != service.deciders.end() && !ranked->second.empty();
+        return has_host ? std::optional{ranked->second.front()} : std::nullopt;
+    };
+    const shard* home = service.map.home(routing_of(arrived));
+    if (home == nullptr)
+    {
+        return first_of(settings_.data_centre);
+    }
+    auto decider = first_of(home->data_centre);
+    if (decider || !is_idempotent(arrived.method))
+    {
+        return decider;
+    }
+    if (service.map.find(settings_.data_centre) != nullptr)
+    {
+        decider = first_of(settings_.data_centre);
+    }
+    for (const auto& other : service.map.shards())
+    {
+        decider = decider ? decider : first_of(other.data_centre);
+    }
+    return decider;
+}
+
+void dispatcher::state::relay(const request& arrived, const std::string& host)
+{
+    ++counters_.relayed;
+    out_.emplace_back(relay_request{arrived.key, host, arrived.service_address, arrived.caller, arrived.bytes});
+}
+
+void dispatcher::state::admit(service_state& service, const request& arrived, base::time_point now)
+{
+    const auto& policy = service.settings.requests;
+    if (service.open >= policy.queue_limit * open_factor + service.pool.usable_slots(now))
+    {
+        reply_unknown(arrived, refusal::queue_full);
+        return;
+    }
+    open_request& open = open_[arrived.key];
+    ++service.open;
+    open.arrived = arrived;
+    open.deadline = now + std::chrono::milliseconds{policy.deadline_ms};
+    open.held.sequence = next_sequence_++;
+    if (service.settings.draining)
+    {
+        begin_refusal(service, open, refusal::service_draining, now);
+        return;
+    }
+    if (is_idempotent(arrived.method))
+    {
+        enqueue(service, open, now);
+        return;
+    }
+    open.phase = request_phase::claiming;
+    ask_witnesses(service, open, now);
+}
+
+bool dispatcher::state::needs_pinning(const request& arrived) const
+{
+    return arrived.block > 0;
+}
+
+void dispatcher::state::enqueue(service_state& service, open_request& open, base::time_point now)
+{
+    if (needs_pinning(open.arrived))
+    {
+        enqueue_pinned(service, open, now);
+        return;
+    }
+    if (!service.pool.has_other({}))
+    {
+        begin_refusal(service, open, refusal::no_upstream, now);
+        return;
+    }
+    const request& arrived = open.arrived;
+    const request_key key = arrived.key;
+    const base::duration expected = service.times.expected(arrived.method, arrived.path);
+    const bool is_long = service.times.is_long(arrived.method, arrived.path);
+    open.phase = request_phase::queued;
+    open.next_attempt = base::time_point::max();
+    open.position = service.queue.push({arrived.key, arrived.caller, expected, is_long});
+    const base::duration wait =
+        service.queue.work_before(open.position) / std::max<std::uint32_t>(1, service.pool.usable_slots(now));
+    if (now + wait + expected > open.deadline)
+    {
+        leave_queue(service, open);
+        begin_refusal(service, open, refusal::deadline_unreachable, now);
+        return;
+    }
+    pump(service, now);
+    if (service.queue.size() > service.settings.requests.queue_limit)
+    {
+        const request_key last = service.queue.last()->key;
+        open_request& evicted = open_.at(last);
+        leave_queue(service, evicted);
+        begin_refusal(service, evicted, last == key ? refusal::queue_full : refusal::caller_over_share, now);
+    }
+}
+
+void dispatcher::state::leave_queue(service_state& service, open_request& open)
+{
+    if (open.phase == request_phase::queued && !needs_pinning(open.arrived))
+    {
+        service.queue.erase(open.position);
+    }
+    std::erase(service.pinned, open.arrived.key);
+    open.phase = request_phase::backing_off;
+}
+
+void dispatcher::state::enqueue_pinned(service_state& service, open_request& open, base::time_point now)
+{
+    const auto upstream = affinity_.find(routing_of(open.arrived));
+    const bool is_known = upstream && service.pool.find(*upstream) != nullptr;
+    if (!is_known)
+    {
+        begin_refusal(service, open, refusal::no_upstream, now);
+        return;
+    }
+    if (service.pinned.size() >= service.settings.requests.queue_limit)
+    {
+        begin_refusal(service, open, refusal::queue_full, now);
+        return;
+    }
+    open.phase = request_phase::queued;
+    service.pinned.push_back(open.arrived.key);
+    pump(service, now);
+}
+
+} // namespace galenabay::dispatch
--- /dev/null
+++ b/src/dispatch/dispatcher_runs.cpp
@@ -0,0 +1,309 @@
+#include "dispatcher_state.hpp"
+
+#include <galenabay/base/invariant.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace galenabay::dispatch
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::uint8_t code_unavailable = 0xa3;
+constexpr std::uint8_t first_server_error = 0xa0;
+constexpr std::size_t max_attempts = 3;
+constexpr base::duration first_retry_delay = 5ms;
+constexpr base::duration busy_delay = 5ms;
+constexpr base::duration least_second_run_delay = 10ms;
+constexpr double second_run_factor = 4;
+/// Share of the slots that long requests may hold while short ones wait, and
+/// otherwise.
+constexpr double long_share_crowded = 0.6;
+constexpr double long_share_idle = 0.85;
+
+exchange_id exchange_of(const request& sent, const base::endpoint& upstream)
+{
+    return {upstream, sent.service_address, sent.caller, sent.token, sent.token_length};
+}
+
+std::vector<config::upstream_id> tried(const open_request& open)
+{
+    std::vector<config::upstream_id> ids;
+    for (const auto& run : open.runs)
+    {
+        ids.push_back(run.upstream);
+    }
+    return ids;
+}
+
+bool has_waiting_run(const open_request& open)
+{
+    return std::any_of(open.runs.begin(), open.runs.end(),
+                       [](const upstream_run& run) { return run.state == run_state::waiting; });
+}
+
+} // namespace
+
+bool dispatcher::state::allows_long(const service_state& service, base::time_point now) const
+{
+    const std::uint32_t usable = service.pool.usable_slots(now);
+    const bool is_crowded = service.queue.size() > service.queue.long_size();
+    const double share = is_crowded ? long_share_crowded : long_share_idle;
+    const auto limit = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(usable * share));
+    return service.long_running < limit;
+}
+
+void dispatcher::state::pump(service_state& service, base::time_point now)
+{
+    pump_pinned(service, now);
+    while (!service.queue.empty() && service.pool.has_free_slot(now))
+    {
+        const auto next = service.queue.pop(allows_long(service, now));
+        if (!next)
+        {
+            return;
+        }
+        open_request& open = open_.at(next->key);
+        open.phase = request_phase::backing_off;
+        if (now + next->expected > open.deadline)
+        {
+            begin_refusal(service, open, refusal::deadline_unreachable, now);
+            continue;
+        }
+        start(service, open, now);
+    }
+}
+
+void dispatcher::state::pump_pinned(service_state& service, base::time_point now)
+{
+    for (auto place = service.pinned.begin(); place != service.pinned.end();)
+    {
+        open_request& open = open_.at(*place);
+        const auto id = affinity_.find(routing_of(open.arrived));
+        const config::upstream* target = id ? service.pool.find(*id) : nullptr;
+        if (target == nullptr)
+        {
+            place = service.pinned.erase(place);
+            open.phase = request_phase::backing_off;
+            begin_refusal(service, open, refusal::no_upstream, now);
+            continue;
+        }
+        if (!service.pool.has_room(*id) || exchanges_.is_open(exchange_of(open.arrived, target->endpoint)))
+        {
+            ++place;
+            continue;
+        }
+        place = service.pinned.erase(place);
+        send(service, open, *target, now);
+    }
+}
+
+void dispatcher::state::start(service_state& service, open_request& open, base::time_point now)
+{
+    if (const config::upstream* target = choose_upstream(service, open, now))
+    {
+        send(service, open, *target, now);
+        return;
+    }
+    if (!service.pool.has_other(tried(open)))
+    {
+        begin_refusal(service, open, open.runs.empty() ? refusal::no_upstream : refusal::upstream_refused, now);
+        return;
+    }
+    open.next_attempt = now + busy_delay;
+}
+
+const config::upstream* dispatcher::state::choose_upstream(service_state& service, const open_request& open,
+                                                           base::time_point now)
+{
+    std::vector<config::upstream_id> avoided = tried(open);
+    std::vector<config::upstream_id> excluded = avoided;
+    for (const auto& [id, target] : service.pool.targets())
+    {
+        const exchange_id exchange = exchange_of(open.arrived, target->endpoint);
+        if (exchanges_.is_open(exchange))
+        {
+            excluded.push_back(id);
+        }
+        if (exchanges_.is_taken(exchange, now))
+        {
+            avoided.push_back(id);
+        }
+    }
+    const config::upstream* target = service.pool.choose(avoided, now, random_);
+    if (target != nullptr || service.pool.has_other(avoided))
+    {
+        return target;
+    }
+    return service.pool.choose(excluded, now, random_);
+}
+
+void dispatcher::state::send(service_state& service, open_request& open, const config::upstream& target,
+                             base::time_point now)
+{
+    const request& arrived = open.arrived;
+    const config::upstream_id id = config::id_of(service.settings, target);
+    GALENABAY_INVARIANT(now < open.deadline);
+    GALENABAY_INVARIANT(is_idempotent(arrived.method) || (open.held.is_granted && !open.may_have_run()));
+    const auto ids = tried(open);
+    GALENABAY_INVARIANT(std::find(ids.begin(), ids.end(), id) == ids.end());
+    if (open.runs.empty())
+    {
+        service.budget.on_first_send();
+    }
+    else
+    {
+        ++counters_.retried[static_cast<std::size_t>(open.retry)];
+    }
+    const bool is_long = service.times.is_long(arrived.method, arrived.path);
+    service.long_running += is_long ? 1 : 0;
+    open.runs.push_back({id, target.endpoint, now, run_state::waiting, is_long});
+    open.phase = request_phase::running;
+    exchanges_.open(exchange_of(arrived, target.endpoint), arrived.key, arrived.message_id);
+    service.pool.on_sent(id);
+    const bool may_hedge = is_idempotent(arrived.method) && !needs_pinning(arrived) && open.runs.size() == 1;
+    open.next_attempt = may_hedge ? now + second_run_delay(service, arrived) : base::time_point::max();
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(open.deadline - now).count();
+    out_.emplace_back(send_to_upstream{arrived.key, target.endpoint, arrived.service_address, arrived.caller,
+                                       static_cast<std::uint32_t>(std::max<std::int64_t>(1, left)),
+                                       static_cast<std::uint8_t>(open.runs.size()), arrived.bytes});
+}
+
+actions dispatcher::state::on_answer(const answer& arrived, base::time_point now)
+{
+    enter(now);
+    constexpr std::uint8_t empty_message = 0;
+    const auto key = exchanges_.match(arrived, now);
+    if (!key || arrived.code == empty_message)
+    {
+        counters_.stray_answers += arrived.code == empty_message ? 0 : 1;
+        return take_actions();
+    }
+    open_request& open = open_.at(*key);
+    service_state& service = *find_service(open.arrived.service);
+    const auto run =
+        std::find_if(open.runs.begin(), open.runs.end(),
+                     [&](const upstream_run& candidate)
+                     { return candidate.endpoint == arrived.upstream && candidate.state == run_state::waiting; });
+    GALENABAY_INVARIANT(run != open.runs.end());
+    exchanges_.close(exchange_table::id_of(arrived), arrived, now);
+    if (arrived.code == code_unavailable)
+    {
+        run->state = run_state::refused;
+        end_run(service, open, *run, run_outcome::refused, now);
+        on_refused_by_upstream(service, open, now);
+    }
+    else
+    {
+        const bool has_failed = arrived.code >= first_server_error;
+        if (!has_failed)
+        {
+            service.times.on_finished(open.arrived.method, open.arrived.path, now - run->sent);
+            affinity_.remember(routing_of(open.arrived), run->upstream, now);
+        }
+        run->state = run_state::abandoned;
+        end_run(service, open, *run, has_failed ? run_outcome::failed : run_outcome::succeeded, now);
+        end_delivered(open, arrived, now);
+    }
+    pump(service, now);
+    return take_actions();
+}
+
+bool dispatcher::state::expects(const answer& arrived) const
+{
+    return exchanges_.contains(exchange_table::id_of(arrived));
+}
+
+void dispatcher::state::on_health(config::upstream_id upstream, bool healthy)
+{
+    for (auto& [id, service] : services_)
+    {
+        service.pool.on_health(upstream, healthy);
+    }
+}
+
+void dispatcher::state::on_refused_by_upstream(service_state& service, open_request& open, base::time_point now)
+{
+    if (has_waiting_run(open))
+    {
+        return;
+    }
+    const base::duration delay = retry_delay(open.runs.size());
+    const bool is_crest = service.queue.size() * 2 > service.settings.requests.queue_limit;
+    const bool may_retry = open.runs.size() < max_attempts && !needs_pinning(open.arrived) && !is_crest && !leaving_ &&
+                           now + delay < open.deadline && service.pool.has_other(tried(open)) &&
+                           service.budget.take(now);
+    if (!may_retry)
+    {
+        begin_refusal(service, open, refusal::upstream_refused, now);
+        return;
+    }
+    open.phase = request_phase::backing_off;
+    open.retry = retry_reason::upstream_refused;
+    open.next_attempt = now + delay;
+}
+
+void dispatcher::state::end_run(service_state& service, const open_request& /*open*/, upstream_run& run,
+                                run_outcome outcome, base::time_point now)
+{
+    service.pool.on_finished(run.upstream, outcome, now - run.sent, now, random_);
+    service.long_running -= run.is_long ? 1 : 0;
+}
+
+void dispatcher::state::abandon_runs(service_state& service, open_request& open, base::time_point now)
+{
+    for (auto& run : open.runs)
+    {
+        if (run.state != run_state::waiting)
+        {
+            continue;
+        }
+        run.state = run_state::abandoned;
+        const bool is_silent = !service.pool.heard_since(run.upstream, run.sent);
+        exchanges_.abandon(exchange_of(open.arrived, run.endpoint), now);
+        end_run(service, open, run, is_silent ? run_outcome::silent : run_outcome::cancelled, now);
+        // A run that isn't idempotent is left to its deadline: half of it may
+        // be done.
+        if (is_idempotent(open.arrived.method))
+        {
+            out_.emplace_back(cancel_at_upstream{open.arrived.key, run.endpoint, open.arrived.service_address,
+                                                 open.arrived.caller, open.arrived.message_id});
+        }
+    }
+}
+
+void dispatcher::state::try_second_run(service_state& service, open_request& open, base::time_point now)
+{
+    open.next_attempt = now + least_second_run_delay;
+    const bool is_crowded = !service.queue.empty() || !service.pool.has_free_slot(now);
+    const config::upstream* target = is_crowded ? nullptr : choose_upstream(service, open, now);
+    if (target == nullptr || !service.budget.take(now))
+    {
+        return;
+    }
+    const upstream_run& first = open.runs.front();
+    const bool is_gone = service.pool.find(first.upstream) == nullptr;
+    const bool is_heard = service.pool.heard_since(first.upstream, first.sent);
+    open.retry = is_gone ? retry_reason::upstream_gone : is_heard ? retry_reason::hedge : retry_reason::upstream_silent;
+    send(service, open, *target, now);
+}
+
+base::duration dispatcher::state::second_run_delay(const service_state& service, const request& arrived)
+{
+    const auto expected = static_cast<double>(service.times.expected(arrived.method, arrived.path).count());
+    const double jitter = 1 + random_.unit() / 4;
+    const base::duration delay{static_cast<base::duration::rep>(expected * second_run_factor * jitter)};
+    return std::max(least_second_run_delay, delay);
+}
+
+base::duration dispatcher::state::retry_delay(std::size_t attempts)
+{
+    const auto ceiling = static_cast<double>((first_retry_delay * (1U << std::min<std::size_t>(attempts, 6))).count());
+    return base::duration{static_cast<base::duration::rep>(ceiling / 2 * (1 + random_.unit()))};
+}
+
+} // namespace galenabay::dispatch
--- /dev/null
+++ b/src/dispatch/dispatcher_state.hpp
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <galenabay/base/random.hpp>
+#include <galenabay/dispatch/dispatcher.hpp>
+
+#include "block_affinity.hpp"
+#include "claim_log.hpp"
+#include "exchange_table.hpp"
+#include "finished_log.hpp"
+#include "host_directory.hpp"
+#include "open_request.hpp"
+#include "service_state.hpp"
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace galenabay::dispatch
+{
+
+/// All of a dispatcher's state; one source file per duty.
+///
+/// Every entry point starts with `enter`, which notices a pause before anything
+/// else is decided.
+class dispatcher::state
+{
+public:
+    explicit state(dispatcher_settings settings);
+
+    // dispatcher_membership.cpp
+    void on_revision(const config::accepted_revision& revision, base::time_point now);
+    actions on_hosts(std::span<const membership::live_host> hosts, base::time_point now);
+    void on_data_centres(std::span<const std::string> names, base::time_point now);
+    actions on_leave(base::time_point now);
+
+    // dispatcher_requests.cpp
+    actions on_request(const request& arrived, bool relayed, base::time_point now);
+
+    // dispatcher_runs.cpp
+    actions on_answer(const answer& arrived, base::time_point now);
+    bool expects(const answer& arrived) const;
+    void on_health(config::upstream_id upstream, bool healthy);
+
+    // dispatcher_claims.cpp
+    actions on_intent(const std::string& from, request_key key, config::upstream_id upstream, std::uint64_t sequence,
+                      base::time_point now);
+    actions on_intent_reply(const std::string& from, request_key key, std::uint64_t sequence, bool accepted,
+                            base::time_point now);
+
+    // dispatcher_tick.cpp
+    actions on_tick(base::time_point now);
+
+    std::size_t open_requests() const noexcept { return open_.size(); }
+    const dispatcher_counters& counters() const noexcept { return counters_; }
+
+private:
+    // dispatcher_membership.cpp
+    void refresh_service(service_state& service, base::time_point now);
+    void refresh_services(base::time_point now);
+    void replace_map(service_state& service, shard_map next, base::time_point now);
+    void refresh_hosts(service_state& service);
+    void hand_on(open_request& open, base::time_point now);
+
+    // dispatcher_requests.cpp
+    void on_known(open_request& open);
+    void repeat_reply(const request& arrived);
+    void on_claimed_elsewhere(foreign_claim& held, const request& arrived, base::time_point now);
+    void route(service_state& service, const request& arrived, bool relayed, base::time_point now);
+    std::optional<std::string> decider_of(const service_state& service, const request& arrived) const;
+    void admit(service_state& service, const request& arrived, base::time_point now);
+    void enqueue(service_state& service, open_request& open, base::time_point now);
+    void enqueue_pinned(service_state& service, open_request& open, base::time_point now);
+    bool needs_pinning(const request& arrived) const;
+    void leave_queue(service_state& service, open_request& open);
+    void relay(const request& arrived, const std::string& host);
+
+    // dispatcher_runs.cpp
+    void pump(service_state& service, base::time_point now);
+    void pump_pinned(service_state& service, base::time_point now);
+    bool allows_long(const service_state& service, base::time_point now) const;
+    void start(service_state& service, open_request& open, base::time_point now);
+    const config::upstream* choose_upstream(service_state& service, const open_request& open, base::time_point now);
+    void send(service_state& service, open_request& open, const config::upstream& target, base::time_point now);
+    void on_refused_by_upstream(service_state& service, open_request& open, base::time_point now);
+    void end_run(service_state& service, const open_request& open, upstream_run& run, run_outcome outcome,
+                 base::time_point now);
+    void abandon_runs(service_state& service, open_request& open, base::time_point now);
+    void try_second_run(service_state& service, open_request& open, base::time_point now);
+    base::duration second_run_delay(const service_state& service, const request& arrived);
+    base::duration retry_delay(std::size_t attempts);
+
+    // dispatcher_endings.cpp
+    void begin_refusal(service_state& service, open_request& open, refusal reason, base::time_point now);
+    void end_refused(open_request& open, bool run_excluded, refusal reason, base::time_point now);
+    void end_delivered(open_request& open, const answer& arrived, base::time_point now);
+    void finish(open_request& open, final_reply reply, base::time_point now);
+    refuse make_refusal(const request& arrived, bool run_excluded, refusal reason);
+    void reply_unknown(const request& arrived, refusal reason);
+
+    // dispatcher_claims.cpp
+    void ask_witnesses(service_state& service, open_request& open, base::time_point now);
+    void send_intents(const open_request& open);
+    void refresh_claim(service_state& service, open_request& open, base::time_point now);
+    void update_claim(service_state& service, open_request& open, base::time_point now);
+    bool is_granted(const claim& held, base::time_point now) const;
+    bool may_go_alone(base::time_point now) const;
+    bool is_fresh(base::time_point now) const;
+    bool is_exclusive(const open_request& open, base::time_point now) const;
+    bool may_vouch(const service_state& service, const open_request& open, base::time_point now) const;
+    bool collect_witnesses(const service_state& service, const request& arrived,
+                           std::vector<claim_witness>& witnesses) const;
+    void on_granted(service_state& service, open_request& open, base::time_point now);
+    void on_claim_refused(service_state& service, open_request& open, base::time_point now);
+    bool judge_intent(const std::string& from, request_key key, bool is_closing, std::uint64_t sequence,
+                      base::time_point now);
+    bool yields_to(const std::string& from, const open_request& open) const;
+
+    // dispatcher_tick.cpp
+    void enter(base::time_point now);
+    void on_pause(base::time_point now);
+    void advance(service_state& service, open_request& open, base::time_point now);
+    void expire(service_state& service, open_request& open, base::time_point now);
+
+    std::uint64_t routing_of(const request& arrived) const;
+    service_state* find_service(config::service_id id);
+    actions take_actions();
+
+    dispatcher_settings settings_;
+    base::random_source random_;
+    host_directory hosts_;
+    std::map<config::service_id, service_state> services_;
+    std::unordered_map<request_key, open_request> open_;
+    finished_log finished_;
+    claim_log claims_;
+    exchange_table exchanges_;
+    block_affinity affinity_;
+    std::unordered_set<request_key> relayed_while_leaving_;
+    dispatcher_counters counters_;
+    actions out_;
+    std::uint64_t next_sequence_;
+    std::optional<base::time_point> last_tick_;
+    base::time_point fresh_since_{};
+    bool adopted_ = false;
+    bool leaving_ = false;
+};
+
+} // namespace galenabay::dispatch
--- /dev/null
+++ b/src/dispatch/upstream_pool.cpp
@@ -0,0 +1,240 @@
+#include "upstream_pool.hpp"
+
+#include <galenabay/base/invariant.hpp>
+
+#include <algorithm>
+
+namespace galenabay::dispatch
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr base::duration first_rest = 20ms;
+constexpr base::duration longest_rest = 2s;
+constexpr std::uint32_t silent_limit = 3;
+/// Slots earned by one answer of a cold upstream.
+constexpr double ramp_step = 0.125;
+constexpr double shed_factor = 0.5;
+constexpr double error_weight = 0.1;
+constexpr double error_limit = 0.5;
+constexpr double busy_limit_us = 60e6;
+
+bool is_excluded(std::span<const config::upstream_id> excluded, config::upstream_id id)
+{
+    return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+}
+
+} // namespace
+
+void upstream_pool::adopt(const config::service& owner, std::span<const config::upstream> members, bool warm)
+{
+    for (auto& [id, known] : members_)
+    {
+        known.configured = false;
+    }
+    double least_busy = 0;
+    for (const auto& [id, known] : members_)
+    {
+        least_busy = std::max(least_busy, known.busy_us);
+    }
+    for (const auto& target : members)
+    {
+        const auto [place, added] = members_.try_emplace(config::id_of(owner, target));
+        member& entry = place->second;
+        entry.target = target;
+        entry.configured = true;
+        if (added)
+        {
+            entry.earned = warm ? target.slots : 1;
+            entry.busy_us = least_busy;
+        }
+    }
+    std::erase_if(members_, [](const auto& entry) { return !entry.second.configured && entry.second.running == 0; });
+}
+
+std::uint32_t upstream_pool::slots_of(const member& candidate, base::time_point now) const
+{
+    if (!candidate.configured || candidate.target.draining || candidate.rests_until > now)
+    {
+        return 0;
+    }
+    const bool on_probe = candidate.silent_in_row >= silent_limit || candidate.error_share > error_limit;
+    const auto earned = static_cast<std::uint32_t>(std::max(1.0, candidate.earned));
+    return on_probe ? 1 : std::min(candidate.target.slots, earned);
+}
+
+bool upstream_pool::is_better(const member& a, const member& b) const
+{
+    if (a.reported_healthy != b.reported_healthy)
+    {
+        return a.reported_healthy;
+    }
+    const bool failing_a = a.error_share > error_limit;
+    if (failing_a != (b.error_share > error_limit))
+    {
+        return !failing_a;
+    }
+    const std::uint64_t load_a = std::uint64_t{a.running} * b.target.slots;
+    const std::uint64_t load_b = std::uint64_t{b.running} * a.target.slots;
+    if (load_a != load_b)
+    {
+        return load_a < load_b;
+    }
+    return a.busy_us / a.target.slots < b.busy_us / b.target.slots;
+}
+
+const config::upstream* upstream_pool::choose(std::span<const config::upstream_id> excluded, base::time_point now,
+                                              base::random_source& random) const
+{
+    const member* best = nullptr;
+    for (const auto& [id, candidate] : members_)
+    {
+        if (candidate.running >= slots_of(candidate, now) || is_excluded(excluded, id))
+        {
+            continue;
+        }
+        const bool is_tie = best != nullptr && !is_better(candidate, *best) && !is_better(*best, candidate);
+        if (best == nullptr || is_better(candidate, *best) || (is_tie && random.below(2) == 0))
+        {
+            best = &candidate;
+        }
+    }
+    return best == nullptr ? nullptr : &best->target;
+}
+
+bool upstream_pool::has_other(std::span<const config::upstream_id> excluded) const
+{
+    return std::any_of(members_.begin(), members_.end(),
+                       [&](const auto& entry) {
+                           return entry.second.configured && !entry.second.target.draining &&
+                                  !is_excluded(excluded, entry.first);
+                       });
+}
+
+const config::upstream* upstream_pool::find(config::upstream_id id) const
+{
+    const auto place = members_.find(id);
+    return place == members_.end() || !place->second.configured ? nullptr : &place->second.target;
+}
+
+std::vector<std::pair<config::upstream_id, const config::upstream*>> upstream_pool::targets() const
+{
+    std::vector<std::pair<config::upstream_id, const config::upstream*>> result;
+    for (const auto& [id, entry] : members_)
+    {
+        if (entry.configured)
+        {
+            result.emplace_back(id, &entry.target);
+        }
+    }
+    return result;
+}
+
+bool upstream_pool::has_room(config::upstream_id id) const
+{
+    const auto place = members_.find(id);
+    return place != members_.end() && place->second.running < place->second.target.slots;
+}
+
+bool upstream_pool::has_free_slot(base::time_point now) const
+{
+    return std::any_of(members_.begin(), members_.end(),
+                       [&](const auto& entry) { return entry.second.running < slots_of(entry.second, now); });
+}
+
+void upstream_pool::on_sent(config::upstream_id id)
+{
+    const auto place = members_.find(id);
+    GALENABAY_INVARIANT(place != members_.end());
+    ++place->second.running;
+    ++running_;
+}
+
+void upstream_pool::on_finished(config::upstream_id id, run_outcome outcome, base::duration elapsed,
+                                base::time_point now, base::random_source& random)
+{
+    const auto place = members_.find(id);
+    GALENABAY_INVARIANT(place != members_.end() && place->second.running > 0);
+    member& target = place->second;
+    --target.running;
+    --running_;
+    target.busy_us += static_cast<double>(elapsed.count());
+    if (target.busy_us > busy_limit_us)
+    {
+        share_busy_time();
+    }
+    if (outcome == run_outcome::silent)
+    {
+        if (++target.silent_in_row >= silent_limit)
+        {
+            rest(target, target.silent_in_row, now, random);
+        }
+        return;
+    }
+    if (outcome == run_outcome::cancelled)
+    {
+        return;
+    }
+    target.heard = now;
+    target.silent_in_row = 0;
+    if (outcome == run_outcome::refused)
+    {
+        target.earned = std::max(1.0, target.earned * shed_factor);
+        rest(target, ++target.refusals_in_row, now, random);
+        return;
+    }
+    target.refusals_in_row = 0;
+    target.earned = std::min<double>(target.target.slots, target.earned + ramp_step);
+    const double failed = outcome == run_outcome::failed ? 1 : 0;
+    target.error_share += error_weight * (failed - target.error_share);
+    target.failures_in_row = outcome == run_outcome::failed ? target.failures_in_row + 1 : 0;
+    if (target.failures_in_row > 0 && target.error_share > error_limit)
+    {
+        rest(target, target.failures_in_row, now, random);
+    }
+}
+
+void upstream_pool::rest(member& target, std::uint32_t times, base::time_point now, base::random_source& random)
+{
+    const std::uint32_t doublings = std::min<std::uint32_t>(times, 8) - 1;
+    const base::duration span = std::min<base::duration>(longest_rest, first_rest * (1U << doublings));
+    const auto jitter = static_cast<base::duration::rep>(random.unit() * static_cast<double>(span.count()) / 2);
+    target.rests_until = std::max(target.rests_until, now + span / 2 + base::duration{jitter});
+}
+
+void upstream_pool::share_busy_time()
+{
+    for (auto& [id, entry] : members_)
+    {
+        entry.busy_us /= 2;
+    }
+}
+
+void upstream_pool::on_health(config::upstream_id id, bool healthy)
+{
+    if (const auto place = members_.find(id); place != members_.end())
+    {
+        place->second.reported_healthy = healthy;
+    }
+}
+
+bool upstream_pool::heard_since(config::upstream_id id, base::time_point since) const
+{
+    const auto place = members_.find(id);
+    return place != members_.end() && place->second.heard >= since;
+}
+
+std::uint32_t upstream_pool::usable_slots(base::time_point now) const
+{
+    std::uint32_t total = 0;
+    for (const auto& [id, candidate] : members_)
+    {
+        total += slots_of(candidate, now);
+    }
+    return total;
+}
+
+} // namespace galenabay::dispatch
--- /dev/null
+++ b/src/dispatch/work_estimator.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <galenabay/base/time.hpp>
+#include <galenabay/dispatch/request.hpp>
+
+#include <cstdint>
+#include <unordered_map>
+
+namespace galenabay::dispatch
+{
+
+/// Learns how long requests of a method and path run at an upstream.
+///
+/// A single slow run barely moves the estimate, so that a straggler doesn't
+/// change the class of its path; a path that stays slow does.
+class work_estimator
+{
+public:
+    void on_finished(method kind, std::uint64_t path, base::duration elapsed);
+
+    /// Expected running time; a guess from other paths when none is known.
+    base::duration expected(method kind, std::uint64_t path) const;
+
+    /// True when requests like this hold a slot many times longer than usual.
+    bool is_long(method kind, std::uint64_t path) const;
+
+private:
+    /// Follows the median of what is observed.
+    struct typical_time
+    {
+        double microseconds = 0;
+        std::uint32_t observations = 0;
+
+        void observe(double value);
+    };
+
+    void forget_if_full();
+
+    /// By hash of method and path.
+    std::unordered_map<std::uint64_t, typical_time> typical_;
+    typical_time overall_;
+};
+
+} // namespace galenabay::dispatch
