--- a/daemons/galena_balancerd.cpp
+++ b/daemons/galena_balancerd.cpp
@@ -85,7 +85,7 @@
         }
         reload(file, started.value());
     }
-    log_event{log_level::info, "stop_begun"};
+    log_event{log_level::info, "stop_begun"}.with("timeout_ms", settings.stop_timeout.count() / 1000);
     const auto summary = started.value().stop();
     log_event{log_level::info, "stopped"}
         .with("open_requests", summary.open_requests)
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -254,7 +254,7 @@
     to.due = now + settings_.heartbeat_interval;
     auto exchange = to.link->exchange(own_report(), std::exchange(to.records, {}))
                         .then(
-                            [this, name](membership::host_report report)
+                            [this, name](const membership::host_report& report)
                             {
                                 metrics_.add(metric::heartbeats_ok);
                                 contacts_[name].tried = true;
--- a/src/daemon/peer_link.cpp
+++ b/src/daemon/peer_link.cpp
@@ -3,6 +3,8 @@
 #include "counting_stream.hpp"
 #include "report_codec.hpp"
 
+#include <galenabay/base/invariant.hpp>
+
 #include <memory>
 #include <utility>
 
@@ -24,7 +26,7 @@
 
 kj::Promise<void> peer_link::connect()
 {
-    if (connection_ != nullptr)
+    if (connection_.get() != nullptr)
     {
         return kj::READY_NOW;
     }
@@ -45,6 +47,12 @@
             });
 }
 
+schema::Peer::Client& peer_link::peer()
+{
+    GALENABAY_INVARIANT(connection_.get() != nullptr);
+    return connection_->peer;
+}
+
 void peer_link::drop_connection()
 {
     connection_ = nullptr;
@@ -53,8 +61,7 @@
 kj::Promise<membership::host_report> peer_link::send_report(const membership::host_report& own,
                                                             const std::vector<flow::flow_record>& records)
 {
-    auto& open = *KJ_ASSERT_NONNULL(connection_);
-    auto request = open.peer.heartbeatRequest();
+    auto request = peer().heartbeatRequest();
     write_report(own, request.initReport());
     if (!records.empty())
     {
@@ -64,7 +71,10 @@
         [](capnp::Response<schema::Peer::HeartbeatResults> response)
         {
             auto report = read_report(response.getReport());
-            KJ_REQUIRE(report.has_value(), "malformed report");
+            if (!report)
+            {
+                kj::throwFatalException(KJ_EXCEPTION(FAILED, "malformed report"));
+            }
             return std::move(report).value();
         });
 }
@@ -95,7 +105,7 @@
     auto whole = connect().then(
         [this, after]()
         {
-            auto request = KJ_ASSERT_NONNULL(connection_)->peer.fetchRevisionRequest();
+            auto request = peer().fetchRevisionRequest();
             request.setAfter(after);
             return request.send().then(
                 [](capnp::Response<schema::Peer::FetchRevisionResults> response)
--- a/src/daemon/peer_link.hpp
+++ b/src/daemon/peer_link.hpp
@@ -50,13 +50,15 @@
     kj::Promise<void> connect();
     kj::Promise<membership::host_report> send_report(const membership::host_report& own,
                                                      const std::vector<flow::flow_record>& records);
+    schema::Peer::Client& peer();
     void drop_connection();
 
     kj::Network& network_;
     kj::Timer& timer_;
     metric_board& metrics_;
     base::endpoint control_;
-    kj::Maybe<kj::Own<connection>> connection_;
+    /// Null while not connected.
+    kj::Own<connection> connection_;
     std::uint32_t open_calls_ = 0;
 };
 
