Platform: object client and revision store

A write without an answer is resolved by reading back: same number and digest, in the manifest or in the history that the next operator copied, means accepted; anything else is a conflict that names who and when. The history is an object per revision, written before the manifest is replaced, so it only ever describes revisions that were accepted and the manifest stays small. Pieces without a user are listed before the commit and removed after it at the versions seen; an operator who needs one writes it again first. Found by the test of lost answers: a piece write that resolved a lost answer by writing once more never ended while answers kept being lost; the versions are now listed first and a piece with the right text at another version counts as written.

--- a/include/galenabay/config/codec.hpp
+++ b/include/galenabay/config/codec.hpp
@@ -28,6 +28,18 @@
 /// Errors: `malformed`, `corrupt` (digest does not match the set).
 base::result<accepted_revision> decode_revision(std::span<const std::byte> bytes);
 
+/// Largest piece of an encoded revision, in bytes.
+constexpr std::size_t max_piece_size = 640U << 10U;
+
+/// The services and lineage of a revision in pieces of at most `max_piece_size`
+/// bytes. Services are grouped by a hash of their name, so that a change of some
+/// services leaves most pieces as they are.
+std::vector<std::vector<std::byte>> encode_pieces(const accepted_revision& revision);
+
+/// Completes `header` (number, digest, name of the set, author, time) with the
+/// services and lineage of all its pieces, in order. Errors as `decode_revision`.
+base::result<accepted_revision> decode_pieces(accepted_revision header, std::span<const std::vector<std::byte>> pieces);
+
 /// What turns `before` into `after`, which follows it directly; much smaller than
 /// the whole when few services differ.
 std::vector<std::byte> encode_change(const accepted_revision& before, const accepted_revision& after);
--- a/include/galenabay/platform/object_client.hpp
+++ b/include/galenabay/platform/object_client.hpp
@@ -31,6 +31,7 @@
 ///
 ///     GET    /v1/objects/KEY                      200 {"key","version","value"} | 404
 ///     GET    /v1/objects?prefix=P                 200 {"objects":[{"key","version","value"}]}
+///     GET    /v1/objects?prefix=P&keys_only=1     200 {"objects":[{"key","version"}]}
 ///     PUT    /v1/objects/KEY  If-Match: "V"       200 {"version"} | 412 {"version"}
 ///            If-None-Match: *  (must not exist)   body {"value": TEXT}
 ///     DELETE /v1/objects/KEY  If-Match: "V"       200 | 404 | 412
@@ -38,15 +39,19 @@
 ///     GET    /v1/hosts                            200 {"hosts":[{"name","data_centre","control","relay","leaving"}]}
 ///
 /// Values are text; binary values are Base64. Any call may get 429 or 503.
-/// Errors: `not_found`, `conflict` (412), `exhausted` (429), `unavailable` (503,
-/// refused connection), `timeout` (the write may have taken effect), `malformed`.
+/// Errors: `not_found`, `conflict` (412), `exhausted` (429), `out_of_range` (413,
+/// or a response larger than accepted), `unavailable` (503, no connection),
+/// `timeout` (no answer: a write may have taken effect), `malformed`.
 class object_client
 {
 public:
+    /// `timeout`: longest wait for a connection and for each part of an answer.
     static object_client make(const base::endpoint& platform, std::chrono::milliseconds timeout);
 
     base::result<object> get(const std::string& key) const;
     base::result<std::vector<object>> list(const std::string& prefix) const;
+    /// As `list`, without the values.
+    base::result<std::vector<object>> list_keys(const std::string& prefix) const;
     /// Writes when the object's version is `expected` (0: does not exist);
     /// returns the new version.
     base::result<std::uint64_t> put(const std::string& key, const std::string& value, std::uint64_t expected) const;
@@ -59,6 +64,8 @@
 private:
     object_client(const base::endpoint& platform, std::chrono::milliseconds timeout);
 
+    base::result<std::vector<object>> list(const std::string& prefix, bool with_values) const;
+
     base::endpoint platform_;
     std::chrono::milliseconds timeout_;
 };
--- a/include/galenabay/platform/revision_store.hpp
+++ b/include/galenabay/platform/revision_store.hpp
@@ -5,8 +5,12 @@
 #include <galenabay/platform/object_client.hpp>
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
+#include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace galenabay::platform
 {
@@ -18,27 +22,62 @@
     config::accepted_revision revision;
 };
 
-/// Reads and writes revisions through the object API: chunks named by content,
+/// What the history keeps of a revision. Plain value.
+struct history_entry
+{
+    std::uint64_t number = 0;
+    config::digest digest{};
+    std::string author;
+    /// Seconds since 1970.
+    std::int64_t accepted_at = 0;
+
+    friend auto operator<=>(const history_entry&, const history_entry&) = default;
+};
+
+/// Earlier revisions whose content the platform keeps.
+constexpr std::size_t max_history = 20;
+
+/// Reads and writes revisions through the object API: pieces named by content,
 /// then one conditional write of the manifest, which is the commit point.
-/// Blocking; one thread at a time.
+/// Remembers the pieces that it read last. Blocking; one thread at a time.
+///
+///     config/manifest         {"number","digest","name","author","accepted_at","chunks":[SHA-256…]}
+///     config/chunks/SHA-256   one piece, Base64
+///     config/history/NUMBER   manifest of an earlier revision
 class revision_store
 {
 public:
-    explicit revision_store(object_client client);
+    /// `patience`: how long a write is tried again while the platform is slow or
+    /// down.
+    explicit revision_store(object_client client,
+                            std::chrono::milliseconds patience = std::chrono::milliseconds{15'000});
+    revision_store(revision_store&&) noexcept;
+    revision_store& operator=(revision_store&&) noexcept;
+    ~revision_store();
 
     /// The newest accepted revision; nullopt when none was ever accepted.
     base::result<std::optional<stored_revision>> read() const;
 
-    /// Waits until the manifest's version is newer than `after`; nullopt when
+    /// Waits until the manifest's version differs from `after`; nullopt when
     /// nothing changed in time.
     base::result<std::optional<stored_revision>> watch(std::uint64_t after, std::chrono::milliseconds wait) const;
 
-    /// Accepts `next` on top of the manifest version `expected` (0: first).
-    /// Errors: `conflict`; `timeout` is resolved by reading back.
+    /// Accepts `next` on top of the manifest version `expected` (0: first), then
+    /// removes pieces that no kept revision names. A lost answer is resolved by
+    /// reading back. Errors: `conflict`, with author, time and number of the
+    /// revision that won as detail; `timeout` or `unavailable` when the outcome
+    /// could not be found out in time.
     base::result<stored_revision> accept(const config::accepted_revision& next, std::uint64_t expected) const;
 
+    /// Kept revisions, newest first, the one in force included.
+    base::result<std::vector<history_entry>> history() const;
+
+    /// The content of a kept revision. Errors: `not_found`.
+    base::result<config::accepted_revision> read_number(std::uint64_t number) const;
+
 private:
-    object_client client_;
+    class state;
+    std::unique_ptr<state> state_;
 };
 
 } // namespace galenabay::platform
--- /dev/null
+++ b/src/platform/base64.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <galenabay/base/result.hpp>
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace galenabay::platform
+{
+
+std::string to_base64(std::span<const std::byte> bytes);
+
+/// Errors: `malformed`.
+base::result<std::vector<std::byte>> from_base64(const std::string& text);
+
+} // namespace galenabay::platform
--- /dev/null
+++ b/src/platform/json_text.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <galenabay/base/result.hpp>
+
+#include <Poco/JSON/Object.h>
+
+#include <string>
+
+namespace galenabay::platform
+{
+
+/// Parses a JSON object of bounded depth. Errors: `malformed`, with the given
+/// step and peer.
+base::result<Poco::JSON::Object::Ptr> parse_json(const std::string& text, const std::string& step,
+                                                 const std::string& peer);
+
+std::string to_text(const Poco::JSON::Object& json);
+
+} // namespace galenabay::platform
--- /dev/null
+++ b/src/platform/manifest.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <galenabay/base/result.hpp>
+#include <galenabay/config/accepted_revision.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace galenabay::platform
+{
+
+/// Names everything that belongs to one accepted revision. Plain value.
+struct manifest
+{
+    std::uint64_t number = 0;
+    /// SHA-256 of the set, in hexadecimal.
+    std::string digest;
+    std::string name;
+    std::string author;
+    std::int64_t accepted_at = 0;
+    /// SHA-256 of each piece, in hexadecimal and in order.
+    std::vector<std::string> chunks;
+
+    friend auto operator<=>(const manifest&, const manifest&) = default;
+};
+
+std::string to_json(const manifest& source);
+
+/// Errors: `malformed`.
+base::result<manifest> parse_manifest(const std::string& text);
+
+/// The revision that the manifest describes, without services and lineage.
+config::accepted_revision header_of(const manifest& source);
+
+/// "accepted as revision N by AUTHOR at TIME".
+std::string describe(const manifest& source);
+
+/// UTC time in ISO 8601 form.
+std::string format_time(std::int64_t seconds);
+
+} // namespace galenabay::platform
--- /dev/null
+++ b/tests/platform/revision_store_test.cpp
@@ -0,0 +1,252 @@
+#include <galenabay/config/codec.hpp>
+#include <galenabay/config/load.hpp>
+#include <galenabay/platform/revision_store.hpp>
+
+#include <tools/platform_stub/server.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace galenabay;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+config::service_set example_set()
+{
+    const std::vector<std::string> files{std::string{GALENABAY_SOURCE_DIR} + "/examples/alliance.yaml"};
+    return config::load_service_set(files).value();
+}
+
+stub::server_settings unlimited()
+{
+    stub::server_settings settings;
+    settings.writes_per_second = 1e6;
+    settings.reads_per_second = 1e6;
+    return settings;
+}
+
+config::service_set with_weight(std::uint32_t weight)
+{
+    auto set = example_set();
+    set.services[0].upstreams[0].weight = weight;
+    return set;
+}
+
+config::accepted_revision first_revision(std::uint32_t weight = 100, const char* author = "ann")
+{
+    return config::succeed(nullptr, with_weight(weight), author, 1000);
+}
+
+} // namespace
+
+TEST_GROUP(revision_store)
+{
+    stub::server server{unlimited()};
+
+    platform::object_client client()
+    {
+        const auto endpoint = base::endpoint::parse("127.0.0.1", server.port()).value();
+        return platform::object_client::make(endpoint, 2000ms);
+    }
+    platform::revision_store store(std::chrono::milliseconds patience = 3000ms)
+    {
+        return platform::revision_store{client(), patience};
+    }
+    void fault(const std::string& json) { server.state().apply(json); }
+
+    /// Accepts one revision after the other with the weights given.
+    platform::stored_revision accept_all(const std::vector<std::uint32_t>& weights)
+    {
+        auto writer = store();
+        platform::stored_revision latest;
+        for (const auto weight : weights)
+        {
+            const auto* previous = latest.manifest_version == 0 ? nullptr : &latest.revision;
+            const auto next = config::succeed(previous, with_weight(weight), "ann", weight);
+            latest = writer.accept(next, latest.manifest_version).value();
+        }
+        return latest;
+    }
+};
+
+TEST(revision_store, is_empty_at_first)
+{
+    CHECK_FALSE(store().read().value().has_value());
+}
+
+TEST(revision_store, returns_what_was_accepted)
+{
+    const auto accepted = store().accept(first_revision(), 0);
+    CHECK(accepted.has_value());
+    const auto read = store().read().value();
+    CHECK(read->revision == first_revision());
+    CHECK(read->manifest_version == accepted.value().manifest_version);
+}
+
+TEST(revision_store, watch_returns_the_next_revision)
+{
+    const auto first = accept_all({1});
+    CHECK_FALSE(store().watch(first.manifest_version, 20ms).value().has_value());
+    std::thread operator_thread{[&]
+                                {
+                                    const auto next = config::succeed(&first.revision, with_weight(2), "ben", 2);
+                                    store().accept(next, first.manifest_version).value();
+                                }};
+    const auto seen = store().watch(first.manifest_version, 10s);
+    operator_thread.join();
+    LONGS_EQUAL(2, seen.value()->revision.number);
+}
+
+TEST(revision_store, half_written_revision_is_never_seen)
+{
+    const auto first = accept_all({1});
+    const auto next = config::succeed(&first.revision, with_weight(2), "ben", 2);
+    for (const auto& piece : config::encode_pieces(next))
+    {
+        const auto name = config::to_hex(config::digest_of_bytes(piece));
+        server.objects().put("config/chunks/" + name, "half", 0);
+    }
+    CHECK(store().read().value()->revision == first.revision);
+    CHECK_FALSE(store().watch(first.manifest_version, 20ms).value().has_value());
+}
+
+TEST(revision_store, damaged_chunk_is_refused)
+{
+    accept_all({1});
+    const auto chunk = server.objects().list("config/chunks/").at(0);
+    server.objects().put(chunk.key, "AAAA", chunk.version);
+    CHECK(store().read().error().code() == base::error_code::corrupt);
+}
+
+TEST(revision_store, one_of_two_operators_wins_and_the_other_learns_who)
+{
+    const auto first = accept_all({1});
+    const auto by_ann = config::succeed(&first.revision, with_weight(2), "ann", 2000);
+    const auto by_ben = config::succeed(&first.revision, with_weight(3), "ben", 2000);
+    CHECK(store().accept(by_ann, first.manifest_version).has_value());
+    const auto lost = store().accept(by_ben, first.manifest_version);
+    CHECK(lost.error().code() == base::error_code::conflict);
+    STRCMP_EQUAL("accepted as revision 2 by ann at 1970-01-01T00:33:20Z", lost.error().detail().c_str());
+    CHECK(store().read().value()->revision == by_ann);
+}
+
+TEST(revision_store, racing_operators_have_exactly_one_winner)
+{
+    const auto first = accept_all({1});
+    for (int round = 0; round < 10; ++round)
+    {
+        const auto base = store().read().value().value();
+        std::atomic<int> winners{0};
+        std::vector<std::thread> operators;
+        for (std::uint32_t i = 0; i < 4; ++i)
+        {
+            const auto weight = 100U + static_cast<std::uint32_t>(round) * 10 + i;
+            const auto next = config::succeed(&base.revision, with_weight(weight), "op" + std::to_string(i), 2);
+            operators.emplace_back([&, next] { winners += store().accept(next, base.manifest_version) ? 1 : 0; });
+        }
+        for (auto& thread : operators)
+        {
+            thread.join();
+        }
+        LONGS_EQUAL(1, winners.load());
+        LONGS_EQUAL(base.revision.number + 1, store().read().value()->revision.number);
+    }
+}
+
+TEST(revision_store, lost_answer_is_resolved_as_accepted_once)
+{
+    const auto first = accept_all({1});
+    const auto next = config::succeed(&first.revision, with_weight(2), "ben", 2);
+    fault(R"({"lose_write_answers": 1000})");
+    const auto accepted = store().accept(next, first.manifest_version);
+    fault(R"({"lose_write_answers": 0})");
+    CHECK(accepted.has_value());
+    const auto read = store().read().value();
+    CHECK(read->revision == next);
+    LONGS_EQUAL(accepted.value().manifest_version, read->manifest_version);
+}
+
+TEST(revision_store, lost_answer_of_a_lost_race_is_a_conflict)
+{
+    const auto first = accept_all({1});
+    const auto by_ann = config::succeed(&first.revision, with_weight(2), "ann", 2);
+    const auto by_ben = config::succeed(&first.revision, with_weight(3), "ben", 2);
+    store().accept(by_ann, first.manifest_version).value();
+    fault(R"({"lose_write_answers": 1000})");
+    const auto lost = store().accept(by_ben, first.manifest_version);
+    CHECK(lost.error().code() == base::error_code::conflict);
+}
+
+TEST(revision_store, outage_ends_without_a_wrong_report)
+{
+    const auto first = accept_all({1});
+    const auto next = config::succeed(&first.revision, with_weight(2), "ben", 2);
+    fault(R"({"down": true})");
+    const auto outcome = store(200ms).accept(next, first.manifest_version);
+    CHECK(outcome.error().code() == base::error_code::unavailable);
+    fault(R"({"down": false})");
+    CHECK(store().read().value()->revision == first.revision);
+    CHECK(store().accept(next, first.manifest_version).has_value());
+}
+
+TEST(revision_store, rejected_calls_are_tried_again)
+{
+    fault(R"({"reject_every": 3})");
+    CHECK(store().accept(first_revision(), 0).has_value());
+}
+
+TEST(revision_store, keeps_history_and_removes_pieces_without_a_user)
+{
+    std::vector<std::uint32_t> weights;
+    for (std::uint32_t weight = 1; weight <= platform::max_history + 10; ++weight)
+    {
+        weights.push_back(weight);
+    }
+    server.objects().put("config/chunks/left-over", "x", 0);
+    const auto latest = accept_all(weights);
+    const auto entries = store().history().value();
+    CHECK(entries.size() <= platform::max_history + 2);
+    LONGS_EQUAL(latest.revision.number, entries.front().number);
+    CHECK(server.objects().list("config/chunks/").size() <= platform::max_history + 2);
+    CHECK_FALSE(server.objects().get("config/chunks/left-over").has_value());
+    for (const auto& entry : entries)
+    {
+        CHECK(store().read_number(entry.number).value().digest == entry.digest);
+    }
+    CHECK(store().read_number(1).error().code() == base::error_code::not_found);
+}
+
+TEST(revision_store, cleaner_leaves_a_piece_that_another_operator_wrote_again)
+{
+    const auto first = accept_all({1});
+    const auto next = config::succeed(&first.revision, with_weight(2), "ben", 2);
+    const auto piece = config::encode_pieces(next).at(0);
+    const auto key = "config/chunks/" + config::to_hex(config::digest_of_bytes(piece));
+    const auto seen_unused = server.objects().put(key, "damaged", 0);
+    store().accept(next, first.manifest_version).value();
+    CHECK(client().remove(key, seen_unused.version).error().code() == base::error_code::conflict);
+    CHECK(store().read().value()->revision == next);
+}
+
+TEST(revision_store, stale_read_shows_the_earlier_revision_whole)
+{
+    accept_all({1, 2});
+    fault(R"({"stale_reads": 1})");
+    LONGS_EQUAL(1, store().read().value()->revision.number);
+    LONGS_EQUAL(2, store().read().value()->revision.number);
+}
+
+TEST(revision_store, restored_platform_shows_the_older_revision)
+{
+    const auto first = accept_all({1});
+    const auto next = config::succeed(&first.revision, with_weight(2), "ben", 2);
+    store().accept(next, first.manifest_version).value();
+    CHECK(server.objects().restore(first.manifest_version));
+    CHECK(store().read().value()->revision == first.revision);
+}
--- a/tools/platform_stub/host_prober.cpp
+++ b/tools/platform_stub/host_prober.cpp
@@ -41,8 +41,7 @@
     {
         Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress{endpoint}};
         session.setTimeout(Poco::Timespan{0, probe_timeout_us});
-        Poco::Net::HTTPRequest request{Poco::Net::HTTPRequest::HTTP_GET, "/healthz",
-                                       Poco::Net::HTTPMessage::HTTP_1_1};
+        Poco::Net::HTTPRequest request{Poco::Net::HTTPRequest::HTTP_GET, "/healthz", Poco::Net::HTTPMessage::HTTP_1_1};
         session.sendRequest(request);
         Poco::Net::HTTPResponse response;
         auto& stream = session.receiveResponse(response);
--- a/tools/platform_stub/server.cpp
+++ b/tools/platform_stub/server.cpp
@@ -77,8 +77,8 @@
 {
     std::string body;
     std::string block(64U << 10U, '\0');
-    while (body.size() <= max_body && (stream.read(block.data(), static_cast<std::streamsize>(block.size())) ||
-                                       stream.gcount() > 0))
+    while (body.size() <= max_body &&
+           (stream.read(block.data(), static_cast<std::streamsize>(block.size())) || stream.gcount() > 0))
     {
         body.append(block, 0, static_cast<std::size_t>(stream.gcount()));
     }
@@ -270,8 +270,9 @@
         try
         {
             Poco::JSON::Parser parser;
-            value = parser.parse(read_body(request.stream())).extract<Poco::JSON::Object::Ptr>()->getValue<std::string>(
-                "value");
+            value = parser.parse(read_body(request.stream()))
+                        .extract<Poco::JSON::Object::Ptr>()
+                        ->getValue<std::string>("value");
         }
         catch (const Poco::Exception&)
         {
