--- a/src/config/codec.cpp
+++ b/src/config/codec.cpp
@@ -168,8 +168,8 @@
 
 base::result<accepted_revision> decode_change(const accepted_revision& before, std::span<const std::byte> bytes)
 {
-    return unpack<schema::RevisionChange>(
-        bytes, [&](schema::RevisionChange::Reader reader) { return read_change(before, reader); });
+    return unpack<schema::RevisionChange>(bytes, [&](schema::RevisionChange::Reader reader)
+                                          { return read_change(before, reader); });
 }
 
 } // namespace galenabay::config
--- a/src/config/packed_message.hpp
+++ b/src/config/packed_message.hpp
@@ -46,8 +46,7 @@
     }
     catch (const kj::Exception& failure)
     {
-        return base::error::make(base::error_code::malformed, "decode_revision", "",
-                                 failure.getDescription().cStr());
+        return base::error::make(base::error_code::malformed, "decode_revision", "", failure.getDescription().cStr());
     }
 }
 
--- a/src/config/revision_schema.cpp
+++ b/src/config/revision_schema.cpp
@@ -72,7 +72,7 @@
         const std::string name{element.getService().cStr()};
         const auto found = index.find(name);
         BOOST_OUTCOME_TRY(generations, read_lineage(element, found == index.end() ? std::vector<upstream>{}
-                                                                                       : found->second->upstreams));
+                                                                                  : found->second->upstreams));
         if (!revision.lineage.emplace(name, std::move(generations)).second)
         {
             return malformed("the lineage of a service is given twice");
--- a/src/config/revision_schema.hpp
+++ b/src/config/revision_schema.hpp
@@ -15,8 +15,7 @@
 using lineage_map = std::map<std::string, std::vector<generation>>;
 
 /// Writes services and, for the services that `lineage` names, their lineage.
-void write_part(const std::vector<service>& services, const lineage_map& lineage,
-                schema::RevisionPart::Builder target);
+void write_part(const std::vector<service>& services, const lineage_map& lineage, schema::RevisionPart::Builder target);
 
 /// Adds the services and lineage of a part to a revision. Errors: `malformed`,
 /// `out_of_range`.
--- a/src/config/yaml_decoder.cpp
+++ b/src/config/yaml_decoder.cpp
@@ -322,8 +322,8 @@
                                      const constraints& limits, capnp::DynamicStruct::Builder target) const
     {
         const std::uint64_t smallest = limits.minimum.value_or(0);
-        const std::uint64_t largest = std::min(limits.maximum.value_or(largest_of(field.getType().which())),
-                                               largest_of(field.getType().which()));
+        const std::uint64_t largest =
+            std::min(limits.maximum.value_or(largest_of(field.getType().which())), largest_of(field.getType().which()));
         const std::string expected =
             "expected a number from " + std::to_string(smallest) + " to " + std::to_string(largest);
         std::uint64_t number = 0;
--- a/tests/config/codec_test.cpp
+++ b/tests/config/codec_test.cpp
@@ -43,7 +43,8 @@
 TEST(codec, digest_stays_the_same_across_releases)
 {
     config::service_set set{.name = "fixed", .services = {}};
-    STRCMP_EQUAL("64e0751b54c2e52cdb6cf617a5d26a7059a7439ca6d459b87aa6455d377cb7ce", config::to_hex(config::digest_of(set)).c_str());
+    STRCMP_EQUAL("64e0751b54c2e52cdb6cf617a5d26a7059a7439ca6d459b87aa6455d377cb7ce",
+                 config::to_hex(config::digest_of(set)).c_str());
 }
 
 TEST(codec, revision_survives_the_round_trip)
--- a/tests/config/fuzz_test.cpp
+++ b/tests/config/fuzz_test.cpp
@@ -53,7 +53,8 @@
 
 config::accepted_revision example_revision()
 {
-    auto first = config::succeed(nullptr, config::parse_service_set(read_example("alliance.yaml"), "a").value(), "ann", 1);
+    auto first =
+        config::succeed(nullptr, config::parse_service_set(read_example("alliance.yaml"), "a").value(), "ann", 1);
     auto next = first.set;
     next.services[0].upstreams[3].draining = true;
     return config::succeed(&first, next, "ben", 2);
--- a/tests/config/load_test.cpp
+++ b/tests/config/load_test.cpp
@@ -131,8 +131,7 @@
 
 TEST(load, names_an_overlapping_address)
 {
-    check_refused(replaced(valid_set, "192.0.2.11", "192.0.2.10"), "set.yaml:9",
-                  "already used by service 'exchange'");
+    check_refused(replaced(valid_set, "192.0.2.11", "192.0.2.10"), "set.yaml:9", "already used by service 'exchange'");
     check_refused(replaced(valid_set, "127.0.2.2", "127.0.2.1"), "set.yaml:9", "endpoint 127.0.2.1:5683");
 }
 
--- /dev/null
+++ b/tools/upstream_stub/settings.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "../stand_in/datagram_socket.hpp"
+
+#include <galenabay/base/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace galenabay::stand_in
+{
+
+enum class stub_kind
+{
+    coap,
+    datagram,
+};
+
+/// How each upstream of one process behaves. Plain value.
+struct stub_settings
+{
+    /// Name that answers carry, so that a caller notices an answer of another service.
+    std::string service = "service";
+    stub_kind kind = stub_kind::coap;
+    std::size_t slots = 3;
+    std::size_t backlog = 6;
+    std::size_t connections = 2000;
+    base::duration service_time{20'000};
+    double straggler_percent = 1;
+    double straggler_factor = 50;
+    base::duration feed_interval{1'000'000};
+    double confirmable_percent = 10;
+    base::duration cold_time{0};
+    base::duration report_lag{0};
+    /// True: remembers answers by caller and message id (RFC 7252 section 4.2).
+    bool deduplicate = false;
+    /// True: callers send directly, without a PROXY header.
+    bool direct = false;
+    datagram_faults faults;
+    std::uint64_t seed = 1;
+};
+
+} // namespace galenabay::stand_in
