--- a/bench/bench_relay.cpp
+++ b/bench/bench_relay.cpp
@@ -20,7 +20,8 @@
 #include <utility>
 #include <vector>
 
-namespace {
+namespace
+{
 
 namespace options = boost::program_options;
 using galenabay::base::endpoint;
