Revision follower: newest revision from the platform or peers, never older

One older answer of the platform may be a stale read and is asked again at once; two in a row raise one alarm and change nothing. Newer numbers heard from peers wait a jittered moment for the platform when it is reachable. Hosts may rely on peers that watch (set_watching), so that the platform's calls need not grow with the fleet.

--- a/include/galenabay/platform/revision_store.hpp
+++ b/include/galenabay/platform/revision_store.hpp
@@ -62,6 +62,11 @@
     /// nothing changed in time.
     base::result<std::optional<stored_revision>> watch(std::uint64_t after, std::chrono::milliseconds wait) const;
 
+    /// Waits until the platform holds another revision than number `after`, which
+    /// this store read last; answers at once when it read another one last or when
+    /// `wait` is 0. nullopt when nothing changed or nothing was ever accepted.
+    base::result<std::optional<stored_revision>> fetch(std::uint64_t after, std::chrono::milliseconds wait) const;
+
     /// Accepts `next` on top of the manifest version `expected` (0: first), then
     /// removes pieces that no kept revision names. A lost answer is resolved by
     /// reading back. Errors: `conflict`, with author, time and number of the
--- a/include/galenabay/revision/follower.hpp
+++ b/include/galenabay/revision/follower.hpp
@@ -12,10 +12,13 @@
 namespace galenabay::revision
 {
 
-/// Read the newest revision from the platform (a watch from `after`).
+/// Read the newest revision from the platform: wait until the platform holds
+/// another revision than number `after`, at most `wait`.
 struct fetch_from_platform
 {
     std::uint64_t after = 0;
+    /// 0: answer at once, whatever the platform holds.
+    base::duration wait{0};
 };
 
 /// Read the newest revision from a peer that has a newer one.
@@ -50,6 +53,15 @@
     base::duration max_backoff{10'000'000};
     /// A fetch without an answer after this long has failed.
     base::duration fetch_timeout{60'000'000};
+    /// Mean wait of a watch; each one is jittered by a fifth.
+    base::duration watch_wait{25'000'000};
+    /// Time between two reads by a host that does not watch the platform.
+    base::duration poll_interval{60'000'000};
+    /// A peer that has not answered for this long is joined by a second one.
+    base::duration peer_hedge{300'000};
+    /// Longest time that a newer number heard from a peer waits for the platform
+    /// before it is fetched from the peer.
+    base::duration peer_delay{200'000};
 };
 
 /// Learns which revision is in force, from the platform and from peers; never
@@ -68,7 +80,8 @@
     /// The revision in force; null until one is known.
     const config::accepted_revision* current() const noexcept;
 
-    /// A whole revision read from the platform.
+    /// A whole revision read from the platform. Two answers in a row that are
+    /// older than the revision in force raise an alarm; one may be a stale read.
     actions on_platform_revision(const config::accepted_revision& offered, base::time_point now);
     /// The watch ended without news.
     actions on_platform_unchanged(base::time_point now);
@@ -80,6 +93,12 @@
     actions on_peer_revision(const std::string& host, const config::accepted_revision& offered, base::time_point now);
     actions on_peer_failure(const std::string& host, base::time_point now);
 
+    /// Whether this host watches the platform or relies on peers that do; true
+    /// at first. A host that hears nobody who reaches the platform watches anyway.
+    void set_watching(bool watches) noexcept;
+    /// Whether a peer reaches the platform, as it reported in a heartbeat.
+    void on_peer_reachability(const std::string& host, bool platform_reachable, base::time_point now);
+
     /// Call at least every 100 ms.
     actions on_tick(base::time_point now);
 
--- a/src/config/pieces.cpp
+++ b/src/config/pieces.cpp
@@ -112,8 +112,8 @@
         {
             return malformed("a piece is cut short");
         }
-        BOOST_OUTCOME_TRY(unpack<schema::RevisionPart>(
-            rest.first(length), [&](schema::RevisionPart::Reader part) { return read_part(part, header); }));
+        BOOST_OUTCOME_TRY(unpack<schema::RevisionPart>(rest.first(length), [&](schema::RevisionPart::Reader part)
+                                                       { return read_part(part, header); }));
         rest = rest.subspan(length);
     }
     return checked_revision(std::move(header));
--- a/src/platform/http_call.cpp
+++ b/src/platform/http_call.cpp
@@ -107,7 +107,8 @@
     {
         session.setHost(platform.address_string());
         session.setPort(platform.port());
-        session.setTimeout(Poco::Timespan{std::chrono::duration_cast<std::chrono::microseconds>(request.timeout).count()});
+        session.setTimeout(
+            Poco::Timespan{std::chrono::duration_cast<std::chrono::microseconds>(request.timeout).count()});
         Poco::Net::HTTPRequest message{request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1};
         add_condition(request, message);
         if (!request.body.empty())
--- a/src/platform/object_client.cpp
+++ b/src/platform/object_client.cpp
@@ -142,7 +142,8 @@
     request.max_response = max_list_response;
     BOOST_OUTCOME_TRY(answer, call(platform_, request));
     return parse_body(
-        answer.body, request.step, platform_.to_string(), [&](const Object& json)
+        answer.body, request.step, platform_.to_string(),
+        [&](const Object& json)
         { return rows_of(json, "objects", [&](const Object& row) { return to_object(row, with_values); }); });
 }
 
--- a/src/platform/revision_store.cpp
+++ b/src/platform/revision_store.cpp
@@ -91,6 +91,7 @@
     {
         BOOST_OUTCOME_TRY(pieces, chunks.read(source.content));
         BOOST_OUTCOME_TRY(revision, config::decode_pieces(header_of(source.content), pieces));
+        last_read = {source.version, revision.number};
         return std::optional{stored_revision{source.version, std::move(revision)}};
     }
 
@@ -209,6 +210,8 @@
     object_client client;
     retry_policy retry;
     chunk_store chunks;
+    /// Manifest version and number of the revision that was read last.
+    std::pair<std::uint64_t, std::uint64_t> last_read{0, 0};
 
 private:
     static constexpr int max_history_tries = 8;
@@ -245,6 +248,13 @@
     return state_->load(stored_manifest{found.version, std::move(content)});
 }
 
+base::result<std::optional<stored_revision>> revision_store::fetch(std::uint64_t after,
+                                                                   std::chrono::milliseconds wait) const
+{
+    const auto [version, number] = state_->last_read;
+    return wait.count() > 0 && number == after ? watch(version, wait) : read();
+}
+
 base::result<stored_revision> revision_store::accept(const config::accepted_revision& next,
                                                      std::uint64_t expected) const
 {
@@ -298,8 +308,8 @@
     }
     BOOST_OUTCOME_TRY(kept, state_->client.get(history_key(number)));
     BOOST_OUTCOME_TRY(content, parse_manifest(kept.value));
-    BOOST_OUTCOME_TRY(earlier, state_->load(stored_manifest{kept.version, std::move(content)}));
-    return std::move(earlier->revision);
+    BOOST_OUTCOME_TRY(pieces, state_->chunks.read(content));
+    return config::decode_pieces(header_of(content), pieces);
 }
 
 } // namespace galenabay::platform
--- a/src/revision/placeholder.cpp
+++ /dev/null
@@ -1,3 +0,0 @@
-namespace galenabay::revision
-{
-}
--- a/tests/platform/object_client_test.cpp
+++ b/tests/platform/object_client_test.cpp
@@ -80,8 +80,7 @@
 TEST(object_client, slow_answer_is_a_timeout)
 {
     server.state().apply(R"({"delay_ms": 300})");
-    const auto hasty =
-        platform::object_client::make(base::endpoint::parse("127.0.0.1", server.port()).value(), 50ms);
+    const auto hasty = platform::object_client::make(base::endpoint::parse("127.0.0.1", server.port()).value(), 50ms);
     check_error(base::error_code::timeout, hasty.put("a", "one", 0));
 }
 
--- a/tests/platform/revision_store_test.cpp
+++ b/tests/platform/revision_store_test.cpp
@@ -58,7 +58,10 @@
     {
         return platform::revision_store{client(), patience};
     }
-    void fault(const std::string& json) { server.state().apply(json); }
+    void fault(const std::string& json)
+    {
+        server.state().apply(json);
+    }
 
     /// Accepts one revision after the other with the weights given.
     platform::stored_revision accept_all(const std::vector<std::uint32_t>& weights)
