Status by data centre: one object, written by its holder

The holder is the first live host of the data centre, in rendezvous order, that reaches the platform. Every write is conditional on the version that it read or wrote last, so a paused holder, or a write prepared before the pause, conflicts. A conflict with another writer makes it wait longer than one refresh, so that two hosts that see different holders do not fight over the object. Documents that nobody refreshes are removed at the version seen.

--- /dev/null
+++ b/include/galenabay/revision/status_aggregator.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <galenabay/base/random.hpp>
+#include <galenabay/base/time.hpp>
+#include <galenabay/membership/host.hpp>
+#include <galenabay/revision/status_document.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace galenabay::revision
+{
+
+/// A host of any data centre as this host hears it.
+struct observed_host
+{
+    membership::host_report report;
+    /// Time since the report was heard; 0 for this host.
+    base::duration silence{0};
+};
+
+/// Read the status object of this data centre and call `on_status_read`.
+struct read_status
+{
+    std::string key;
+};
+
+/// Write the document when the object's version is `expected` (0: does not
+/// exist), then call `on_status_written`.
+struct write_status
+{
+    std::string key;
+    status_document document;
+    std::uint64_t expected = 0;
+};
+
+/// List keys and versions below `status_prefix` and call `on_status_list`.
+struct list_statuses
+{
+};
+
+/// Remove an object that nobody refreshes any more, at this version only.
+struct remove_status
+{
+    std::string key;
+    std::uint64_t expected = 0;
+};
+
+using status_action = std::variant<read_status, write_status, list_statuses, remove_status>;
+using status_actions = std::vector<status_action>;
+
+enum class write_result
+{
+    written,
+    /// Another version is there.
+    conflict,
+    /// No answer, or the platform is not reachable.
+    unknown,
+};
+
+struct aggregator_settings
+{
+    std::string self;
+    std::string data_centre;
+    std::uint64_t incarnation = 0;
+    std::uint64_t seed = 1;
+    /// Shortest time between two writes.
+    base::duration write_interval{500'000};
+    /// Longest time between two writes of a holder.
+    base::duration refresh_interval{5'000'000};
+    /// A host that has been silent for this long is reported as silent.
+    base::duration silent_after{3'000'000};
+    /// A silent host is dropped from the document after this long.
+    base::duration forget_after{60'000'000};
+    /// Time between two looks for abandoned documents.
+    base::duration clean_interval{60'000'000};
+    /// A document whose version has not changed for this long, of a data centre
+    /// without a live host, is removed.
+    base::duration abandoned_after{600'000'000};
+    /// A longer gap between two ticks means that the process was paused.
+    base::duration pause_limit{2'000'000};
+};
+
+/// Writes the status of a data centre's hosts as one object, so that a change
+/// costs the platform a few writes per data centre, not one per host.
+///
+/// The holder is the first host in rendezvous order among the hosts of the data
+/// centre that are live and reach the platform. Each write is conditional on the
+/// version that the holder read or wrote last: a holder that was paused while
+/// another took over gets a conflict and cannot overwrite. Pure decision logic,
+/// owned by one thread.
+class status_aggregator
+{
+public:
+    explicit status_aggregator(aggregator_settings settings);
+
+    /// Hosts that this host hears now, itself included.
+    void on_hosts(std::span<const observed_host> hosts, base::time_point now);
+
+    /// `writer`: writer of the document that was read, empty when there is none.
+    void on_status_read(std::uint64_t version, const std::string& writer, base::time_point now);
+    void on_read_failure(base::time_point now);
+    /// `version`: the new version when written.
+    void on_status_written(write_result result, std::uint64_t version, base::time_point now);
+    status_actions on_status_list(std::span<const std::pair<std::string, std::uint64_t>> versions,
+                                  base::time_point now);
+
+    /// Call at least every 200 ms.
+    status_actions on_tick(base::time_point now);
+
+    /// True when this host writes the status of its data centre.
+    bool is_holder() const;
+
+private:
+    struct seen_version
+    {
+        std::uint64_t version = 0;
+        base::time_point since{};
+    };
+    struct known_host
+    {
+        host_status status;
+        base::time_point heard{};
+    };
+
+    std::string key() const;
+    std::vector<host_status> document_hosts(base::time_point now);
+    void add_write(base::time_point now, status_actions& out);
+    base::duration jittered(base::duration longest);
+
+    aggregator_settings settings_;
+    base::random_source random_;
+    std::map<std::string, known_host> known_;
+    std::map<std::string, std::size_t> live_per_data_centre_;
+    std::string holder_;
+    /// Version to write on; unknown until the object was read as holder.
+    std::optional<std::uint64_t> version_;
+    bool call_running_ = false;
+    std::vector<host_status> written_;
+    std::optional<base::time_point> written_at_;
+    base::time_point not_before_{};
+    base::time_point next_clean_{};
+    bool conflicted_ = false;
+    std::map<std::string, seen_version> others_;
+    std::optional<base::time_point> last_tick_;
+};
+
+} // namespace galenabay::revision
--- a/src/revision/follower.cpp
+++ b/src/revision/follower.cpp
@@ -249,9 +249,7 @@
     bool relies_on_peers(base::time_point now) const
     {
         const auto reaches = [&](const auto& entry)
-        {
-            return entry.second.reaches_platform && now - entry.second.reachability_heard < reachability_lifetime;
-        };
+        { return entry.second.reaches_platform && now - entry.second.reachability_heard < reachability_lifetime; };
         return !watching_ && current_ && std::any_of(peers_.begin(), peers_.end(), reaches);
     }
 
@@ -297,8 +295,7 @@
     }
 
     /// One of the peers with the largest number, at random.
-    std::pair<const std::string, peer_source>*
-    choose(std::vector<std::pair<const std::string, peer_source>*>& usable)
+    std::pair<const std::string, peer_source>* choose(std::vector<std::pair<const std::string, peer_source>*>& usable)
     {
         const auto less = [](const auto* a, const auto* b) { return a->second.number < b->second.number; };
         const auto largest = (*std::max_element(usable.begin(), usable.end(), less))->second.number;
--- /dev/null
+++ b/src/revision/status_aggregator.cpp
@@ -0,0 +1,204 @@
+#include <galenabay/revision/status_aggregator.hpp>
+
+#include <galenabay/base/hash.hpp>
+#include <galenabay/base/invariant.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace galenabay::revision
+{
+
+namespace
+{
+
+std::uint64_t weight_of(const std::string& host, const std::string& key)
+{
+    return base::mix(base::hash_text(host), base::hash_text(key));
+}
+
+host_status to_status(const membership::host_report& report)
+{
+    return host_status{report.name, report.state, report.revision, report.platform_reachable, 0};
+}
+
+std::uint64_t whole_seconds(base::duration time)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(time).count());
+}
+
+} // namespace
+
+status_aggregator::status_aggregator(aggregator_settings settings)
+    : settings_{std::move(settings)}, random_{base::mix(settings_.seed, base::hash_text(settings_.self))}
+{
+}
+
+std::string status_aggregator::key() const
+{
+    return status_prefix + settings_.data_centre;
+}
+
+bool status_aggregator::is_holder() const
+{
+    return holder_ == settings_.self;
+}
+
+base::duration status_aggregator::jittered(base::duration longest)
+{
+    return base::duration{static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(longest.count())))};
+}
+
+void status_aggregator::on_hosts(std::span<const observed_host> hosts, base::time_point now)
+{
+    const bool held = is_holder();
+    holder_.clear();
+    live_per_data_centre_.clear();
+    std::uint64_t best = 0;
+    for (const auto& [report, silence] : hosts)
+    {
+        const bool is_live = silence < settings_.silent_after;
+        live_per_data_centre_[report.data_centre] += is_live ? 1U : 0U;
+        if (report.data_centre != settings_.data_centre)
+        {
+            continue;
+        }
+        auto& known = known_[report.name];
+        known.status = to_status(report);
+        known.heard = std::max(known.heard, now - silence);
+        const auto weight = weight_of(report.name, key());
+        if (is_live && report.platform_reachable && (holder_.empty() || weight > best))
+        {
+            holder_ = report.name;
+            best = weight;
+        }
+    }
+    if (!held && is_holder())
+    {
+        // Whoever held before may have written since: read before writing.
+        version_.reset();
+    }
+}
+
+void status_aggregator::on_status_read(std::uint64_t version, const std::string& writer, base::time_point now)
+{
+    call_running_ = false;
+    version_ = version;
+    if (conflicted_ && !writer.empty() && writer != settings_.self)
+    {
+        // Two hosts see different holders; let the other one be for a while.
+        not_before_ = now + settings_.refresh_interval + jittered(settings_.refresh_interval);
+        version_.reset();
+    }
+    conflicted_ = false;
+    written_at_.reset();
+}
+
+void status_aggregator::on_read_failure(base::time_point now)
+{
+    call_running_ = false;
+    not_before_ = now + settings_.write_interval + jittered(settings_.refresh_interval);
+}
+
+void status_aggregator::on_status_written(write_result result, std::uint64_t version, base::time_point now)
+{
+    call_running_ = false;
+    not_before_ = now + settings_.write_interval;
+    if (result == write_result::written)
+    {
+        GALENABAY_INVARIANT(version > 0);
+        version_ = version;
+        return;
+    }
+    version_.reset();
+    written_at_.reset();
+    conflicted_ = result == write_result::conflict;
+    if (result == write_result::unknown)
+    {
+        not_before_ += jittered(settings_.refresh_interval);
+    }
+}
+
+std::vector<host_status> status_aggregator::document_hosts(base::time_point now)
+{
+    std::erase_if(known_, [&](const auto& entry) { return now - entry.second.heard > settings_.forget_after; });
+    std::vector<host_status> hosts;
+    for (const auto& [name, known] : known_)
+    {
+        auto status = known.status;
+        const auto silence = now - known.heard;
+        status.silent_s = silence < settings_.silent_after ? 0 : whole_seconds(silence);
+        hosts.push_back(std::move(status));
+    }
+    return hosts;
+}
+
+void status_aggregator::add_write(base::time_point now, status_actions& out)
+{
+    auto hosts = document_hosts(now);
+    const bool changed = hosts != written_;
+    const bool due = !written_at_ || now - *written_at_ >= settings_.refresh_interval;
+    if (!changed && !due)
+    {
+        return;
+    }
+    written_ = hosts;
+    written_at_ = now;
+    call_running_ = true;
+    out.emplace_back(write_status{
+        key(), status_document{settings_.data_centre, settings_.self, settings_.incarnation, 0, std::move(hosts)},
+        *version_});
+}
+
+status_actions status_aggregator::on_tick(base::time_point now)
+{
+    status_actions out;
+    if (last_tick_ && now - *last_tick_ > settings_.pause_limit)
+    {
+        // Others may have taken over meanwhile; wait until they are heard again.
+        version_.reset();
+        not_before_ = now + settings_.silent_after;
+    }
+    last_tick_ = now;
+    if (!is_holder() || call_running_ || now < not_before_)
+    {
+        return out;
+    }
+    if (!version_)
+    {
+        call_running_ = true;
+        out.emplace_back(read_status{key()});
+        return out;
+    }
+    add_write(now, out);
+    if (now >= next_clean_)
+    {
+        next_clean_ = now + settings_.clean_interval + jittered(settings_.clean_interval / 5);
+        out.emplace_back(list_statuses{});
+    }
+    return out;
+}
+
+status_actions status_aggregator::on_status_list(std::span<const std::pair<std::string, std::uint64_t>> versions,
+                                                 base::time_point now)
+{
+    status_actions out;
+    std::map<std::string, seen_version> seen;
+    for (const auto& [name, version] : versions)
+    {
+        const auto known = others_.find(name);
+        const bool unchanged = known != others_.end() && known->second.version == version;
+        const auto since = unchanged ? known->second.since : now;
+        seen.emplace(name, seen_version{version, since});
+        const auto data_centre = name.substr(std::min(name.size(), std::string{status_prefix}.size()));
+        const bool has_hosts = live_per_data_centre_.contains(data_centre) && live_per_data_centre_[data_centre] > 0;
+        if (!has_hosts && now - since >= settings_.abandoned_after)
+        {
+            out.emplace_back(remove_status{name, version});
+        }
+    }
+    others_ = std::move(seen);
+    return out;
+}
+
+} // namespace galenabay::revision
--- /dev/null
+++ b/tests/platform/status_codec_test.cpp
@@ -0,0 +1,53 @@
+#include <galenabay/base/random.hpp>
+#include <galenabay/platform/status_codec.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace galenabay;
+using membership::host_state;
+
+namespace
+{
+
+const revision::status_document example{"west",
+                                        "b",
+                                        3,
+                                        1234,
+                                        {{"a", host_state::ready, 7, true, 0},
+                                         {"b", host_state::ready, 7, true, 0},
+                                         {"c", host_state::leaving, 6, false, 12}}};
+
+} // namespace
+
+TEST_GROUP(status_codec){};
+
+TEST(status_codec, survives_the_round_trip)
+{
+    CHECK(platform::decode_status(platform::encode_status(example)).value() == example);
+}
+
+TEST(status_codec, malformed_text_is_refused)
+{
+    for (const char* text : {"", "[]", "{", "{}", R"({"data_centre":"w","writer":"a","incarnation":-1,"written_at":0})",
+                             R"({"data_centre":"w","writer":"a","incarnation":1,"written_at":0,"groups":[3]})"})
+    {
+        CHECK(platform::decode_status(text).error().code() == base::error_code::malformed);
+    }
+}
+
+TEST(status_codec, survives_mutated_text)
+{
+    const auto whole = platform::encode_status(example);
+    for (std::uint64_t seed = 1; seed <= 2000; ++seed)
+    {
+        base::random_source random{seed};
+        auto text = whole;
+        for (std::uint64_t edits = 1 + random.below(4); edits > 0; --edits)
+        {
+            text[random.below(text.size())] = static_cast<char>(random.below(256));
+        }
+        static_cast<void>(platform::decode_status(text));
+    }
+}
--- a/tests/revision/follower_test.cpp
+++ b/tests/revision/follower_test.cpp
@@ -27,8 +27,8 @@
 
 template <typename Action> std::size_t count_of(const revision::actions& actions)
 {
-    return static_cast<std::size_t>(std::count_if(actions.begin(), actions.end(), [](const auto& action)
-                                                  { return std::holds_alternative<Action>(action); }));
+    return static_cast<std::size_t>(std::count_if(
+        actions.begin(), actions.end(), [](const auto& action) { return std::holds_alternative<Action>(action); }));
 }
 
 template <typename Action> const Action& first_of(const revision::actions& actions)
@@ -45,7 +45,10 @@
 {
     follower instance{revision::follower_settings{}};
 
-    std::uint64_t number() const { return instance.current() == nullptr ? 0 : instance.current()->number; }
+    std::uint64_t number() const
+    {
+        return instance.current() == nullptr ? 0 : instance.current()->number;
+    }
 };
 
 TEST(follower, starts_without_a_revision_and_asks_the_platform)
