--- a/src/config/codec.cpp
+++ b/src/config/codec.cpp
@@ -74,7 +74,7 @@
     }
     BOOST_OUTCOME_TRY(expected, read_digest(reader.getDigest()));
     BOOST_OUTCOME_TRY(set, patch(before.set, reader));
-    BOOST_OUTCOME_TRY(validate(set));
+    BOOST_OUTCOME_TRY(validate_structure(set));
     auto after = succeed(&before, std::move(set), reader.getAuthor().cStr(), reader.getAcceptedAt());
     if (after.digest != expected)
     {
--- a/src/config/load.cpp
+++ b/src/config/load.cpp
@@ -34,7 +34,6 @@
 
 base::result<void> check_upstreams(const service& owner, std::map<base::endpoint, std::string>& used)
 {
-    bool takes_new_flows = false;
     std::set<std::string> names;
     for (const auto& target : owner.upstreams)
     {
@@ -53,12 +52,6 @@
                          "upstream '" + target.name + "' has the endpoint " + target.endpoint.to_string() + " of '" +
                              first->second + "'");
         }
-        takes_new_flows = takes_new_flows || !target.draining;
-    }
-    if (!takes_new_flows && !owner.draining)
-    {
-        return fault(base::error_code::invalid_argument, owner,
-                     "expected at least one upstream that is not draining, or draining: true");
     }
     return base::outcome::success();
 }
@@ -82,9 +75,9 @@
 }
 
 /// Runs the checks across services and adds the line to a failure.
-base::result<service_set> checked(located_set located)
+base::result<service_set> checked(located_set located, std::span<const std::string> without_upstreams)
 {
-    if (const auto valid = validate(located.set); !valid.has_value())
+    if (const auto valid = validate(located.set, without_upstreams); !valid.has_value())
     {
         const auto& failure = valid.error();
         const auto line = located.lines.find(failure.peer());
@@ -115,7 +108,7 @@
 
 } // namespace
 
-base::result<void> validate(const service_set& set)
+base::result<void> validate_structure(const service_set& set)
 {
     std::set<std::string> names;
     std::map<base::endpoint, std::string> addresses;
@@ -137,13 +130,32 @@
     return base::outcome::success();
 }
 
+base::result<void> validate(const service_set& set, std::span<const std::string> without_upstreams)
+{
+    BOOST_OUTCOME_TRY(validate_structure(set));
+    for (const auto& element : set.services)
+    {
+        const bool excused =
+            std::find(without_upstreams.begin(), without_upstreams.end(), element.name) != without_upstreams.end();
+        const bool takes_new_flows = std::any_of(element.upstreams.begin(), element.upstreams.end(),
+                                                 [](const upstream& target) { return !target.draining; });
+        if (!takes_new_flows && !element.draining && !excused)
+        {
+            return fault(base::error_code::invalid_argument, element,
+                         "expected at least one upstream that is not draining, or draining: true");
+        }
+    }
+    return base::outcome::success();
+}
+
 base::result<service_set> parse_service_set(std::string_view text, const std::string& file)
 {
     BOOST_OUTCOME_TRY(located, parse_located(text, file));
-    return checked(std::move(located));
+    return checked(std::move(located), {});
 }
 
-base::result<service_set> load_service_set(std::span<const std::string> files)
+base::result<service_set> load_service_set(std::span<const std::string> files,
+                                           std::span<const std::string> without_upstreams)
 {
     if (files.empty())
     {
@@ -161,7 +173,7 @@
         }
         BOOST_OUTCOME_TRY(join(joined, std::move(next), file));
     }
-    return checked(std::move(joined));
+    return checked(std::move(joined), without_upstreams);
 }
 
 } // namespace galenabay::config
--- a/src/config/revision_schema.cpp
+++ b/src/config/revision_schema.cpp
@@ -100,7 +100,7 @@
         return malformed("a revision has no number");
     }
     revision.set = sorted(std::move(revision.set));
-    BOOST_OUTCOME_TRY(validate(revision.set));
+    BOOST_OUTCOME_TRY(validate_structure(revision.set));
     if (digest_of(revision.set) != revision.digest)
     {
         return base::error::make(base::error_code::corrupt, "decode_revision", "",
