Heartbeats: omit what does not change, one second apart

Cause: nine hosts at 500 ms sent 4.6 to 6.6 KB/s of control traffic each against a budget of 3,072 B/s, about 280 bytes a message. Change: data centre and endpoints only in the first exchange on a connection; default interval 1,000 ms. Ruled out: packed encoding of RPC, which the library does not offer for calls.

--- a/include/galenabay/config/host_settings.hpp
+++ b/include/galenabay/config/host_settings.hpp
@@ -41,7 +41,7 @@
     std::vector<peer_settings> peers;
     base::log_level log_level = base::log_level::info;
     base::duration stop_timeout{10'000'000};
-    base::duration heartbeat_interval{500'000};
+    base::duration heartbeat_interval{1'000'000};
     base::duration peer_timeout{3'000'000};
     std::uint32_t control_bytes_per_second = 3072;
     std::uint32_t platform_calls_per_second = 10;
--- a/schema/config.capnp
+++ b/schema/config.capnp
@@ -39,7 +39,7 @@
   logLevel @10 :LogLevel = info;
   stopTimeoutMs @11 :UInt32 = 10000 $A.minimum(100) $A.maximum(600000);
   # Longest duration of a planned stop.
-  heartbeatIntervalMs @12 :UInt32 = 500 $A.minimum(50) $A.maximum(60000);
+  heartbeatIntervalMs @12 :UInt32 = 1000 $A.minimum(50) $A.maximum(60000);
   peerTimeoutMs @13 :UInt32 = 3000 $A.minimum(100) $A.maximum(600000);
   # A peer that has been silent for this long counts as dead.
   controlBytesPerSecond @14 :UInt32 = 3072 $A.minimum(256) $A.maximum(10000000);
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -18,20 +18,26 @@
   leaving @2;
 }
 
+struct HostPlace {
+  # What does not change while a process runs.
+  dataCentre @0 :Text;
+  control @1 :Endpoint;
+  relay @2 :Endpoint;
+}
+
 struct HostReport {
   # What a host says of itself in each heartbeat.
   name @0 :Text;
-  dataCentre @1 :Text;
-  incarnation @2 :UInt64;
+  incarnation @1 :UInt64;
   # Larger after each start of the process.
-  sequence @3 :UInt64;
+  sequence @2 :UInt64;
   # Larger in each report of one incarnation.
-  state @4 :HostState;
-  control @5 :Endpoint;
-  relay @6 :Endpoint;
-  revision @7 :UInt64;
+  revision @3 :UInt64;
   # Number of the revision in force; 0: none.
-  platformReachable @8 :Bool;
+  state @4 :HostState;
+  platformReachable @5 :Bool;
+  place @6 :HostPlace;
+  # Set in the first exchange on a connection, null afterwards.
 }
 
 struct FlowRecord {
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -67,6 +67,12 @@
     return self_;
 }
 
+const membership::host_report* control_duty::last_report(const std::string& name) const
+{
+    const auto found = heard_.find(name);
+    return found == heard_.end() ? nullptr : &found->second;
+}
+
 std::uint64_t control_duty::revision_number() const
 {
     const auto* current = follower_.current();
@@ -91,7 +97,10 @@
 void control_duty::hear(const membership::host_report& report, const std::vector<flow::flow_record>& records)
 {
     const auto now = steady_now();
-    members_.on_report(report, now);
+    if (members_.on_report(report, now))
+    {
+        heard_[report.name] = report;
+    }
     heard_since_pause_ = true;
     if (!records.empty())
     {
@@ -203,9 +212,22 @@
     {
         listed_once_ = true;
         members_.on_platform_list(listed->hosts, now);
+        forget_gone_hosts(now);
     }
 }
 
+void control_duty::forget_gone_hosts(base::time_point now)
+{
+    const auto contacts = members_.contacts(now);
+    const auto is_gone = [&](const std::string& name)
+    {
+        return std::none_of(contacts.begin(), contacts.end(),
+                            [&](const membership::listed_host& row) { return row.name == name; });
+    };
+    std::erase_if(heard_, [&](const auto& entry) { return is_gone(entry.first); });
+    std::erase_if(contacts_, [&](const auto& entry) { return is_gone(entry.first) && !entry.second.link->busy(); });
+}
+
 void control_duty::take_platform_events(base::time_point now)
 {
     for (platform_event event; watcher_.poll(event);)
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -57,6 +57,7 @@
     // peer_handler
     bool on_heartbeat(const membership::host_report& report, const std::vector<flow::flow_record>& records) override;
     membership::host_report own_report() override;
+    const membership::host_report* last_report(const std::string& name) const override;
     const std::vector<std::byte>& encoded_revision() const override { return encoded_revision_; }
     std::uint64_t revision_number() const override;
     std::vector<membership::host_report> known_reports() const override;
@@ -71,6 +72,7 @@
     void fetch_from_peer(const std::string& host, std::uint64_t after);
     void ask_platform(base::time_point now);
 
+    void forget_gone_hosts(base::time_point now);
     void update_contacts(base::time_point now);
     void send_heartbeats(base::time_point now);
     void send_heartbeat(const std::string& name, contact& to, base::time_point now);
@@ -98,6 +100,8 @@
     std::vector<std::byte> encoded_revision_;
     std::vector<membership::live_host> published_hosts_;
     std::map<std::string, contact> contacts_;
+    /// Last report of each host that was heard.
+    std::map<std::string, membership::host_report> heard_;
     cut_list cuts_;
     std::shared_ptr<const cut_addresses> published_cuts_;
     std::atomic<bool> reload_{true};
--- a/src/daemon/peer_link.cpp
+++ b/src/daemon/peer_link.cpp
@@ -43,7 +43,8 @@
                 auto stream = kj::heap<counting_stream>(kj::mv(raw), metrics_);
                 auto client = kj::heap<capnp::TwoPartyClient>(*stream);
                 auto peer = client->bootstrap().castAs<schema::Peer>();
-                connection_ = kj::heap<connection>(connection{kj::mv(stream), kj::mv(client), kj::mv(peer)});
+                connection_ =
+                    kj::heap<connection>(connection{kj::mv(stream), kj::mv(client), kj::mv(peer), std::nullopt});
             });
 }
 
@@ -61,22 +62,28 @@
 kj::Promise<membership::host_report> peer_link::send_report(const membership::host_report& own,
                                                             const std::vector<flow::flow_record>& records)
 {
+    const auto place = connection_->heard ? place_fields::omitted : place_fields::included;
     auto request = peer().heartbeatRequest();
-    write_report(own, request.initReport());
+    write_report(own, place, request.initReport());
     if (!records.empty())
     {
         write_records(records, request.initFlows());
     }
-    return request.send().then(
-        [](capnp::Response<schema::Peer::HeartbeatResults> response)
-        {
-            auto report = read_report(response.getReport());
-            if (!report)
-            {
-                kj::throwFatalException(KJ_EXCEPTION(FAILED, "malformed report"));
-            }
-            return std::move(report).value();
-        });
+    return request.send().then([this](capnp::Response<schema::Peer::HeartbeatResults> response)
+                               { return take_report(response.getReport()); });
+}
+
+membership::host_report peer_link::take_report(schema::HostReport::Reader answered)
+{
+    GALENABAY_INVARIANT(connection_.get() != nullptr);
+    auto& heard = connection_->heard;
+    auto report = read_report(answered, heard ? &*heard : nullptr);
+    if (!report)
+    {
+        kj::throwFatalException(KJ_EXCEPTION(FAILED, "malformed report"));
+    }
+    heard = report.value();
+    return std::move(report).value();
 }
 
 kj::Promise<membership::host_report> peer_link::exchange(const membership::host_report& own,
--- a/src/daemon/peer_link.hpp
+++ b/src/daemon/peer_link.hpp
@@ -12,6 +12,7 @@
 #include <kj/async-io.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,11 +46,14 @@
         kj::Own<kj::AsyncIoStream> stream;
         kj::Own<capnp::TwoPartyClient> client;
         schema::Peer::Client peer;
+        /// Last report read on this connection.
+        std::optional<membership::host_report> heard;
     };
 
     kj::Promise<void> connect();
     kj::Promise<membership::host_report> send_report(const membership::host_report& own,
                                                      const std::vector<flow::flow_record>& records);
+    membership::host_report take_report(schema::HostReport::Reader answered);
     schema::Peer::Client& peer();
     void drop_connection();
 
--- a/src/daemon/peer_server.cpp
+++ b/src/daemon/peer_server.cpp
@@ -9,12 +9,14 @@
 
 kj::Promise<void> peer_server::heartbeat(HeartbeatContext context)
 {
-    const auto report = read_report(context.getParams().getReport());
-    KJ_REQUIRE(report.has_value(), "malformed report");
+    const auto sent = context.getParams().getReport();
+    const auto report = read_report(sent, handler_.last_report(sent.getName().cStr()));
+    KJ_REQUIRE(report.has_value(), "malformed report, or place of the host not known");
     const auto records = read_records(context.getParams().getFlows());
     KJ_REQUIRE(records.has_value(), "malformed flow records");
     KJ_REQUIRE(handler_.on_heartbeat(report.value(), records.value()), "not accepted");
-    write_report(handler_.own_report(), context.getResults().initReport());
+    const auto place = sent.hasPlace() ? place_fields::included : place_fields::omitted;
+    write_report(handler_.own_report(), place, context.getResults().initReport());
     return kj::READY_NOW;
 }
 
@@ -37,7 +39,7 @@
     auto list = context.getResults().initReports(static_cast<unsigned>(reports.size()));
     for (unsigned i = 0; i < list.size(); ++i)
     {
-        write_report(reports[i], list[i]);
+        write_report(reports[i], place_fields::included, list[i]);
     }
     return kj::READY_NOW;
 }
--- a/src/daemon/peer_server.hpp
+++ b/src/daemon/peer_server.hpp
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace galenabay::daemon
@@ -23,6 +24,8 @@
     /// False when the report must not be accepted (partition test).
     virtual bool on_heartbeat(const membership::host_report& report, const std::vector<flow::flow_record>& records) = 0;
     virtual membership::host_report own_report() = 0;
+    /// Last report of a host; null when never heard.
+    virtual const membership::host_report* last_report(const std::string& name) const = 0;
     /// Encoded revision in force; empty when none.
     virtual const std::vector<std::byte>& encoded_revision() const = 0;
     virtual std::uint64_t revision_number() const = 0;
--- a/src/daemon/report_codec.cpp
+++ b/src/daemon/report_codec.cpp
@@ -58,34 +58,49 @@
 
 } // namespace
 
-void write_report(const membership::host_report& report, schema::HostReport::Builder out)
+void write_report(const membership::host_report& report, place_fields place, schema::HostReport::Builder out)
 {
     out.setName(report.name);
-    out.setDataCentre(report.data_centre);
     out.setIncarnation(report.incarnation);
     out.setSequence(report.sequence);
     out.setState(static_cast<schema::HostState>(report.state));
-    write_endpoint(report.control, out.initControl());
-    write_endpoint(report.relay, out.initRelay());
     out.setRevision(report.revision);
     out.setPlatformReachable(report.platform_reachable);
+    if (place == place_fields::included)
+    {
+        auto fields = out.initPlace();
+        fields.setDataCentre(report.data_centre);
+        write_endpoint(report.control, fields.initControl());
+        write_endpoint(report.relay, fields.initRelay());
+    }
 }
 
-base::result<membership::host_report> read_report(schema::HostReport::Reader in)
+base::result<membership::host_report> read_report(schema::HostReport::Reader in, const membership::host_report* known)
 {
     membership::host_report report;
     BOOST_OUTCOME_TRY(name, read_name(in.getName()));
-    BOOST_OUTCOME_TRY(data_centre, read_name(in.getDataCentre()));
     BOOST_OUTCOME_TRY(state, read_state(in.getState()));
     report.name = std::move(name);
-    report.data_centre = std::move(data_centre);
     report.state = state;
     report.incarnation = in.getIncarnation();
     report.sequence = in.getSequence();
-    report.control = read_endpoint(in.getControl());
-    report.relay = read_endpoint(in.getRelay());
     report.revision = in.getRevision();
     report.platform_reachable = in.getPlatformReachable();
+    if (in.hasPlace())
+    {
+        BOOST_OUTCOME_TRY(data_centre, read_name(in.getPlace().getDataCentre()));
+        report.data_centre = std::move(data_centre);
+        report.control = read_endpoint(in.getPlace().getControl());
+        report.relay = read_endpoint(in.getPlace().getRelay());
+        return report;
+    }
+    if (known == nullptr || known->name != report.name || known->incarnation != report.incarnation)
+    {
+        return base::error::make(base::error_code::stale, "read_report", report.name, "place of this host not known");
+    }
+    report.data_centre = known->data_centre;
+    report.control = known->control;
+    report.relay = known->relay;
     return report;
 }
 
--- a/src/daemon/report_codec.hpp
+++ b/src/daemon/report_codec.hpp
@@ -13,11 +13,20 @@
 namespace galenabay::daemon
 {
 
+/// Whether a report carries the fields that do not change while a process runs.
+enum class place_fields
+{
+    included,
+    omitted,
+};
+
 /// Writes a report into an RPC message.
-void write_report(const membership::host_report& report, schema::HostReport::Builder out);
+void write_report(const membership::host_report& report, place_fields place, schema::HostReport::Builder out);
 
-/// Errors: `malformed`, `out_of_range` (name too long).
-base::result<membership::host_report> read_report(schema::HostReport::Reader in);
+/// Reads a report. Fields that were omitted are taken from `known`, the last
+/// report of the same host (may be null). Errors: `malformed`, `out_of_range`
+/// (name too long), `stale` (fields omitted, and not known for this incarnation).
+base::result<membership::host_report> read_report(schema::HostReport::Reader in, const membership::host_report* known);
 
 void write_records(std::span<const flow::flow_record> records, schema::FlowBatch::Builder out);
 
--- a/tests/daemon/report_codec_test.cpp
+++ b/tests/daemon/report_codec_test.cpp
@@ -24,20 +24,31 @@
 {
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::HostReport>();
-    daemon::write_report(report, root);
-    const auto read = daemon::read_report(root.asReader());
+    daemon::write_report(report, daemon::place_fields::included, root);
+    const auto read = daemon::read_report(root.asReader(), nullptr);
     CHECK(read.has_value());
     CHECK(read.value() == report);
 }
 
+TEST(report_codec, omitted_fields_come_from_the_same_incarnation_only)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::HostReport>();
+    daemon::write_report(report, daemon::place_fields::omitted, root);
+    CHECK(daemon::read_report(root.asReader(), &report).value() == report);
+    CHECK_FALSE(daemon::read_report(root.asReader(), nullptr).has_value());
+    auto restarted = report;
+    ++restarted.incarnation;
+    CHECK_FALSE(daemon::read_report(root.asReader(), &restarted).has_value());
+}
+
 TEST(report_codec, refuses_a_long_or_missing_name)
 {
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::HostReport>();
-    CHECK_FALSE(daemon::read_report(root.asReader()).has_value());
-    root.setDataCentre("worcester");
+    CHECK_FALSE(daemon::read_report(root.asReader(), &report).has_value());
     root.setName(std::string(64, 'x'));
-    CHECK_FALSE(daemon::read_report(root.asReader()).has_value());
+    CHECK_FALSE(daemon::read_report(root.asReader(), &report).has_value());
 }
 
 TEST(report_codec, records_round_trip)
