--- a/include/galenabay/dispatch/dispatcher.hpp
+++ b/include/galenabay/dispatch/dispatcher.hpp
@@ -27,8 +27,9 @@
     /// MAX_TRANSMIT_SPAN). A host that started, or lost sight of others, less
     /// than this ago can't exclude that a request ran before.
     base::duration retransmission_span{45'000'000};
-    /// Time after a start or pause in which a host that sees no other host
-    /// doesn't run requests that aren't idempotent.
+    /// Time after a start or pause in which a host doesn't yet know which others
+    /// are alive and runs no request that isn't idempotent. A host should be
+    /// ready to decide only after this time.
     base::duration settle_time{3'500'000};
     /// Time for which replies are kept for retransmissions.
     base::duration reply_span{93'000'000};
@@ -68,10 +69,12 @@
     /// The hosts that decide, sorted by name, this host included when ready.
     actions on_hosts(std::span<const membership::live_host> hosts, base::time_point now);
 
-    /// The data centres that have hosts, whether alive or not: those of hosts
-    /// that the platform lists or that were heard. Requests are divided among
-    /// them. Without this call they are the ones seen in `on_hosts`.
-    void on_data_centres(std::span<const std::string> names, base::time_point now);
+    /// The hosts that exist, whether alive or not: listed by the platform or
+    /// heard before (`member_view::contacts`), with those that have announced
+    /// that they leave. Requests are divided among their data centres, and a
+    /// host that is missing without having left may hold what this one doesn't
+    /// know. Without this call they are the ones seen in `on_hosts`.
+    void on_listed_hosts(std::span<const membership::listed_host> hosts, base::time_point now);
 
     /// A request from a caller, directly (`relayed` false) or from another host.
     actions on_request(const request& arrived, bool relayed, base::time_point now);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -22,9 +22,9 @@
     return state_->on_hosts(hosts, now);
 }
 
-void dispatcher::on_data_centres(std::span<const std::string> names, base::time_point now)
+void dispatcher::on_listed_hosts(std::span<const membership::listed_host> hosts, base::time_point now)
 {
-    state_->on_data_centres(names, now);
+    state_->on_listed_hosts(hosts, now);
 }
 
 actions dispatcher::on_request(const request& arrived, bool relayed, base::time_point now)
--- a/src/dispatch/dispatcher_claims.cpp
+++ b/src/dispatch/dispatcher_claims.cpp
@@ -25,11 +25,22 @@
     return now - fresh_since_ < settings_.retransmission_span;
 }
 
-bool dispatcher::state::may_go_alone(base::time_point now) const
+bool dispatcher::state::has_settled(base::time_point now) const
 {
     return now - fresh_since_ >= settings_.settle_time;
 }
 
+bool dispatcher::state::may_run_unwitnessed(base::time_point now) const
+{
+    return !hosts_.misses_any_host(settings_.retransmission_span, now);
+}
+
+bool dispatcher::state::needs_claim(const request& arrived, base::time_point now) const
+{
+    // Before it has heard the others, a host may wrongly believe that it decides.
+    return !is_idempotent(arrived.method) || !has_settled(now);
+}
+
 bool dispatcher::state::collect_witnesses(const service_state& service, const request& arrived,
                                           std::vector<claim_witness>& witnesses) const
 {
@@ -114,9 +125,13 @@
 
 bool dispatcher::state::is_granted(const claim& held, base::time_point now) const
 {
+    if (!has_settled(now))
+    {
+        return false;
+    }
     if (held.witnesses.empty())
     {
-        return may_go_alone(now);
+        return may_run_unwitnessed(now);
     }
     const auto acknowledged = static_cast<std::size_t>(
         std::count_if(held.witnesses.begin(), held.witnesses.end(), [](const auto& w) { return w.acknowledged; }));
@@ -176,14 +191,14 @@
     const bool has_witness = !service.witnesses.empty();
     if (!is_idempotent(open.arrived.method))
     {
-        return has_witness || (!is_fresh(now) && !hosts_.lost_neighbour(span, now));
+        return has_witness || (!is_fresh(now) && may_run_unwitnessed(now));
     }
     // An idempotent request runs without a claim: whoever may have run it has
     // to be alive and asked.
     const shard* home = service.map.home(routing_of(open.arrived));
     const bool is_home = home != nullptr && home->data_centre == settings_.data_centre;
-    return is_home && service.former.empty() && !is_fresh(now) && !hosts_.lost_neighbour(span, now) &&
-           !hosts_.lost_data_centre(span, now);
+    return is_home && service.former.empty() && !is_fresh(now) && !hosts_.misses_neighbour(span, now) &&
+           !hosts_.misses_data_centre(span, now);
 }
 
 actions dispatcher::state::on_intent_reply(const std::string& from, request_key key, std::uint64_t sequence,
--- a/src/dispatch/dispatcher_endings.cpp
+++ b/src/dispatch/dispatcher_endings.cpp
@@ -3,7 +3,6 @@
 #include <galenabay/base/invariant.hpp>
 
 #include <algorithm>
-#include <utility>
 
 namespace galenabay::dispatch
 {
@@ -47,14 +46,14 @@
     finish(open, reply, now);
 }
 
-void dispatcher::state::finish(open_request& open, final_reply reply, base::time_point now)
+void dispatcher::state::finish(open_request& open, const final_reply& reply, base::time_point now)
 {
     service_state& service = *find_service(open.arrived.service);
     abandon_runs(service, open, now);
     GALENABAY_INVARIANT(service.open > 0);
     --service.open;
     const request_key key = open.arrived.key;
-    finished_.add(key, std::move(reply), now);
+    finished_.add(key, reply, now);
     open_.erase(key);
 }
 
--- a/src/dispatch/dispatcher_membership.cpp
+++ b/src/dispatch/dispatcher_membership.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-/// Hosts of the same data centre that witness a claim.
+/// Hosts that witness a claim; those of the same data centre first.
 constexpr std::size_t max_witnesses = 2;
 
 } // namespace
@@ -92,13 +92,10 @@
     }
     service.witnesses = service.deciders[settings_.data_centre];
     std::erase(service.witnesses, settings_.self);
+    const auto elsewhere =
+        hosts_.ranked_elsewhere(settings_.data_centre, base::mix(service_id, base::hash_text(settings_.data_centre)));
+    service.witnesses.insert(service.witnesses.end(), elsewhere.begin(), elsewhere.end());
     service.witnesses.resize(std::min(service.witnesses.size(), max_witnesses));
-    if (service.witnesses.empty())
-    {
-        service.witnesses = hosts_.ranked_elsewhere(settings_.data_centre,
-                                                    base::mix(service_id, base::hash_text(settings_.data_centre)));
-        service.witnesses.resize(std::min<std::size_t>(service.witnesses.size(), 1));
-    }
 }
 
 actions dispatcher::state::on_hosts(std::span<const membership::live_host> hosts, base::time_point now)
@@ -118,10 +115,10 @@
     return take_actions();
 }
 
-void dispatcher::state::on_data_centres(std::span<const std::string> names, base::time_point now)
+void dispatcher::state::on_listed_hosts(std::span<const membership::listed_host> hosts, base::time_point now)
 {
     enter(now);
-    hosts_.set_data_centres(names);
+    hosts_.set_listed(hosts, now);
     refresh_services(now);
 }
 
--- a/src/dispatch/dispatcher_requests.cpp
+++ b/src/dispatch/dispatcher_requests.cpp
@@ -90,7 +90,7 @@
         admit(service, arrived, now);
         return;
     }
-    const auto decider = decider_of(service, arrived);
+    const auto decider = decider_of(service, arrived, now);
     const bool is_repeated = leaving_ && !relayed_while_leaving_.insert(arrived.key).second;
     if (!decider || (relayed && is_repeated))
     {
@@ -114,7 +114,8 @@
                            : base::mix(arrived.key, arrived.service);
 }
 
-std::optional<std::string> dispatcher::state::decider_of(const service_state& service, const request& arrived) const
+std::optional<std::string> dispatcher::state::decider_of(const service_state& service, const request& arrived,
+                                                         base::time_point now) const
 {
     const auto first_of = [&](const std::string& data_centre) -> std::optional<std::string>
     {
@@ -128,7 +129,11 @@
         return first_of(settings_.data_centre);
     }
     auto decider = first_of(home->data_centre);
-    if (decider || !is_idempotent(arrived.method))
+    // Only after some time does the home know too that it is out of reach, and
+    // stops vouching for what it hasn't seen.
+    const bool may_run_elsewhere =
+        is_idempotent(arrived.method) && hosts_.is_silent(home->data_centre, settings_.settle_time, now);
+    if (decider || !may_run_elsewhere)
     {
         return decider;
     }
@@ -167,13 +172,7 @@
         begin_refusal(service, open, refusal::service_draining, now);
         return;
     }
-    if (is_idempotent(arrived.method))
-    {
-        enqueue(service, open, now);
-        return;
-    }
-    open.phase = request_phase::claiming;
-    ask_witnesses(service, open, now);
+    resume(service, open, now);
 }
 
 bool dispatcher::state::needs_pinning(const request& arrived) const
--- a/src/dispatch/dispatcher_state.hpp
+++ b/src/dispatch/dispatcher_state.hpp
@@ -31,7 +31,7 @@
     // dispatcher_membership.cpp
     void on_revision(const config::accepted_revision& revision, base::time_point now);
     actions on_hosts(std::span<const membership::live_host> hosts, base::time_point now);
-    void on_data_centres(std::span<const std::string> names, base::time_point now);
+    void on_listed_hosts(std::span<const membership::listed_host> hosts, base::time_point now);
     actions on_leave(base::time_point now);
 
     // dispatcher_requests.cpp
@@ -67,7 +67,8 @@
     void repeat_reply(const request& arrived);
     void on_claimed_elsewhere(foreign_claim& held, const request& arrived, base::time_point now);
     void route(service_state& service, const request& arrived, bool relayed, base::time_point now);
-    std::optional<std::string> decider_of(const service_state& service, const request& arrived) const;
+    std::optional<std::string> decider_of(const service_state& service, const request& arrived,
+                                          base::time_point now) const;
     void admit(service_state& service, const request& arrived, base::time_point now);
     void enqueue(service_state& service, open_request& open, base::time_point now);
     void enqueue_pinned(service_state& service, open_request& open, base::time_point now);
@@ -94,7 +95,7 @@
     void begin_refusal(service_state& service, open_request& open, refusal reason, base::time_point now);
     void end_refused(open_request& open, bool run_excluded, refusal reason, base::time_point now);
     void end_delivered(open_request& open, const answer& arrived, base::time_point now);
-    void finish(open_request& open, final_reply reply, base::time_point now);
+    void finish(open_request& open, const final_reply& reply, base::time_point now);
     refuse make_refusal(const request& arrived, bool run_excluded, refusal reason);
     void reply_unknown(const request& arrived, refusal reason);
 
@@ -104,7 +105,9 @@
     void refresh_claim(service_state& service, open_request& open, base::time_point now);
     void update_claim(service_state& service, open_request& open, base::time_point now);
     bool is_granted(const claim& held, base::time_point now) const;
-    bool may_go_alone(base::time_point now) const;
+    bool may_run_unwitnessed(base::time_point now) const;
+    bool needs_claim(const request& arrived, base::time_point now) const;
+    bool has_settled(base::time_point now) const;
     bool is_fresh(base::time_point now) const;
     bool is_exclusive(const open_request& open, base::time_point now) const;
     bool may_vouch(const service_state& service, const open_request& open, base::time_point now) const;
@@ -120,6 +123,7 @@
     void enter(base::time_point now);
     void on_pause(base::time_point now);
     void advance(service_state& service, open_request& open, base::time_point now);
+    void resume(service_state& service, open_request& open, base::time_point now);
     void expire(service_state& service, open_request& open, base::time_point now);
 
     std::uint64_t routing_of(const request& arrived) const;
--- a/src/dispatch/dispatcher_tick.cpp
+++ b/src/dispatch/dispatcher_tick.cpp
@@ -127,7 +127,7 @@
     case request_phase::backing_off:
         if (now >= open.next_attempt)
         {
-            enqueue(service, open, now);
+            resume(service, open, now);
         }
         return;
     case request_phase::running:
@@ -142,6 +142,17 @@
     }
 }
 
+void dispatcher::state::resume(service_state& service, open_request& open, base::time_point now)
+{
+    if (open.held.is_granted || !needs_claim(open.arrived, now))
+    {
+        enqueue(service, open, now);
+        return;
+    }
+    open.phase = request_phase::claiming;
+    ask_witnesses(service, open, now);
+}
+
 void dispatcher::state::expire(service_state& service, open_request& open, base::time_point now)
 {
     if (open.phase == request_phase::queued || open.phase == request_phase::backing_off)
--- a/src/dispatch/exchange_table.cpp
+++ b/src/dispatch/exchange_table.cpp
@@ -2,9 +2,21 @@
 
 #include <galenabay/base/invariant.hpp>
 
+#include <algorithm>
+#include <cstddef>
+
 namespace galenabay::dispatch
 {
 
+namespace
+{
+
+/// A copy of an answer that is older than this many later ones is not
+/// recognised.
+constexpr std::size_t max_separate_ids = 32;
+
+} // namespace
+
 exchange_id exchange_table::id_of(const answer& arrived)
 {
     return {arrived.upstream, arrived.service_address, arrived.caller, arrived.token, arrived.token_length};
@@ -32,7 +44,11 @@
     entry.waiting.reset();
     if (!arrived.piggybacked)
     {
-        entry.last_separate = arrived.message_id;
+        if (entry.separate_ids.size() >= max_separate_ids)
+        {
+            entry.separate_ids.erase(entry.separate_ids.begin());
+        }
+        entry.separate_ids.push_back(arrived.message_id);
     }
     remember(id, entry, now);
 }
@@ -49,7 +65,8 @@
     {
         return arrived.message_id == entry.message_id ? entry.waiting : std::nullopt;
     }
-    const bool is_repeated = entry.last_separate == arrived.message_id;
+    const auto& seen = entry.separate_ids;
+    const bool is_repeated = std::find(seen.begin(), seen.end(), arrived.message_id) != seen.end();
     return entry.owed_until > now || is_repeated ? std::nullopt : entry.waiting;
 }
 
--- a/src/dispatch/exchange_table.hpp
+++ b/src/dispatch/exchange_table.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace galenabay::dispatch
 {
@@ -78,8 +79,9 @@
         std::uint16_t message_id = 0;
         /// Until then an older request may be answered late.
         base::time_point owed_until{};
-        /// Message id of the last answer that came with the token alone.
-        std::optional<std::uint16_t> last_separate;
+        /// Message ids of the last answers that came with the token alone,
+        /// oldest first.
+        std::vector<std::uint16_t> separate_ids;
         base::time_point used{};
     };
     struct dated_exchange
--- a/src/dispatch/finished_log.cpp
+++ b/src/dispatch/finished_log.cpp
@@ -1,7 +1,5 @@
 #include "finished_log.hpp"
 
-#include <utility>
-
 namespace galenabay::dispatch
 {
 
@@ -28,9 +26,9 @@
 {
 }
 
-void finished_log::add(request_key key, final_reply reply, base::time_point now)
+void finished_log::add(request_key key, const final_reply& reply, base::time_point now)
 {
-    const auto [place, added] = entries_.try_emplace(key, std::move(reply));
+    const auto [place, added] = entries_.try_emplace(key, reply);
     if (!added)
     {
         return;
--- a/src/dispatch/finished_log.hpp
+++ b/src/dispatch/finished_log.hpp
@@ -27,7 +27,7 @@
     /// `reply_span`: how long replies are kept. `key_span`: how long keys are.
     finished_log(base::duration reply_span, base::duration key_span);
 
-    void add(request_key key, final_reply reply, base::time_point now);
+    void add(request_key key, const final_reply& reply, base::time_point now);
 
     bool contains(request_key key) const { return entries_.contains(key); }
 
--- a/src/dispatch/host_directory.cpp
+++ b/src/dispatch/host_directory.cpp
@@ -3,79 +3,99 @@
 #include <galenabay/membership/rendezvous.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace galenabay::dispatch
 {
 
-namespace
+void absence::update(bool is_present, base::time_point now)
 {
-
-bool contains(const std::vector<membership::live_host>& hosts, const std::string& name)
-{
-    return std::any_of(hosts.begin(), hosts.end(), [&](const auto& host) { return host.name == name; });
+    if (is_present && since)
+    {
+        since.reset();
+        ended = now;
+    }
+    else if (!is_present && !since)
+    {
+        since = now;
+    }
 }
 
-bool is_recent(base::time_point event, base::duration span, base::time_point now)
+bool absence::is_recent(base::duration span, base::time_point now) const
 {
-    return event != base::time_point::min() && now - event < span;
+    return (since && now - *since < span) || (ended && now - *ended < span);
 }
 
-} // namespace
-
 host_directory::host_directory(std::string self, std::string data_centre)
-    : self_{std::move(self)}, data_centre_{std::move(data_centre)}, seen_data_centres_{data_centre_}
+    : self_{std::move(self)}, data_centre_{std::move(data_centre)}
 {
 }
 
 void host_directory::replace(std::span<const membership::live_host> hosts, base::time_point now)
 {
-    std::vector<membership::live_host> next{hosts.begin(), hosts.end()};
-    for (const auto& host : next)
+    live_.assign(hosts.begin(), hosts.end());
+    for (const auto& host : live_)
     {
-        seen_data_centres_.insert(host.data_centre);
+        if (host.name != self_)
+        {
+            known_[host.name].data_centre = host.data_centre;
+        }
     }
-    note_losses(next, now);
-    hosts_ = std::move(next);
+    update_absences(now);
 }
 
-void host_directory::note_losses(const std::vector<membership::live_host>& next, base::time_point now)
+void host_directory::set_listed(std::span<const membership::listed_host> hosts, base::time_point now)
 {
-    for (const auto& old : hosts_)
+    for (auto& [name, host] : known_)
     {
-        if (old.data_centre == data_centre_ && old.name != self_ && !contains(next, old.name))
-        {
-            neighbour_lost_ = now;
-        }
+        host.is_listed = false;
     }
-    // A data centre that is silent before or after the change was silent until now.
-    if (!silent_data_centres(hosts_).empty() || !silent_data_centres(next).empty())
+    for (const auto& row : hosts)
     {
-        data_centre_lost_ = now;
+        if (row.name != self_)
+        {
+            known_host& host = known_[row.name];
+            host.data_centre = row.data_centre;
+            host.is_listed = true;
+            host.is_leaving = row.leaving;
+        }
     }
+    update_absences(now);
 }
 
-std::set<std::string> host_directory::silent_data_centres(const std::vector<membership::live_host>& hosts) const
+void host_directory::update_absences(base::time_point now)
 {
-    std::set<std::string> silent = listed_data_centres_;
-    silent.insert(seen_data_centres_.begin(), seen_data_centres_.end());
-    silent.erase(data_centre_);
-    for (const auto& host : hosts)
+    for (auto& [name, host] : known_)
     {
-        silent.erase(host.data_centre);
+        const bool is_present = is_live(name);
+        host.is_leaving = host.is_leaving && !(is_present && !host.is_listed);
+        host.missing.update(is_present, now);
+        if (host.data_centre != data_centre_)
+        {
+            data_centres_.try_emplace(host.data_centre);
+        }
+    }
+    for (auto& [name, missing] : data_centres_)
+    {
+        missing.update(is_data_centre_live(name), now);
     }
-    return silent;
-}
-
-void host_directory::set_data_centres(std::span<const std::string> names)
-{
-    listed_data_centres_ = std::set<std::string>{names.begin(), names.end()};
 }
 
 std::vector<std::string> host_directory::data_centres() const
 {
-    std::set<std::string> all = listed_data_centres_.empty() ? seen_data_centres_ : listed_data_centres_;
-    all.insert(data_centre_);
-    return {all.begin(), all.end()};
+    const bool has_list = std::any_of(known_.begin(), known_.end(), [](const auto& h) { return h.second.is_listed; });
+    std::vector<std::string> names{data_centre_};
+    for (const auto& [name, host] : known_)
+    {
+        if (host.is_listed || !has_list || is_live(name))
+        {
+            names.push_back(host.data_centre);
+        }
+    }
+    std::sort(names.begin(), names.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
+    return names;
 }
 
 std::vector<std::string> host_directory::names_in_order(std::vector<membership::live_host> hosts,
@@ -92,7 +112,7 @@
 std::vector<std::string> host_directory::ranked(const std::string& data_centre, std::uint64_t key) const
 {
     std::vector<membership::live_host> members;
-    std::copy_if(hosts_.begin(), hosts_.end(), std::back_inserter(members),
+    std::copy_if(live_.begin(), live_.end(), std::back_inserter(members),
                  [&](const auto& host) { return host.data_centre == data_centre; });
     return names_in_order(std::move(members), key);
 }
@@ -100,24 +120,49 @@
 std::vector<std::string> host_directory::ranked_elsewhere(const std::string& data_centre, std::uint64_t key) const
 {
     std::vector<membership::live_host> others;
-    std::copy_if(hosts_.begin(), hosts_.end(), std::back_inserter(others),
+    std::copy_if(live_.begin(), live_.end(), std::back_inserter(others),
                  [&](const auto& host) { return host.data_centre != data_centre; });
     return names_in_order(std::move(others), key);
 }
 
 bool host_directory::is_live(const std::string& host) const
 {
-    return contains(hosts_, host);
+    return std::any_of(live_.begin(), live_.end(), [&](const auto& live) { return live.name == host; });
+}
+
+bool host_directory::is_data_centre_live(const std::string& data_centre) const
+{
+    return std::any_of(live_.begin(), live_.end(), [&](const auto& live) { return live.data_centre == data_centre; });
+}
+
+bool host_directory::misses_neighbour(base::duration span, base::time_point now) const
+{
+    return std::any_of(known_.begin(), known_.end(),
+                       [&](const auto& entry)
+                       {
+                           const known_host& host = entry.second;
+                           return host.data_centre == data_centre_ && !host.is_leaving &&
+                                  host.missing.is_recent(span, now);
+                       });
+}
+
+bool host_directory::misses_any_host(base::duration span, base::time_point now) const
+{
+    return std::any_of(known_.begin(), known_.end(),
+                       [&](const auto& entry)
+                       { return !entry.second.is_leaving && entry.second.missing.is_recent(span, now); });
 }
 
-bool host_directory::lost_neighbour(base::duration span, base::time_point now) const
+bool host_directory::misses_data_centre(base::duration span, base::time_point now) const
 {
-    return is_recent(neighbour_lost_, span, now);
+    return std::any_of(data_centres_.begin(), data_centres_.end(),
+                       [&](const auto& entry) { return entry.second.since || entry.second.is_recent(span, now); });
 }
 
-bool host_directory::lost_data_centre(base::duration span, base::time_point now) const
+bool host_directory::is_silent(const std::string& data_centre, base::duration span, base::time_point now) const
 {
-    return !silent_data_centres(hosts_).empty() || is_recent(data_centre_lost_, span, now);
+    const auto known = data_centres_.find(data_centre);
+    return known != data_centres_.end() && known->second.since && now - *known->second.since >= span;
 }
 
 } // namespace galenabay::dispatch
--- a/src/dispatch/host_directory.hpp
+++ b/src/dispatch/host_directory.hpp
@@ -4,7 +4,7 @@
 #include <galenabay/membership/host.hpp>
 
 #include <map>
-#include <set>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -12,16 +12,31 @@
 namespace galenabay::dispatch
 {
 
-/// The live hosts as this host sees them, and when some were lost.
+/// Since when something has been missing, and when it came back.
+struct absence
+{
+    std::optional<base::time_point> since;
+    std::optional<base::time_point> ended;
+
+    void update(bool is_present, base::time_point now);
+
+    /// True while it lasts, for at most `span`, and for `span` after its end.
+    bool is_recent(base::duration span, base::time_point now) const;
+};
+
+/// The live hosts as this host sees them, and which ones it misses.
 class host_directory
 {
 public:
     explicit host_directory(std::string self, std::string data_centre);
 
+    /// The live hosts.
     void replace(std::span<const membership::live_host> hosts, base::time_point now);
 
+    /// The hosts that exist, whether alive or not.
+    void set_listed(std::span<const membership::listed_host> hosts, base::time_point now);
+
     /// Data centres that have hosts, whether alive or not. Sorted.
-    void set_data_centres(std::span<const std::string> names);
     std::vector<std::string> data_centres() const;
 
     /// Live hosts of a data centre in rendezvous order for `key`; element 0
@@ -32,28 +47,42 @@
     std::vector<std::string> ranked_elsewhere(const std::string& data_centre, std::uint64_t key) const;
 
     bool is_live(const std::string& host) const;
-    const std::string& self() const noexcept { return self_; }
-    const std::string& own_data_centre() const noexcept { return data_centre_; }
-    bool is_self_listed() const { return is_live(self_); }
 
-    /// True when a host of this data centre was lost less than `span` ago.
-    bool lost_neighbour(base::duration span, base::time_point now) const;
+    /// True when a host of this data centre that didn't announce that it leaves
+    /// is missing, or came back less than `span` ago. One that has been missing
+    /// for longer than `span` no longer counts.
+    bool misses_neighbour(base::duration span, base::time_point now) const;
+
+    /// The same for the hosts of all data centres.
+    bool misses_any_host(base::duration span, base::time_point now) const;
+
     /// True when another data centre has no live host, or had none less than
     /// `span` ago.
-    bool lost_data_centre(base::duration span, base::time_point now) const;
+    bool misses_data_centre(base::duration span, base::time_point now) const;
+
+    /// True when a data centre has had no live host for `span`.
+    bool is_silent(const std::string& data_centre, base::duration span, base::time_point now) const;
 
 private:
-    void note_losses(const std::vector<membership::live_host>& next, base::time_point now);
+    struct known_host
+    {
+        std::string data_centre;
+        bool is_listed = false;
+        bool is_leaving = false;
+        absence missing;
+    };
+
+    void update_absences(base::time_point now);
+    bool is_data_centre_live(const std::string& data_centre) const;
     std::vector<std::string> names_in_order(std::vector<membership::live_host> hosts, std::uint64_t key) const;
-    std::set<std::string> silent_data_centres(const std::vector<membership::live_host>& hosts) const;
 
     std::string self_;
     std::string data_centre_;
-    std::vector<membership::live_host> hosts_;
-    std::set<std::string> seen_data_centres_;
-    std::set<std::string> listed_data_centres_;
-    base::time_point neighbour_lost_ = base::time_point::min();
-    base::time_point data_centre_lost_ = base::time_point::min();
+    std::vector<membership::live_host> live_;
+    /// Every other host that was listed or seen, by name.
+    std::map<std::string, known_host> known_;
+    /// Every other data centre that has, or had, hosts.
+    std::map<std::string, absence> data_centres_;
 };
 
 } // namespace galenabay::dispatch
