Write each data centre's status from its holder

Cause: operators need one place that says which revision each host has. Change: the control thread drives the status aggregator against the platform.

--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -50,7 +50,8 @@
 control_duty::control_duty(const config::host_settings& settings, std::uint64_t seed, channels& links,
                            metric_board& metrics, thread_state& state, platform_duty& watcher, platform_duty& caller)
     : settings_{settings}, links_{links}, metrics_{metrics}, state_{state}, watcher_{watcher}, caller_{caller},
-      random_{seed}, members_{member_settings_of(settings)}, follower_{revision::follower_settings{.seed = seed}}
+      random_{seed}, members_{member_settings_of(settings)}, follower_{revision::follower_settings{.seed = seed}},
+      status_{settings, incarnation_now(), seed + 1, caller, metrics}
 {
     self_.name = settings.name;
     self_.data_centre = settings.data_centre;
@@ -214,6 +215,10 @@
         members_.on_platform_list(listed->hosts, now);
         forget_gone_hosts(now);
     }
+    else
+    {
+        status_.handle(event, now);
+    }
 }
 
 void control_duty::forget_gone_hosts(base::time_point now)
@@ -246,7 +251,7 @@
     {
         const auto jitter = static_cast<std::int64_t>(random_.below(list_interval.count() / 4));
         next_list_ = now + list_interval + base::duration{jitter};
-        caller_.submit(list_request{});
+        caller_.submit(list_hosts_request{});
     }
 }
 
@@ -454,6 +459,7 @@
     send_heartbeats(now);
     publish_hosts(now);
     apply_cuts(now);
+    status_.tick(members_, now);
 }
 
 kj::Promise<void> control_duty::accept_loop(kj::ConnectionReceiver& receiver, capnp::TwoPartyServer& server)
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -6,6 +6,7 @@
 #include "peer_link.hpp"
 #include "peer_server.hpp"
 #include "platform_duty.hpp"
+#include "status_reporter.hpp"
 #include "thread_state.hpp"
 
 #include <galenabay/base/random.hpp>
@@ -96,6 +97,7 @@
     base::random_source random_;
     membership::member_view members_;
     revision::follower follower_;
+    status_reporter status_;
     membership::host_report self_;
     std::vector<std::byte> encoded_revision_;
     std::vector<membership::live_host> published_hosts_;
--- a/src/daemon/platform_duty.cpp
+++ b/src/daemon/platform_duty.cpp
@@ -86,6 +86,26 @@
     }
 }
 
+void platform_duty::list_objects(const list_objects_request& request)
+{
+    const auto listed = platform::object_client::make(platform_, call_timeout).list(request.prefix);
+    count(listed.has_value());
+    objects_listed outcome;
+    if (listed)
+    {
+        for (const auto& object : listed.value())
+        {
+            outcome.versions.emplace_back(object.key, object.version);
+        }
+    }
+    events_.push(std::move(outcome));
+}
+
+void platform_duty::remove(const remove_request& request)
+{
+    count(platform::object_client::make(platform_, call_timeout).remove(request.key, request.expected).has_value());
+}
+
 void platform_duty::write(const write_request& request)
 {
     const auto written =
@@ -131,10 +151,14 @@
     {
         events_.push(revision_failed{why});
     }
-    else if (std::holds_alternative<list_request>(request))
+    else if (std::holds_alternative<list_hosts_request>(request))
     {
         events_.push(hosts_failed{why});
     }
+    else if (std::holds_alternative<list_objects_request>(request))
+    {
+        events_.push(objects_listed{});
+    }
     else if (const auto* write_to = std::get_if<write_request>(&request))
     {
         events_.push(object_written{write_to->key, 0, why});
@@ -156,7 +180,7 @@
     {
         watch(*watched);
     }
-    else if (std::holds_alternative<list_request>(request))
+    else if (std::holds_alternative<list_hosts_request>(request))
     {
         list_hosts();
     }
@@ -168,6 +192,14 @@
     {
         read(*wanted);
     }
+    else if (const auto* listed = std::get_if<list_objects_request>(&request))
+    {
+        list_objects(*listed);
+    }
+    else if (const auto* removed = std::get_if<remove_request>(&request))
+    {
+        remove(*removed);
+    }
 }
 
 void platform_duty::run()
--- a/src/daemon/platform_duty.hpp
+++ b/src/daemon/platform_duty.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -37,10 +38,20 @@
 {
     std::string key;
 };
-struct list_request
+struct list_hosts_request
 {
 };
-using platform_request = std::variant<std::monostate, watch_request, write_request, read_request, list_request>;
+struct list_objects_request
+{
+    std::string prefix;
+};
+struct remove_request
+{
+    std::string key;
+    std::uint64_t expected = 0;
+};
+using platform_request = std::variant<std::monostate, watch_request, write_request, read_request, list_hosts_request,
+                                      list_objects_request, remove_request>;
 
 /// Platform threads to control thread.
 struct revision_read
@@ -75,8 +86,13 @@
     std::uint64_t version = 0;
     std::optional<base::error> failure;
 };
+struct objects_listed
+{
+    /// Keys and versions; empty when the call failed.
+    std::vector<std::pair<std::string, std::uint64_t>> versions;
+};
 using platform_event = std::variant<std::monostate, revision_read, revision_unchanged, revision_failed, hosts_listed,
-                                    hosts_failed, object_written, object_read>;
+                                    hosts_failed, object_written, object_read, objects_listed>;
 
 /// A thread that makes blocking calls to the platform: requests in, events out.
 /// The process runs one for the long watch and one for everything else.
@@ -100,6 +116,8 @@
     void handle(const platform_request& request);
     void watch(const watch_request& request);
     void list_hosts();
+    void list_objects(const list_objects_request& request);
+    void remove(const remove_request& request);
     void write(const write_request& request);
     void read(const read_request& request);
     bool refuse_when_cut(const platform_request& request);
--- /dev/null
+++ b/src/daemon/status_reporter.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "metric_board.hpp"
+#include "platform_duty.hpp"
+
+#include <galenabay/base/time.hpp>
+#include <galenabay/config/host_settings.hpp>
+#include <galenabay/membership/member_view.hpp>
+#include <galenabay/revision/status_aggregator.hpp>
+
+#include <cstdint>
+
+namespace galenabay::daemon
+{
+
+/// Connects the status aggregator to the platform thread. Owned by the control
+/// thread.
+class status_reporter
+{
+public:
+    status_reporter(const config::host_settings& settings, std::uint64_t incarnation, std::uint64_t seed,
+                    platform_duty& caller, metric_board& metrics);
+
+    /// Call with the current members at least every 200 ms.
+    void tick(const membership::member_view& members, base::time_point now);
+
+    /// Outcome of a call that this object asked for; other events are ignored.
+    void handle(const platform_event& event, base::time_point now);
+
+private:
+    void carry_out(const revision::status_actions& decided);
+
+    revision::status_aggregator aggregator_;
+    platform_duty& caller_;
+    metric_board& metrics_;
+    base::time_point next_tick_{};
+};
+
+} // namespace galenabay::daemon
