--- a/bench/torture_dispatch.cpp
+++ b/bench/torture_dispatch.cpp
@@ -449,18 +449,21 @@
     {
         trace(reply.key, "%s refuses excluded=%d reason=%s", hosts_[index].name.c_str(),
               static_cast<int>(reply.run_excluded), name_of(reply.reason));
+        if (chance(loss_))
+        {
+            return;
+        }
+        // A refusal counts as said when it reaches the caller: until then the
+        // caller may repeat the request and may have it run.
         auto& asked = requests_.at(reply.key);
-        asked.told_not_run = asked.told_not_run || reply.run_excluded;
         if (reply.run_excluded && asked.runs > 0)
         {
             violation("5.03 is true", reply.key);
         }
-        if (!chance(loss_))
-        {
-            counts_.refusals_not_run += !asked.replied && reply.run_excluded ? 1 : 0;
-            counts_.refusals_unknown += !asked.replied && !reply.run_excluded ? 1 : 0;
-            asked.replied = true;
-        }
+        counts_.refusals_not_run += !asked.replied && reply.run_excluded ? 1 : 0;
+        counts_.refusals_unknown += !asked.replied && !reply.run_excluded ? 1 : 0;
+        asked.told_not_run = asked.told_not_run || (reply.run_excluded && !asked.replied);
+        asked.replied = true;
     }
     void apply(std::size_t index, const relay_request& relayed)
     {
--- a/src/dispatch/dispatcher_claims.cpp
+++ b/src/dispatch/dispatcher_claims.cpp
@@ -35,35 +35,59 @@
     return !hosts_.misses_any_host(settings_.retransmission_span, now);
 }
 
-bool dispatcher::state::needs_claim(const request& arrived, base::time_point now) const
+bool dispatcher::state::needs_claim(const service_state& service, const request& arrived, base::time_point now) const
 {
-    // Before it has heard the others, a host may wrongly believe that it decides.
-    return !is_idempotent(arrived.method) || !has_settled(now);
+    // Before it has heard the others, a host may wrongly believe that it
+    // decides; and hosts on another revision may believe that others do.
+    return !is_idempotent(arrived.method) || !has_settled(now) || has_other_home(service, arrived);
 }
 
-bool dispatcher::state::collect_witnesses(const service_state& service, const request& arrived,
-                                          std::vector<claim_witness>& witnesses) const
+std::vector<std::string> dispatcher::state::other_homes(const service_state& service, const request& arrived) const
 {
-    std::vector<std::string> names = service.witnesses;
-    const auto add_home = [&](const shard_map& map)
+    std::vector<std::string> names;
+    const auto add = [&](const shard_map& map)
     {
         const shard* home = map.home(routing_of(arrived));
-        if (home == nullptr || home->data_centre == settings_.data_centre)
+        if (home != nullptr && home->data_centre != settings_.data_centre)
         {
-            return true;
+            names.push_back(home->data_centre);
         }
-        const auto ranked = service.deciders.find(home->data_centre);
-        if (ranked == service.deciders.end() || ranked->second.empty())
-        {
-            return false;
-        }
-        names.push_back(ranked->second.front());
-        return true;
     };
-    bool is_complete = add_home(service.map);
+    add(service.map);
     for (const auto& old : service.former)
     {
-        is_complete = add_home(old.map) && is_complete;
+        add(old.map);
+    }
+    return names;
+}
+
+std::optional<std::string> dispatcher::state::first_host_of(const service_state& service,
+                                                            const std::string& data_centre) const
+{
+    const auto ranked = service.deciders.find(data_centre);
+    const bool has_host = ranked != service.deciders.end() && !ranked->second.empty();
+    return has_host ? std::optional{ranked->second.front()} : std::nullopt;
+}
+
+bool dispatcher::state::has_other_home(const service_state& service, const request& arrived) const
+{
+    const auto homes = other_homes(service, arrived);
+    return std::any_of(homes.begin(), homes.end(), [&](const auto& name) { return first_host_of(service, name); });
+}
+
+bool dispatcher::state::collect_witnesses(const service_state& service, const request& arrived,
+                                          std::vector<claim_witness>& witnesses) const
+{
+    std::vector<std::string> names = service.witnesses;
+    bool is_complete = true;
+    for (const auto& home : other_homes(service, arrived))
+    {
+        const auto host = first_host_of(service, home);
+        is_complete = is_complete && host;
+        if (host)
+        {
+            names.push_back(*host);
+        }
     }
     std::sort(names.begin(), names.end());
     names.erase(std::unique(names.begin(), names.end()), names.end());
@@ -71,7 +95,7 @@
     {
         witnesses.push_back({name, false});
     }
-    return is_complete;
+    return is_complete || is_idempotent(arrived.method);
 }
 
 void dispatcher::state::ask_witnesses(service_state& service, open_request& open, base::time_point now)
@@ -123,8 +147,15 @@
     }
 }
 
-bool dispatcher::state::is_granted(const claim& held, base::time_point now) const
+bool dispatcher::state::is_granted(const open_request& open, base::time_point now) const
 {
+    const claim& held = open.held;
+    // A host that has forgotten what it ran needs to hear everyone who may know.
+    const bool may_have_forgotten = !is_idempotent(open.arrived.method) && is_fresh(now);
+    if (may_have_forgotten && hosts_.misses_neighbour(settings_.retransmission_span, now))
+    {
+        return false;
+    }
     if (!has_settled(now))
     {
         return false;
@@ -136,12 +167,12 @@
     const auto acknowledged = static_cast<std::size_t>(
         std::count_if(held.witnesses.begin(), held.witnesses.end(), [](const auto& w) { return w.acknowledged; }));
     const bool is_late = now - held.asked >= witness_timeout;
-    return acknowledged == held.witnesses.size() || (is_late && acknowledged > 0);
+    return acknowledged == held.witnesses.size() || (is_late && acknowledged > 0 && !may_have_forgotten);
 }
 
 void dispatcher::state::update_claim(service_state& service, open_request& open, base::time_point now)
 {
-    if (is_granted(open.held, now))
+    if (is_granted(open, now))
     {
         open.held.is_granted = true;
         on_granted(service, open, now);
@@ -197,7 +228,7 @@
     // to be alive and asked.
     const shard* home = service.map.home(routing_of(open.arrived));
     const bool is_home = home != nullptr && home->data_centre == settings_.data_centre;
-    return is_home && service.former.empty() && !is_fresh(now) && !hosts_.misses_neighbour(span, now) &&
+    return is_home && service.former.empty() && !is_fresh(now) && !hosts_.missed_neighbour(span, now) &&
            !hosts_.misses_data_centre(span, now);
 }
 
--- a/src/dispatch/dispatcher_requests.cpp
+++ b/src/dispatch/dispatcher_requests.cpp
@@ -117,18 +117,12 @@
 std::optional<std::string> dispatcher::state::decider_of(const service_state& service, const request& arrived,
                                                          base::time_point now) const
 {
-    const auto first_of = [&](const std::string& data_centre) -> std::optional<std::string>
-    {
-        const auto ranked = service.deciders.find(data_centre);
-        const bool has_host = ranked != service.deciders.end() && !ranked->second.empty();
-        return has_host ? std::optional{ranked->second.front()} : std::nullopt;
-    };
     const shard* home = service.map.home(routing_of(arrived));
     if (home == nullptr)
     {
-        return first_of(settings_.data_centre);
+        return first_host_of(service, settings_.data_centre);
     }
-    auto decider = first_of(home->data_centre);
+    auto decider = first_host_of(service, home->data_centre);
     // Only after some time does the home know too that it is out of reach, and
     // stops vouching for what it hasn't seen.
     const bool may_run_elsewhere =
@@ -139,11 +133,11 @@
     }
     if (service.map.find(settings_.data_centre) != nullptr)
     {
-        decider = first_of(settings_.data_centre);
+        decider = first_host_of(service, settings_.data_centre);
     }
     for (const auto& other : service.map.shards())
     {
-        decider = decider ? decider : first_of(other.data_centre);
+        decider = decider ? decider : first_host_of(service, other.data_centre);
     }
     return decider;
 }
--- a/src/dispatch/dispatcher_state.hpp
+++ b/src/dispatch/dispatcher_state.hpp
@@ -104,9 +104,12 @@
     void send_intents(const open_request& open);
     void refresh_claim(service_state& service, open_request& open, base::time_point now);
     void update_claim(service_state& service, open_request& open, base::time_point now);
-    bool is_granted(const claim& held, base::time_point now) const;
+    bool is_granted(const open_request& open, base::time_point now) const;
+    std::vector<std::string> other_homes(const service_state& service, const request& arrived) const;
+    bool has_other_home(const service_state& service, const request& arrived) const;
+    std::optional<std::string> first_host_of(const service_state& service, const std::string& data_centre) const;
     bool may_run_unwitnessed(base::time_point now) const;
-    bool needs_claim(const request& arrived, base::time_point now) const;
+    bool needs_claim(const service_state& service, const request& arrived, base::time_point now) const;
     bool has_settled(base::time_point now) const;
     bool is_fresh(base::time_point now) const;
     bool is_exclusive(const open_request& open, base::time_point now) const;
--- a/src/dispatch/dispatcher_tick.cpp
+++ b/src/dispatch/dispatcher_tick.cpp
@@ -144,7 +144,7 @@
 
 void dispatcher::state::resume(service_state& service, open_request& open, base::time_point now)
 {
-    if (open.held.is_granted || !needs_claim(open.arrived, now))
+    if (open.held.is_granted || !needs_claim(service, open.arrived, now))
     {
         enqueue(service, open, now);
         return;
--- a/src/dispatch/host_directory.cpp
+++ b/src/dispatch/host_directory.cpp
@@ -22,9 +22,14 @@
     }
 }
 
+bool absence::is_lasting(base::duration span, base::time_point now) const
+{
+    return since && now - *since < span;
+}
+
 bool absence::is_recent(base::duration span, base::time_point now) const
 {
-    return (since && now - *since < span) || (ended && now - *ended < span);
+    return is_lasting(span, now) || (ended && now - *ended < span);
 }
 
 host_directory::host_directory(std::string self, std::string data_centre)
@@ -136,6 +141,17 @@
 }
 
 bool host_directory::misses_neighbour(base::duration span, base::time_point now) const
+{
+    return std::any_of(known_.begin(), known_.end(),
+                       [&](const auto& entry)
+                       {
+                           const known_host& host = entry.second;
+                           return host.data_centre == data_centre_ && !host.is_leaving &&
+                                  host.missing.is_lasting(span, now);
+                       });
+}
+
+bool host_directory::missed_neighbour(base::duration span, base::time_point now) const
 {
     return std::any_of(known_.begin(), known_.end(),
                        [&](const auto& entry)
@@ -150,7 +166,7 @@
 {
     return std::any_of(known_.begin(), known_.end(),
                        [&](const auto& entry)
-                       { return !entry.second.is_leaving && entry.second.missing.is_recent(span, now); });
+                       { return !entry.second.is_leaving && entry.second.missing.is_lasting(span, now); });
 }
 
 bool host_directory::misses_data_centre(base::duration span, base::time_point now) const
--- a/src/dispatch/host_directory.hpp
+++ b/src/dispatch/host_directory.hpp
@@ -20,6 +20,8 @@
 
     void update(bool is_present, base::time_point now);
 
+    /// True while it lasts, for at most `span`.
+    bool is_lasting(base::duration span, base::time_point now) const;
     /// True while it lasts, for at most `span`, and for `span` after its end.
     bool is_recent(base::duration span, base::time_point now) const;
 };
@@ -49,13 +51,16 @@
     bool is_live(const std::string& host) const;
 
     /// True when a host of this data centre that didn't announce that it leaves
-    /// is missing, or came back less than `span` ago. One that has been missing
-    /// for longer than `span` no longer counts.
+    /// has been missing for less than `span`.
     bool misses_neighbour(base::duration span, base::time_point now) const;
 
     /// The same for the hosts of all data centres.
     bool misses_any_host(base::duration span, base::time_point now) const;
 
+    /// True when a host of this data centre has been missing within `span`,
+    /// whether it is back or not, and didn't announce that it leaves.
+    bool missed_neighbour(base::duration span, base::time_point now) const;
+
     /// True when another data centre has no live host, or had none less than
     /// `span` ago.
     bool misses_data_centre(base::duration span, base::time_point now) const;
