--- /dev/null
+++ b/daemons/galenactl.cpp
@@ -0,0 +1,328 @@
+#include <galenabay/config/codec.hpp>
+#include <galenabay/config/load.hpp>
+#include <galenabay/control/apply.hpp>
+#include <galenabay/control/fleet_status.hpp>
+#include <galenabay/control/plan.hpp>
+#include <galenabay/control/wait.hpp>
+#include <galenabay/platform/acceptance.hpp>
+
+#include <boost/program_options.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <ctime>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace options = boost::program_options;
+using namespace galenabay;
+
+namespace
+{
+
+enum exit_code : int
+{
+    done = 0,
+    failed = 1,
+    bad_input = 2,
+    conflict = 3,
+    not_in_force = 4,
+};
+
+constexpr const char* version_text = "galenactl 0.1.0";
+constexpr auto call_timeout = std::chrono::milliseconds{3000};
+
+/// The command line, decoded.
+struct command_line
+{
+    std::string command;
+    std::vector<std::string> files;
+    base::endpoint platform;
+    bool wait = false;
+    std::chrono::milliseconds timeout{0};
+    std::optional<std::uint64_t> expected_version;
+    std::vector<std::string> forced;
+    std::string author;
+    std::optional<std::uint64_t> to;
+};
+
+std::string default_author()
+{
+    const char* const user = std::getenv("USER");
+    return user == nullptr ? "unknown" : user;
+}
+
+options::options_description make_options()
+{
+    options::options_description description{
+        "Operates a galenabay fleet.\n\n"
+        "  galenactl validate FILE...   check files by themselves\n"
+        "  galenactl plan FILE...       show what applying them would change\n"
+        "  galenactl apply FILE...      accept them as one set\n"
+        "  galenactl status             which host has which revision in force\n"
+        "  galenactl history            accepted revisions; --to N goes back to one\n\n"
+        "Example: galenactl apply --platform 127.0.0.1:7000 --wait examples/alliance.yaml\n\n"
+        "Exit codes: 0 done, 1 failed, 2 bad input or usage, 3 conflict with another\n"
+        "operator's change, 4 not in force on every live host (in time)\n\n"
+        "Options"};
+    auto add = description.add_options();
+    add("help", "print this help");
+    add("version", "print the version");
+    add("platform", options::value<std::string>()->default_value("127.0.0.1:7000"), "ADDRESS:PORT of the object API");
+    add("wait", "apply, history --to: wait until every live host has it in force");
+    add("timeout", options::value<double>()->default_value(30), "longest wait in seconds");
+    add("expect-version", options::value<std::uint64_t>(), "apply only on the version that plan showed");
+    add("force", options::value<std::vector<std::string>>()->composing(),
+        "accept a change that breaks flows, by the name that plan shows; may be repeated");
+    add("author", options::value<std::string>()->default_value(default_author()), "who applies");
+    add("to", options::value<std::uint64_t>(), "history: accept the content of revision N again");
+    return description;
+}
+
+options::variables_map parse(int argc, char** argv, const options::options_description& description)
+{
+    options::options_description all;
+    all.add(description);
+    all.add_options()("command", options::value<std::string>()->default_value(""));
+    all.add_options()("files", options::value<std::vector<std::string>>()->default_value({}, ""));
+    options::positional_options_description positional;
+    positional.add("command", 1).add("files", -1);
+    options::variables_map values;
+    options::store(options::command_line_parser(argc, argv).options(all).positional(positional).run(), values);
+    options::notify(values);
+    return values;
+}
+
+base::result<command_line> decode(const options::variables_map& values)
+{
+    command_line line;
+    line.command = values["command"].as<std::string>();
+    line.files = values["files"].as<std::vector<std::string>>();
+    BOOST_OUTCOME_TRY(platform, base::endpoint::parse(values["platform"].as<std::string>()));
+    line.platform = platform;
+    line.wait = values.count("wait") > 0;
+    const std::chrono::duration<double> timeout{values["timeout"].as<double>()};
+    line.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+    line.author = values["author"].as<std::string>();
+    if (values.count("expect-version") > 0)
+    {
+        line.expected_version = values["expect-version"].as<std::uint64_t>();
+    }
+    if (values.count("force") > 0)
+    {
+        line.forced = values["force"].as<std::vector<std::string>>();
+    }
+    if (values.count("to") > 0)
+    {
+        line.to = values["to"].as<std::uint64_t>();
+    }
+    return line;
+}
+
+int report(const base::error& failure, exit_code code)
+{
+    std::cerr << "galenactl: " << (failure.peer().empty() ? "" : failure.peer() + ": ") << failure.detail() << " ("
+              << base::name_of(failure.code()) << " in " << failure.step() << ")\n";
+    return code;
+}
+
+int report(const base::error& failure)
+{
+    switch (failure.code())
+    {
+    case base::error_code::conflict:
+        return report(failure, conflict);
+    case base::error_code::refused:
+        return report(failure, bad_input);
+    default:
+        return report(failure, failed);
+    }
+}
+
+int usage_error(const std::string& detail)
+{
+    std::cerr << "galenactl: " << detail << "; see galenactl --help\n";
+    return bad_input;
+}
+
+/// Commands that talk to the platform.
+class session
+{
+public:
+    explicit session(const command_line& line)
+        : line_{line}, client_{platform::object_client::make(line.platform, call_timeout)}, store_{client_}
+    {
+    }
+
+    int plan(const config::service_set& set)
+    {
+        const auto planned = control::make_plan(store_, set);
+        if (!planned)
+        {
+            return report(planned.error());
+        }
+        print(planned.value());
+        return done;
+    }
+
+    int apply(const config::service_set& set)
+    {
+        const auto planned = control::make_plan(store_, set);
+        if (!planned)
+        {
+            return report(planned.error());
+        }
+        print(planned.value());
+        const control::apply_request request{set, line_.author, std::time(nullptr), line_.expected_version,
+                                             line_.forced};
+        const auto applied = control::apply(store_, client_, request);
+        if (!applied)
+        {
+            return report(applied.error());
+        }
+        const auto& accepted = applied.value().stored.revision;
+        std::cout << (applied.value().changed ? "accepted as" : "equal to") << " revision " << accepted.number
+                  << " digest " << config::to_hex(accepted.digest) << std::endl;
+        return line_.wait ? wait(accepted.number) : done;
+    }
+
+    int status()
+    {
+        const auto newest = store_.newest();
+        if (!newest)
+        {
+            return report(newest.error());
+        }
+        const auto fleet = control::read_fleet_status(client_);
+        if (!fleet)
+        {
+            return report(fleet.error());
+        }
+        const std::uint64_t number = newest.value() ? newest.value()->number : 0;
+        print(fleet.value(), number);
+        return control::lagging(fleet.value(), number).empty() ? done : not_in_force;
+    }
+
+    int history()
+    {
+        if (line_.to)
+        {
+            const auto earlier = store_.read_number(*line_.to);
+            return earlier ? apply(earlier.value().set) : report(earlier.error());
+        }
+        const auto entries = store_.history();
+        if (!entries)
+        {
+            return report(entries.error());
+        }
+        for (const auto& entry : entries.value())
+        {
+            std::cout << "revision " << entry.number << " author " << entry.author << " time "
+                      << platform::format_time(entry.accepted_at) << " digest " << config::to_hex(entry.digest) << '\n';
+        }
+        return done;
+    }
+
+private:
+    static void print(const control::plan& planned)
+    {
+        for (const auto& line : control::describe(planned))
+        {
+            std::cout << line << '\n';
+        }
+    }
+
+    static void print(const control::fleet_status& fleet, std::uint64_t number)
+    {
+        const auto now = std::time(nullptr);
+        for (const auto& centre : fleet.data_centres)
+        {
+            std::cout << "data_centre " << centre.name << ": status written by " << centre.writer << " "
+                      << now - centre.written_at << " s ago\n";
+        }
+        for (const auto& host : fleet.hosts)
+        {
+            std::cout << "host " << control::describe(host) << " in " << host.data_centre
+                      << (control::has_in_force(host, number) ? "" : ": lags") << '\n';
+        }
+        std::cout << control::describe(fleet, number) << '\n';
+    }
+
+    int wait(std::uint64_t number)
+    {
+        const auto print_line = [](const std::string& line) { std::cout << line << std::endl; };
+        const auto waited = control::wait_in_force(client_, number, line_.timeout, print_line);
+        return waited ? done : report(waited.error(), not_in_force);
+    }
+
+    const command_line& line_;
+    platform::object_client client_;
+    platform::revision_store store_;
+};
+
+int run_on_files(const command_line& line)
+{
+    if (line.files.empty())
+    {
+        return usage_error(line.command + " needs at least one file");
+    }
+    const auto set = config::load_service_set(line.files, line.forced);
+    if (!set)
+    {
+        return report(set.error(), bad_input);
+    }
+    if (line.command == "validate")
+    {
+        std::cout << "valid: " << set.value().services.size() << " services, digest "
+                  << config::to_hex(config::digest_of(set.value())) << '\n';
+        return done;
+    }
+    session opened{line};
+    return line.command == "plan" ? opened.plan(set.value()) : opened.apply(set.value());
+}
+
+int run(const command_line& line)
+{
+    if (line.command == "validate" || line.command == "plan" || line.command == "apply")
+    {
+        return run_on_files(line);
+    }
+    if (line.command == "status")
+    {
+        return session{line}.status();
+    }
+    if (line.command == "history")
+    {
+        return session{line}.history();
+    }
+    return usage_error(line.command.empty() ? "a command is missing" : "unknown command '" + line.command + "'");
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto description = make_options();
+    try
+    {
+        const auto values = parse(argc, argv, description);
+        if (values.count("help") > 0)
+        {
+            std::cout << description;
+            return done;
+        }
+        if (values.count("version") > 0)
+        {
+            std::cout << version_text << '\n';
+            return done;
+        }
+        const auto line = decode(values);
+        return line ? run(line.value()) : report(line.error(), bad_input);
+    }
+    catch (const options::error& failure)
+    {
+        return usage_error(failure.what());
+    }
+}
--- /dev/null
+++ b/include/galenabay/control/plan.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <galenabay/base/result.hpp>
+#include <galenabay/config/diff.hpp>
+#include <galenabay/platform/revision_store.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace galenabay::control
+{
+
+/// What applying a set would do now.
+struct plan
+{
+    /// Version of the manifest that the plan is based on; 0: nothing was ever
+    /// accepted.
+    std::uint64_t version = 0;
+    /// Number of the revision in force; 0: none.
+    std::uint64_t number = 0;
+    /// True when the set is in force already.
+    bool unchanged = false;
+    config::difference difference;
+};
+
+/// Compares a set with the newest accepted revision; writes nothing.
+base::result<plan> make_plan(const platform::revision_store& store, const config::service_set& next);
+
+/// Lines for an operator: each change, what happens to flows, each hazard.
+std::vector<std::string> describe(const plan& value);
+
+} // namespace galenabay::control
--- a/include/galenabay/platform/revision_store.hpp
+++ b/include/galenabay/platform/revision_store.hpp
@@ -74,6 +74,9 @@
     /// could not be found out in time.
     base::result<stored_revision> accept(const config::accepted_revision& next, std::uint64_t expected) const;
 
+    /// What the manifest says of the newest accepted revision, without its content.
+    base::result<std::optional<history_entry>> newest() const;
+
     /// Kept revisions, newest first, the one in force included.
     base::result<std::vector<history_entry>> history() const;
 
--- a/src/config/diff.cpp
+++ b/src/config/diff.cpp
@@ -198,8 +198,8 @@
         flow_forecast expected;
         expected.service = after_.name;
         expected.moved_share = moved_share(before_, after_);
-        expected.draining = static_cast<std::size_t>(
-            std::count_if(after_.upstreams.begin(), after_.upstreams.end(), starts_to_drain));
+        expected.draining =
+            static_cast<std::size_t>(std::count_if(after_.upstreams.begin(), after_.upstreams.end(), starts_to_drain));
         if (expected.moved_share > 0 || expected.draining > 0)
         {
             out_.forecasts.push_back(expected);
@@ -224,7 +224,8 @@
         if (found != owners.end() && found->second != element.name)
         {
             out.hazards.push_back({element.name, "it takes over the address " + element.address.to_string() +
-                                                     " of service '" + found->second + "', whose flows would reach it"});
+                                                     " of service '" + found->second +
+                                                     "', whose flows would reach it"});
         }
     }
 }
--- /dev/null
+++ b/src/control/apply.cpp
@@ -0,0 +1,111 @@
+#include <galenabay/control/apply.hpp>
+
+#include <galenabay/config/codec.hpp>
+#include <galenabay/config/diff.hpp>
+#include <galenabay/control/fleet_status.hpp>
+#include <galenabay/platform/acceptance.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace galenabay::control
+{
+
+namespace
+{
+
+using base::error_code;
+
+constexpr std::size_t max_listed_changes = 10;
+
+base::error refused(std::string detail)
+{
+    return base::error::make(error_code::refused, "apply", "", std::move(detail));
+}
+
+/// Adds the entries in which the set in force differs from the wanted one.
+base::error explain_conflict(const base::error& conflict, const platform::revision_store& store,
+                             const config::service_set& wanted)
+{
+    const auto winner = store.read();
+    if (!winner || !winner.value())
+    {
+        return conflict;
+    }
+    const auto difference = config::compare(winner.value()->revision.set, wanted);
+    std::string detail = conflict.detail() + "; yours differs in " + std::to_string(difference.changes.size()) +
+                         (difference.changes.size() == 1 ? " entry" : " entries");
+    for (std::size_t i = 0; i < std::min(difference.changes.size(), max_listed_changes); ++i)
+    {
+        detail += (i == 0 ? ": " : "; ") + config::to_string(difference.changes[i]);
+    }
+    return base::error::make(conflict.code(), conflict.step(), conflict.peer(), detail);
+}
+
+base::error planned_on_other(const config::accepted_revision& present)
+{
+    return base::error::make(error_code::conflict, "apply", present.author,
+                             platform::describe_acceptance(present.number, present.author, present.accepted_at));
+}
+
+bool is_forced(const apply_request& request, const std::string& name)
+{
+    return std::find(request.forced.begin(), request.forced.end(), name) != request.forced.end();
+}
+
+/// The number of the next revision: above every number that a host has in force,
+/// which is larger than the platform's own after a restore from a backup.
+base::result<std::uint64_t> choose_number(const platform::object_client& client, const apply_request& request,
+                                          std::uint64_t following)
+{
+    BOOST_OUTCOME_TRY(newest, newest_in_force(client));
+    if (newest < following)
+    {
+        return following;
+    }
+    if (!is_forced(request, restored_platform))
+    {
+        return refused("hosts have revision " + std::to_string(newest) + " in force but the platform holds only " +
+                       std::to_string(following - 1) +
+                       ": it was restored from an older state; apply the set that shall hold with --force " +
+                       restored_platform);
+    }
+    return newest + 1;
+}
+
+} // namespace
+
+base::result<apply_outcome> apply(const platform::revision_store& store, const platform::object_client& client,
+                                  const apply_request& request)
+{
+    BOOST_OUTCOME_TRY(stored, store.read());
+    const auto* const previous = stored ? &stored->revision : nullptr;
+    const auto version = stored ? stored->manifest_version : 0;
+    auto next = config::succeed(previous, request.set, request.author, request.accepted_at);
+    BOOST_OUTCOME_TRY(number, choose_number(client, request, next.number));
+    const bool restored = number != next.number;
+    if (previous != nullptr && previous->digest == next.digest && !restored)
+    {
+        return apply_outcome{false, std::move(*stored)};
+    }
+    if (request.expected_version && *request.expected_version != version)
+    {
+        return previous == nullptr ? refused("nothing was accepted yet; plan again")
+                                   : explain_conflict(planned_on_other(*previous), store, next.set);
+    }
+    const auto difference = config::compare(previous == nullptr ? config::service_set{} : previous->set, next.set);
+    if (const auto* const hazard = config::first_refused(difference, request.forced))
+    {
+        return refused(hazard->name + ": " + hazard->reason + "; let it drain first, or add --force " + hazard->name);
+    }
+    next.number = number;
+    auto accepted = store.accept(next, version);
+    if (!accepted && accepted.error().code() == error_code::conflict)
+    {
+        return explain_conflict(accepted.error(), store, next.set);
+    }
+    BOOST_OUTCOME_TRYV(accepted);
+    return apply_outcome{true, std::move(accepted).value()};
+}
+
+} // namespace galenabay::control
--- /dev/null
+++ b/src/control/fleet_status.cpp
@@ -0,0 +1,133 @@
+#include <galenabay/control/fleet_status.hpp>
+
+#include <galenabay/platform/status_codec.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace galenabay::control
+{
+
+namespace
+{
+
+base::result<std::vector<revision::status_document>> read_documents(const platform::object_client& client)
+{
+    BOOST_OUTCOME_TRY(objects, client.list(revision::status_prefix));
+    std::vector<revision::status_document> documents;
+    for (const auto& row : objects)
+    {
+        BOOST_OUTCOME_TRY(document, platform::decode_status(row.value));
+        documents.push_back(std::move(document));
+    }
+    return documents;
+}
+
+std::map<std::string, host_line> list_hosts(const std::vector<membership::listed_host>& rows)
+{
+    std::map<std::string, host_line> hosts;
+    for (const auto& row : rows)
+    {
+        if (!row.leaving)
+        {
+            host_line line;
+            line.name = row.name;
+            line.data_centre = row.data_centre;
+            hosts.emplace(row.name, line);
+        }
+    }
+    return hosts;
+}
+
+/// Adds what a document says of a host. The platform's list lags, so a host that
+/// only the document knows counts while it answers.
+void add_report(std::map<std::string, host_line>& hosts, const std::string& data_centre,
+                const revision::host_status& status)
+{
+    auto found = hosts.find(status.name);
+    if (status.state == membership::host_state::leaving)
+    {
+        if (found != hosts.end())
+        {
+            hosts.erase(found);
+        }
+        return;
+    }
+    if (found == hosts.end())
+    {
+        if (status.silent_s > 0)
+        {
+            return;
+        }
+        found = hosts.emplace(status.name, host_line{}).first;
+    }
+    found->second = host_line{status.name, data_centre, true, status};
+}
+
+} // namespace
+
+base::result<fleet_status> read_fleet_status(const platform::object_client& client)
+{
+    BOOST_OUTCOME_TRY(rows, client.hosts());
+    BOOST_OUTCOME_TRY(documents, read_documents(client));
+    auto hosts = list_hosts(rows);
+    fleet_status fleet;
+    for (const auto& document : documents)
+    {
+        fleet.data_centres.push_back({document.data_centre, document.writer, document.written_at});
+        for (const auto& status : document.hosts)
+        {
+            add_report(hosts, document.data_centre, status);
+        }
+    }
+    for (auto& [name, line] : hosts)
+    {
+        fleet.hosts.push_back(std::move(line));
+    }
+    return fleet;
+}
+
+base::result<std::uint64_t> newest_in_force(const platform::object_client& client)
+{
+    BOOST_OUTCOME_TRY(documents, read_documents(client));
+    std::uint64_t newest = 0;
+    for (const auto& document : documents)
+    {
+        for (const auto& status : document.hosts)
+        {
+            newest = std::max(newest, status.revision);
+        }
+    }
+    return newest;
+}
+
+bool has_in_force(const host_line& host, std::uint64_t number)
+{
+    return host.reported && host.status.silent_s == 0 && host.status.revision >= number;
+}
+
+std::vector<host_line> lagging(const fleet_status& fleet, std::uint64_t number)
+{
+    std::vector<host_line> late;
+    std::copy_if(fleet.hosts.begin(), fleet.hosts.end(), std::back_inserter(late),
+                 [&](const host_line& host) { return !has_in_force(host, number); });
+    return late;
+}
+
+std::string describe(const host_line& host)
+{
+    if (!host.reported)
+    {
+        return host.name + " (no status yet)";
+    }
+    if (host.status.silent_s > 0)
+    {
+        return host.name + " (silent for " + std::to_string(host.status.silent_s) + " s, revision " +
+               std::to_string(host.status.revision) + " then)";
+    }
+    return host.name + " (revision " + std::to_string(host.status.revision) +
+           (host.status.platform_reachable ? ")" : ", cut off from the platform)");
+}
+
+} // namespace galenabay::control
--- a/src/platform/manifest.cpp
+++ b/src/platform/manifest.cpp
@@ -2,6 +2,8 @@
 
 #include "json_text.hpp"
 
+#include <galenabay/platform/acceptance.hpp>
+
 #include <Poco/DateTimeFormat.h>
 #include <Poco/DateTimeFormatter.h>
 #include <Poco/Exception.h>
@@ -113,10 +115,9 @@
     return header;
 }
 
-std::string describe(const manifest& source)
+std::string describe_acceptance(std::uint64_t number, const std::string& author, std::int64_t accepted_at)
 {
-    return "accepted as revision " + std::to_string(source.number) + " by " + source.author + " at " +
-           format_time(source.accepted_at);
+    return "accepted as revision " + std::to_string(number) + " by " + author + " at " + format_time(accepted_at);
 }
 
 std::string format_time(std::int64_t seconds)
--- a/src/platform/manifest.hpp
+++ b/src/platform/manifest.hpp
@@ -33,10 +33,4 @@
 /// The revision that the manifest describes, without services and lineage.
 config::accepted_revision header_of(const manifest& source);
 
-/// "accepted as revision N by AUTHOR at TIME".
-std::string describe(const manifest& source);
-
-/// UTC time in ISO 8601 form.
-std::string format_time(std::int64_t seconds);
-
 } // namespace galenabay::platform
--- a/src/platform/revision_store.cpp
+++ b/src/platform/revision_store.cpp
@@ -5,6 +5,7 @@
 #include "retry.hpp"
 
 #include <galenabay/config/codec.hpp>
+#include <galenabay/platform/acceptance.hpp>
 
 #include <algorithm>
 #include <cstdio>
@@ -62,7 +63,8 @@
 
 base::error lost_race(const manifest& winner)
 {
-    return base::error::make(base::error_code::conflict, "accept_revision", winner.author, describe(winner));
+    return base::error::make(base::error_code::conflict, "accept_revision", winner.author,
+                             describe_acceptance(winner.number, winner.author, winner.accepted_at));
 }
 
 } // namespace
@@ -279,6 +281,12 @@
     return stored_revision{version, next};
 }
 
+base::result<std::optional<history_entry>> revision_store::newest() const
+{
+    BOOST_OUTCOME_TRY(present, state_->read_manifest());
+    return present.version == 0 ? std::nullopt : std::optional{to_entry(present.content)};
+}
+
 base::result<std::vector<history_entry>> revision_store::history() const
 {
     BOOST_OUTCOME_TRY(present, state_->read_manifest());
