--- /dev/null
+++ b/tools/caller_load/exchange_table.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "host_list.hpp"
+#include "settings.hpp"
+
+#include "../stand_in/datagram_socket.hpp"
+
+#include <galenabay/base/random.hpp>
+#include <galenabay/base/result.hpp>
+#include <galenabay/base/time.hpp>
+#include <galenabay/wire/coap_view.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace galenabay::stand_in
+{
+
+enum class event_kind
+{
+    /// The first response to an open exchange.
+    answered,
+    /// A response whose exchange is not open: a notification, or a repetition.
+    unmatched,
+    /// The request was reset.
+    reset,
+    /// No response came in time.
+    timed_out,
+};
+
+/// What happened to an exchange. Plain value.
+struct exchange_event
+{
+    event_kind kind = event_kind::timed_out;
+    std::size_t caller = 0;
+    /// Port of the service that the datagram came from, or was sent to.
+    std::uint16_t port = 0;
+    std::uint64_t token = 0;
+    wire::coap_view view;
+    std::vector<std::byte> payload;
+    base::duration took{};
+};
+
+/// A request to send. Plain value.
+struct outgoing_request
+{
+    std::size_t caller = 0;
+    std::uint16_t port = 0;
+    /// Type, token and options; the message id is filled in.
+    wire::coap_message message;
+};
+
+/// The callers' sockets and their confirmable requests, sent again as RFC 7252
+/// section 4.2 says, each copy to a random host. Owned by one thread.
+class exchange_table
+{
+public:
+    /// Errors: `io_failure`.
+    static base::result<exchange_table> make(const load_settings& settings, host_list& hosts);
+
+    std::size_t callers() const noexcept { return sockets_.size(); }
+    int descriptor(std::size_t caller) const { return sockets_[caller].descriptor(); }
+    std::uint64_t make_token() { return random_() | 1U; }
+    std::size_t open() const noexcept { return open_.size(); }
+
+    void send(const outgoing_request& request, base::time_point now);
+
+    /// Reads what waits at a caller's socket.
+    std::vector<exchange_event> on_readable(std::size_t caller, base::time_point now);
+
+    /// Sends again what is due; returns what timed out.
+    std::vector<exchange_event> on_tick(base::time_point now);
+
+    /// Acknowledges or resets a confirmable message.
+    void acknowledge(const exchange_event& event, base::time_point now);
+    void reset(const exchange_event& event, base::time_point now);
+
+private:
+    struct exchange
+    {
+        std::size_t caller = 0;
+        std::uint16_t port = 0;
+        std::uint16_t message_id = 0;
+        std::vector<std::byte> bytes;
+        base::time_point started;
+        base::time_point due;
+        base::duration timeout{};
+        unsigned transmissions = 1;
+        bool acknowledged = false;
+    };
+
+    exchange_table(const load_settings& settings, host_list& hosts);
+    std::optional<exchange_event> read(std::size_t caller, const base::endpoint& sender,
+                                       const std::vector<std::byte>& bytes, base::time_point now);
+    std::optional<exchange_event> on_empty(std::size_t caller, const wire::coap_view& view, std::uint16_t port,
+                                           base::time_point now);
+    exchange_event close(std::map<std::uint64_t, exchange>::iterator at, event_kind kind, base::time_point now);
+    void send_empty(const exchange_event& event, wire::coap_type type, base::time_point now);
+    void schedule(std::uint64_t token, exchange& item, base::time_point due);
+
+    load_settings settings_;
+    host_list* hosts_;
+    base::random_source random_;
+    std::vector<datagram_socket> sockets_;
+    std::vector<std::uint16_t> next_message_id_;
+    std::map<std::uint64_t, exchange> open_;
+    std::map<std::pair<std::size_t, std::uint16_t>, std::uint64_t> tokens_;
+    std::multimap<base::time_point, std::uint64_t> schedule_;
+};
+
+} // namespace galenabay::stand_in
--- /dev/null
+++ b/tools/caller_load/host_list.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/random.hpp>
+#include <galenabay/base/time.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace galenabay::stand_in
+{
+
+/// The hosts over which packets are sprayed, as a fabric would do. Owned by one
+/// thread.
+class host_list
+{
+public:
+    host_list(const std::vector<std::string>& hosts, std::string file, std::uint64_t seed);
+
+    bool empty() const noexcept { return hosts_.empty(); }
+
+    /// A random host's address with `port`.
+    base::endpoint pick(std::uint16_t port);
+
+    /// Reads the file again, now and then.
+    void on_tick(base::time_point now);
+
+private:
+    void read_file();
+    void add(const std::string& text);
+
+    std::vector<base::endpoint> hosts_;
+    std::string file_;
+    base::time_point next_read_{};
+    base::random_source random_;
+};
+
+} // namespace galenabay::stand_in
--- /dev/null
+++ b/tools/caller_load/settings.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "../stand_in/datagram_socket.hpp"
+
+#include <galenabay/base/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace galenabay::stand_in
+{
+
+/// A service under load. Plain value.
+struct target_service
+{
+    std::string name;
+    std::uint16_t port = 0;
+    bool is_datagram = false;
+    /// What this service is asked for.
+    bool feeds = false;
+    bool holds = false;
+    bool profiles = false;
+    bool titles = false;
+};
+
+/// What the callers do. Plain value.
+struct load_settings
+{
+    std::vector<std::string> hosts;
+    /// File with one host address per line, read again when it changes; in place of `hosts`.
+    std::string hosts_file;
+    std::vector<target_service> services;
+    std::size_t callers = 64;
+    std::size_t feeds = 0;
+    std::size_t datagram_flows = 0;
+    double requests_per_second = 100;
+    double post_percent = 30;
+    double title_percent = 10;
+    double swing_factor = 1;
+    base::duration swing_period{10'000'000};
+    base::duration length{10'000'000};
+    base::duration ack_timeout{500'000};
+    unsigned max_retransmit = 4;
+    /// A request without an answer after this long is lost.
+    base::duration answer_timeout{15'000'000};
+    base::duration feed_keepalive{10'000'000};
+    /// A feed that is silent for this long is registered again.
+    base::duration feed_renewal{4'000'000};
+    /// A feed that is silent for this long is broken.
+    base::duration feed_silence{20'000'000};
+    std::string record;
+    std::string report;
+    /// File with one upstream name per line whose feeds may break.
+    std::string excused_upstreams;
+    std::size_t lost_allowed = 0;
+    datagram_faults faults;
+    std::uint64_t seed = 1;
+};
+
+} // namespace galenabay::stand_in
--- /dev/null
+++ b/tools/caller_load/summary.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <galenabay/base/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace galenabay::stand_in
+{
+
+/// Counts and latencies of one load run, printed as key=value lines. Owned by one
+/// thread.
+class summary
+{
+public:
+    void add(const std::string& key, std::uint64_t count = 1) { counts_[key] += count; }
+    void set(const std::string& key, std::uint64_t count) { counts_[key] = count; }
+    std::uint64_t get(const std::string& key) const;
+
+    /// Time from the first transmission to the complete answer.
+    void add_latency(const std::string& request_class, base::duration value);
+    /// An answer by this upstream of this service.
+    void add_answer_from(const std::string& service, const std::string& upstream);
+
+    /// Prints a violation at once, with the time since the start.
+    void violation(const std::string& key, const std::string& detail);
+
+    void print(std::ostream& out) const;
+
+private:
+    void print_latencies(std::ostream& out) const;
+    void print_shares(std::ostream& out) const;
+
+    std::map<std::string, std::uint64_t> counts_;
+    std::map<std::string, std::vector<base::duration>> latencies_;
+    std::map<std::string, std::map<std::string, std::uint64_t>> shares_;
+};
+
+} // namespace galenabay::stand_in
