--- a/include/galenabay/config/codec.hpp
+++ b/include/galenabay/config/codec.hpp
@@ -47,6 +47,11 @@
 /// Errors: `stale` (the change has another base), `malformed`, `corrupt`.
 base::result<accepted_revision> decode_change(const accepted_revision& before, std::span<const std::byte> bytes);
 
+/// Reads what `revision_log::update_since` wrote. `current` is the revision in
+/// force here, null when there is none. Errors: `stale` (the changes do not follow
+/// `current`; ask for the whole), `malformed`, `corrupt`.
+base::result<accepted_revision> decode_update(const accepted_revision* current, std::span<const std::byte> bytes);
+
 /// Revisions for which the lineage of a removed service is kept.
 constexpr std::uint64_t removed_service_revisions = 64;
 
--- a/schema/revision.capnp
+++ b/schema/revision.capnp
@@ -53,3 +53,11 @@
   # Services that are new or differ.
   removed @6 :List(Text);
 }
+
+struct RevisionUpdate {
+  # Brings a host up to date: either the whole, or changes in order.
+  whole @0 :Data;
+  # Packed Revision; empty when `changes` suffice.
+  changes @1 :List(Data);
+  # Packed RevisionChange messages, oldest first.
+}
--- a/src/revision/follower.cpp
+++ b/src/revision/follower.cpp
@@ -40,6 +40,13 @@
     backoff pauses;
 };
 
+/// A revision that a source offered.
+struct offer
+{
+    std::uint64_t number = 0;
+    config::digest digest{};
+};
+
 } // namespace
 
 class follower::state
@@ -59,11 +66,11 @@
         consider(platform_source, offered, out);
         if (offered.number < number())
         {
-            on_older_answer(offered, now, out);
+            on_older_answer({offered.number, offered.digest}, now, out);
         }
         else
         {
-            older_answers_ = 0;
+            forget_older_answers();
         }
         schedule(now, out);
         return out;
@@ -73,7 +80,14 @@
     {
         platform_answered();
         platform_due_ = now + jitter(rewatch_jitter);
-        return scheduled(now);
+        actions out;
+        if (older_offer_)
+        {
+            // Nothing newer came: the platform still holds the older revision.
+            on_older_answer(*older_offer_, now, out);
+        }
+        schedule(now, out);
+        return out;
     }
 
     actions on_platform_failure(base::time_point now)
@@ -193,7 +207,7 @@
     {
         if (offered.number == number() && offered.number != 0 && offered.digest != current_->digest)
         {
-            alarm(source, offered, out);
+            alarm(source, {offered.number, offered.digest}, out);
             return;
         }
         if (offered.number <= number())
@@ -203,23 +217,30 @@
         GALENABAY_INVARIANT(!current_ || offered.number > current_->number);
         current_ = offered;
         newest_heard_ = std::max(newest_heard_, offered.number);
-        older_answers_ = 0;
+        forget_older_answers();
         alarms_.clear();
         out.emplace_back(adopt{offered.number});
     }
 
-    void on_older_answer(const config::accepted_revision& offered, base::time_point now, actions& out)
+    void on_older_answer(const offer& older, base::time_point now, actions& out)
     {
+        older_offer_ = older;
         older_answers_ = std::min(older_answers_ + 1, max_older_answer_pauses);
         platform_due_ = now + older_answers_ * older_answer_pause + jitter(rewatch_jitter);
         if (older_answers_ >= older_answers_until_alarm)
         {
-            alarm(platform_source, offered, out);
+            alarm(platform_source, older, out);
         }
     }
 
+    void forget_older_answers()
+    {
+        older_answers_ = 0;
+        older_offer_.reset();
+    }
+
     /// One alarm for each offer of a source, not one for each time it is made.
-    void alarm(const std::string& source, const config::accepted_revision& offered, actions& out)
+    void alarm(const std::string& source, const offer& offered, actions& out)
     {
         if (alarms_.emplace(source, offered.number, offered.digest).second)
         {
@@ -291,7 +312,9 @@
         }
         auto& [host, peer] = *choose(usable);
         peer.fetch_started = now;
-        out.emplace_back(fetch_from_peer{host, number()});
+        // After a failure the whole is asked for: the changes since `number` may
+        // not fit what is in force here.
+        out.emplace_back(fetch_from_peer{host, peer.pauses.failures() > 0 ? 0 : number()});
     }
 
     /// One of the peers with the largest number, at random.
@@ -313,6 +336,7 @@
     base::time_point platform_due_{};
     backoff platform_pauses_;
     int older_answers_ = 0;
+    std::optional<offer> older_offer_;
     std::map<std::string, peer_source> peers_;
     std::uint64_t newest_heard_ = 0;
     base::time_point peers_due_{};
--- a/tests/config/diff_test.cpp
+++ b/tests/config/diff_test.cpp
@@ -32,7 +32,10 @@
     config::service_set after = before;
     config::service& exchange = after.services[0];
 
-    config::difference found() const { return config::compare(before, after); }
+    config::difference found() const
+    {
+        return config::compare(before, after);
+    }
 };
 
 TEST(diff, equal_sets_do_not_differ)
--- a/tests/revision/follower_test.cpp
+++ b/tests/revision/follower_test.cpp
@@ -106,6 +106,25 @@
     LONGS_EQUAL(8, first_of<revision::adopt>(decided).number);
 }
 
+TEST(follower, unchanged_after_an_older_answer_counts_as_another_one)
+{
+    instance.on_platform_revision(make_revision(7), at(10ms));
+    instance.on_platform_revision(make_revision(5), at(20ms));
+    const auto actions = instance.on_platform_unchanged(at(5s));
+    LONGS_EQUAL(5, first_of<revision::raise_alarm>(actions).offered);
+    LONGS_EQUAL(7, first_of<revision::raise_alarm>(actions).in_force);
+}
+
+TEST(follower, asks_a_peer_for_the_whole_after_a_failure)
+{
+    instance.on_platform_revision(make_revision(3), at(10ms));
+    instance.on_platform_failure(at(20ms));
+    LONGS_EQUAL(3, first_of<revision::fetch_from_peer>(instance.on_peer_number("b", 4, at(30ms))).after);
+    instance.on_peer_failure("b", at(40ms));
+    const auto later = instance.on_tick(at(2s));
+    LONGS_EQUAL(0, first_of<revision::fetch_from_peer>(later).after);
+}
+
 TEST(follower, other_content_under_the_same_number_raises_an_alarm)
 {
     instance.on_platform_revision(make_revision(7, 1), at(10ms));
