Revision store: one logic over any client and clock, stale reads are no proof

The steps of an accept are a template over the object API and the clock, so that virtual time can drive them. A conflict is now reported only on proof (a manifest or history entry under the same number with other content); before, one stale answer of the read-back could turn an accepted change into a reported conflict.

--- a/src/config/revision_log.cpp
+++ b/src/config/revision_log.cpp
@@ -99,8 +99,8 @@
 
 base::result<accepted_revision> decode_update(const accepted_revision* current, std::span<const std::byte> bytes)
 {
-    return unpack<schema::RevisionUpdate>(
-        bytes, [&](schema::RevisionUpdate::Reader reader) { return read_update(current, reader); });
+    return unpack<schema::RevisionUpdate>(bytes, [&](schema::RevisionUpdate::Reader reader)
+                                          { return read_update(current, reader); });
 }
 
 } // namespace galenabay::config
--- a/src/platform/chunk_store.hpp
+++ b/src/platform/chunk_store.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "base64.hpp"
 #include "manifest.hpp"
 #include "retry.hpp"
 
+#include <galenabay/config/codec.hpp>
 #include <galenabay/platform/object_client.hpp>
 
 #include <cstddef>
@@ -10,6 +12,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace galenabay::platform
@@ -17,13 +20,18 @@
 
 using piece = std::vector<std::byte>;
 
+inline constexpr const char* chunk_prefix = "config/chunks/";
+
+inline std::string chunk_name(const piece& content)
+{
+    return config::to_hex(config::digest_of_bytes(content));
+}
+
 /// Pieces of revisions as objects named by their SHA-256.
-class chunk_store
+template <typename Client, typename Time> class chunk_store
 {
 public:
-    chunk_store(const object_client& client, const retry_policy& retry) : client_{client}, retry_{retry} {}
-
-    static std::string name_of(const piece& content);
+    chunk_store(const Client& client, const retry_policy<Time>& retry) : client_{client}, retry_{retry} {}
 
     /// The pieces that a manifest names, in order; those read before come from
     /// memory. Errors: `not_found`, `corrupt`.
@@ -44,9 +52,118 @@
     base::result<void> write_one(const std::string& key, const std::string& text, std::uint64_t seen) const;
     base::result<piece> fetch(const std::string& name) const;
 
-    const object_client& client_;
-    const retry_policy& retry_;
+    static constexpr int max_write_tries = 8;
+
+    const Client& client_;
+    const retry_policy<Time>& retry_;
     std::map<std::string, piece> known_;
 };
 
+template <typename Client, typename Time>
+base::result<piece> chunk_store<Client, Time>::fetch(const std::string& name) const
+{
+    BOOST_OUTCOME_TRY(stored, client_.get(std::string{chunk_prefix} + name));
+    BOOST_OUTCOME_TRY(content, from_base64(stored.value));
+    if (chunk_name(content) != name)
+    {
+        return base::error::make(base::error_code::corrupt, "read_chunk", "", std::string{chunk_prefix} + name);
+    }
+    return std::move(content);
+}
+
+template <typename Client, typename Time>
+base::result<std::vector<piece>> chunk_store<Client, Time>::read(const manifest& source)
+{
+    std::map<std::string, piece> used;
+    std::vector<piece> pieces;
+    for (const auto& name : source.chunks)
+    {
+        const auto found = known_.find(name);
+        if (found == known_.end())
+        {
+            BOOST_OUTCOME_TRY(content, fetch(name));
+            pieces.push_back(std::move(content));
+        }
+        else
+        {
+            pieces.push_back(found->second);
+        }
+        used.emplace(name, pieces.back());
+    }
+    known_ = std::move(used);
+    return pieces;
+}
+
+template <typename Client, typename Time>
+base::result<void> chunk_store<Client, Time>::write(const std::vector<piece>& pieces,
+                                                    const std::set<std::string>& safe) const
+{
+    BOOST_OUTCOME_TRY(stored, retry_.run([&] { return client_.list_keys(chunk_prefix); }));
+    std::map<std::string, std::uint64_t> versions;
+    for (const auto& row : stored)
+    {
+        versions.emplace(row.key, row.version);
+    }
+    for (const auto& content : pieces)
+    {
+        if (const auto name = chunk_name(content); !safe.contains(name))
+        {
+            const auto key = std::string{chunk_prefix} + name;
+            BOOST_OUTCOME_TRY(write_one(key, to_base64(content), versions[key]));
+        }
+    }
+    return base::outcome::success();
+}
+
+template <typename Client, typename Time>
+base::result<void> chunk_store<Client, Time>::write_one(const std::string& key, const std::string& text,
+                                                        std::uint64_t seen) const
+{
+    for (int tries = 0; tries < max_write_tries; ++tries)
+    {
+        const auto written = retry_.run([&] { return client_.put(key, text, seen); });
+        if (written)
+        {
+            return base::outcome::success();
+        }
+        if (written.error().code() != base::error_code::conflict)
+        {
+            return written.error();
+        }
+        const auto present = retry_.run([&] { return client_.get(key); });
+        if (!present && present.error().code() != base::error_code::not_found)
+        {
+            return present.error();
+        }
+        if (present && present.value().value == text)
+        {
+            // Written since the versions were listed: by another operator, or by
+            // a try of ours whose answer was lost.
+            return base::outcome::success();
+        }
+        seen = present ? present.value().version : 0;
+    }
+    return base::error::make(base::error_code::conflict, "write_chunk", "", key + ": changed by others all the time");
+}
+
+template <typename Client, typename Time>
+base::result<std::vector<object>> chunk_store<Client, Time>::unused(const std::set<std::string>& kept) const
+{
+    BOOST_OUTCOME_TRY(stored, retry_.run([&] { return client_.list_keys(chunk_prefix); }));
+    const auto prefix_length = std::string{chunk_prefix}.size();
+    std::erase_if(stored, [&](const object& row) { return kept.contains(row.key.substr(prefix_length)); });
+    return std::move(stored);
+}
+
+template <typename Client, typename Time>
+std::size_t chunk_store<Client, Time>::remove(const std::vector<object>& objects) const
+{
+    std::size_t removed = 0;
+    for (const auto& row : objects)
+    {
+        removed += client_.remove(row.key, row.version).has_value() ? 1U : 0U;
+    }
+    return removed;
+}
+
 } // namespace galenabay::platform
--- /dev/null
+++ b/src/platform/store_logic.hpp
@@ -0,0 +1,319 @@
+#pragma once
+
+#include "chunk_store.hpp"
+#include "manifest.hpp"
+#include "retry.hpp"
+
+#include <galenabay/config/codec.hpp>
+#include <galenabay/platform/acceptance.hpp>
+#include <galenabay/platform/revision_store.hpp>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace galenabay::platform
+{
+
+inline constexpr const char* manifest_key = "config/manifest";
+inline constexpr const char* history_prefix = "config/history/";
+
+/// Key of a revision's manifest in the history; keys sort by number.
+std::string history_key(std::uint64_t number);
+
+/// A manifest as the platform holds it; version 0 when there is none.
+struct stored_manifest
+{
+    std::uint64_t version = 0;
+    manifest content;
+};
+
+/// Objects that no kept revision needs once the next one is accepted.
+struct leftovers
+{
+    std::vector<object> chunks;
+    std::vector<object> history;
+};
+
+history_entry to_entry(const manifest& source);
+
+manifest manifest_of(const config::accepted_revision& revision, const std::vector<piece>& pieces);
+
+/// The steps behind `revision_store`, over any client with the calls of
+/// `object_client` and any clock with those of `steady_time`.
+template <typename Client, typename Time> class store_logic
+{
+public:
+    store_logic(Client used, std::chrono::milliseconds patience)
+        : client_{std::move(used)}, retry_{patience}, chunks_{client_, retry_}
+    {
+    }
+
+    /// See `revision_store`.
+    base::result<std::optional<stored_revision>> read()
+    {
+        BOOST_OUTCOME_TRY(found, read_manifest());
+        if (found.version == 0)
+        {
+            return std::optional<stored_revision>{};
+        }
+        return load(found);
+    }
+
+    base::result<std::optional<stored_revision>> watch(std::uint64_t after, std::chrono::milliseconds wait)
+    {
+        BOOST_OUTCOME_TRY(found, client_.watch(manifest_key, after, wait));
+        if (found.version == 0)
+        {
+            return std::optional<stored_revision>{};
+        }
+        BOOST_OUTCOME_TRY(content, parse_manifest(found.value));
+        return load(stored_manifest{found.version, std::move(content)});
+    }
+
+    base::result<std::optional<stored_revision>> fetch(std::uint64_t after, std::chrono::milliseconds wait)
+    {
+        const auto [version, number] = last_read_;
+        return wait.count() > 0 && number == after ? watch(version, wait) : read();
+    }
+
+    base::result<stored_revision> accept(const config::accepted_revision& next, std::uint64_t expected)
+    {
+        const auto pieces = config::encode_pieces(next);
+        const auto wanted = manifest_of(next, pieces);
+        BOOST_OUTCOME_TRY(present, retry_.run([&] { return read_manifest_since(expected); }));
+        if (present.version != expected)
+        {
+            return lost_race(present.content);
+        }
+        if (present.version != 0)
+        {
+            BOOST_OUTCOME_TRY(keep_in_history(present.content));
+        }
+        const std::set<std::string> safe{present.content.chunks.begin(), present.content.chunks.end()};
+        BOOST_OUTCOME_TRY(chunks_.write(pieces, safe));
+        BOOST_OUTCOME_TRY(unneeded, find_leftovers(wanted, present.content));
+        BOOST_OUTCOME_TRY(version, commit(wanted, expected));
+        // A failure leaves objects behind that the next accepted revision removes.
+        chunks_.remove(unneeded.history);
+        chunks_.remove(unneeded.chunks);
+        return stored_revision{version, next};
+    }
+
+    base::result<std::optional<history_entry>> newest() const
+    {
+        BOOST_OUTCOME_TRY(present, read_manifest());
+        return present.version == 0 ? std::nullopt : std::optional{to_entry(present.content)};
+    }
+
+    base::result<std::vector<history_entry>> history() const
+    {
+        BOOST_OUTCOME_TRY(present, read_manifest());
+        BOOST_OUTCOME_TRY(earlier, read_history());
+        std::vector<history_entry> entries;
+        if (present.version != 0)
+        {
+            entries.push_back(to_entry(present.content));
+        }
+        for (const auto& [row, content] : earlier)
+        {
+            if (content.number != present.content.number)
+            {
+                entries.push_back(to_entry(content));
+            }
+        }
+        return entries;
+    }
+
+    base::result<config::accepted_revision> read_number(std::uint64_t number)
+    {
+        BOOST_OUTCOME_TRY(present, read_manifest());
+        if (present.version != 0 && present.content.number == number)
+        {
+            BOOST_OUTCOME_TRY(newest, load(present));
+            return std::move(newest->revision);
+        }
+        BOOST_OUTCOME_TRY(kept, client_.get(history_key(number)));
+        BOOST_OUTCOME_TRY(content, parse_manifest(kept.value));
+        BOOST_OUTCOME_TRY(pieces, chunks_.read(content));
+        return config::decode_pieces(header_of(content), pieces);
+    }
+
+private:
+    base::result<stored_manifest> read_manifest() const
+    {
+        const auto found = client_.get(manifest_key);
+        if (!found && found.error().code() == base::error_code::not_found)
+        {
+            return stored_manifest{};
+        }
+        BOOST_OUTCOME_TRYV(found);
+        BOOST_OUTCOME_TRY(content, parse_manifest(found.value().value));
+        return stored_manifest{found.value().version, std::move(content)};
+    }
+
+    /// As `read_manifest`; an answer older than a version seen before is stale and
+    /// counts as no answer.
+    base::result<stored_manifest> read_manifest_since(std::uint64_t seen) const
+    {
+        BOOST_OUTCOME_TRY(present, read_manifest());
+        if (present.version < seen)
+        {
+            return base::error::make(base::error_code::unavailable, "read_manifest", "",
+                                     "the platform answers with an older state than before");
+        }
+        return std::move(present);
+    }
+
+    base::result<std::optional<stored_revision>> load(const stored_manifest& source)
+    {
+        BOOST_OUTCOME_TRY(pieces, chunks_.read(source.content));
+        BOOST_OUTCOME_TRY(revision, config::decode_pieces(header_of(source.content), pieces));
+        last_read_ = {source.version, revision.number};
+        return std::optional{stored_revision{source.version, std::move(revision)}};
+    }
+
+    base::result<std::vector<std::pair<object, manifest>>> read_history() const
+    {
+        BOOST_OUTCOME_TRY(rows, retry_.run([&] { return client_.list(history_prefix); }));
+        std::vector<std::pair<object, manifest>> entries;
+        for (auto& row : rows)
+        {
+            BOOST_OUTCOME_TRY(content, parse_manifest(row.value));
+            entries.emplace_back(std::move(row), std::move(content));
+        }
+        std::sort(entries.begin(), entries.end(),
+                  [](const auto& a, const auto& b) { return a.second.number > b.second.number; });
+        return entries;
+    }
+
+    /// Copies the manifest that is about to be replaced. It describes a revision
+    /// that was accepted, so the copy is true even if the next one is not.
+    base::result<void> keep_in_history(const manifest& replaced) const
+    {
+        const auto key = history_key(replaced.number);
+        const auto text = to_json(replaced);
+        std::uint64_t expected = 0;
+        for (int tries = 0; tries < max_history_tries; ++tries)
+        {
+            const auto written = retry_.run([&] { return client_.put(key, text, expected); });
+            if (written || written.error().code() != base::error_code::conflict)
+            {
+                return written ? base::result<void>{base::outcome::success()} : written.error();
+            }
+            BOOST_OUTCOME_TRY(present, retry_.run([&] { return client_.get(key); }));
+            if (present.value == text)
+            {
+                return base::outcome::success();
+            }
+            expected = present.version;
+        }
+        return base::error::make(base::error_code::conflict, "write_history", "", key);
+    }
+
+    /// Must run before the commit: an operator who starts after the commit writes
+    /// the pieces it needs again and so changes their versions; one who started
+    /// before it fails to commit.
+    base::result<leftovers> find_leftovers(const manifest& next, const manifest& replaced) const
+    {
+        BOOST_OUTCOME_TRY(entries, read_history());
+        std::set<std::string> kept{next.chunks.begin(), next.chunks.end()};
+        kept.insert(replaced.chunks.begin(), replaced.chunks.end());
+        leftovers found;
+        for (std::size_t i = 0; i < entries.size(); ++i)
+        {
+            if (i >= max_history)
+            {
+                found.history.push_back(entries[i].first);
+                continue;
+            }
+            kept.insert(entries[i].second.chunks.begin(), entries[i].second.chunks.end());
+        }
+        BOOST_OUTCOME_TRY(unused, chunks_.unused(kept));
+        found.chunks = std::move(unused);
+        return found;
+    }
+
+    /// Writes the manifest. Each try is conditional on the same version, so that a
+    /// write whose answer was lost cannot take effect twice.
+    base::result<std::uint64_t> commit(const manifest& next, std::uint64_t expected) const
+    {
+        const auto text = to_json(next);
+        retry_pacer<Time> pacer{retry_.patience};
+        while (true)
+        {
+            const auto written = client_.put(manifest_key, text, expected);
+            if (written || (written.error().code() != base::error_code::conflict && !is_transient(written.error())))
+            {
+                return written;
+            }
+            const auto resolved = resolve(next);
+            if (!resolved || resolved.value() != 0)
+            {
+                return resolved;
+            }
+            if (!pacer.pause())
+            {
+                return outcome_unknown(written.error());
+            }
+        }
+    }
+
+    /// Finds out what became of a write without an answer: the version when it was
+    /// accepted, 0 when that is open. Any read may be stale, so only a manifest
+    /// with the number of `next` or a history entry under it counts as proof.
+    base::result<std::uint64_t> resolve(const manifest& next) const
+    {
+        BOOST_OUTCOME_TRY(present, retry_.run([&] { return read_manifest(); }));
+        if (present.content.number < next.number)
+        {
+            return std::uint64_t{0};
+        }
+        if (present.content.number == next.number)
+        {
+            return decide(next, present, present.content);
+        }
+        const auto earlier = retry_.run([&] { return client_.get(history_key(next.number)); });
+        if (!earlier)
+        {
+            return std::uint64_t{0};
+        }
+        BOOST_OUTCOME_TRY(kept, parse_manifest(earlier.value().value));
+        return decide(next, stored_manifest{earlier.value().version, kept}, present.content);
+    }
+
+    static base::result<std::uint64_t> decide(const manifest& next, const stored_manifest& proof,
+                                              const manifest& newest)
+    {
+        if (proof.content.digest == next.digest)
+        {
+            return proof.version;
+        }
+        return lost_race(newest);
+    }
+
+    static base::error lost_race(const manifest& winner)
+    {
+        return base::error::make(base::error_code::conflict, "accept_revision", winner.author,
+                                 describe_acceptance(winner.number, winner.author, winner.accepted_at));
+    }
+
+    static base::error outcome_unknown(const base::error& last)
+    {
+        const auto code = last.code() == base::error_code::conflict ? base::error_code::timeout : last.code();
+        return base::error::make(code, "accept_revision", last.peer(),
+                                 "the outcome is unknown, apply again to find out: " + last.detail());
+    }
+
+    static constexpr int max_history_tries = 8;
+
+    Client client_;
+    retry_policy<Time> retry_;
+    chunk_store<Client, Time> chunks_;
+    /// Manifest version and number of the revision that was read last.
+    std::pair<std::uint64_t, std::uint64_t> last_read_{0, 0};
+};
+
+} // namespace galenabay::platform
