Tell the dispatcher which hosts exist

Cause: a host that is missing without having left may have run a request that this host does not know; the dispatcher needs the list to exclude it. Change: the control thread publishes all listed or heard hosts.

--- a/src/daemon/channels.hpp
+++ b/src/daemon/channels.hpp
@@ -29,6 +29,11 @@
 {
     std::vector<membership::live_host> hosts;
 };
+/// All hosts that exist, live or not, this one included.
+struct listed_event
+{
+    std::vector<membership::listed_host> hosts;
+};
 struct records_event
 {
     std::vector<flow::flow_record> records;
@@ -44,7 +49,7 @@
 {
 };
 using decide_event =
-    std::variant<std::monostate, revision_event, hosts_event, records_event, resumed_event, leave_event>;
+    std::variant<std::monostate, revision_event, hosts_event, listed_event, records_event, resumed_event, leave_event>;
 
 /// Decide thread to control thread: flow records for one peer.
 struct outgoing_records
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -380,6 +380,18 @@
     links_.decide_waker.notify();
 }
 
+void control_duty::publish_listed_hosts(base::time_point now)
+{
+    auto hosts = members_.contacts(now);
+    hosts.push_back({self_.name, self_.data_centre, self_.control, self_.relay, leaving_});
+    std::sort(hosts.begin(), hosts.end());
+    if (hosts != published_list_)
+    {
+        published_list_ = hosts;
+        links_.control_to_decide.push(listed_event{std::move(hosts)});
+    }
+}
+
 void control_duty::watch_pauses(base::time_point now)
 {
     if (members_.on_tick(now))
@@ -457,6 +469,7 @@
     begin_leaving(now);
     update_self(now);
     send_heartbeats(now);
+    publish_listed_hosts(now);
     publish_hosts(now);
     apply_cuts(now);
     status_.tick(members_, now);
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -83,6 +83,7 @@
 
     void update_self(base::time_point now);
     void publish_hosts(base::time_point now);
+    void publish_listed_hosts(base::time_point now);
     void watch_pauses(base::time_point now);
     void apply_cuts(base::time_point now);
     void begin_leaving(base::time_point now);
@@ -101,6 +102,7 @@
     membership::host_report self_;
     std::vector<std::byte> encoded_revision_;
     std::vector<membership::live_host> published_hosts_;
+    std::vector<membership::listed_host> published_list_;
     std::map<std::string, contact> contacts_;
     /// Last report of each host that was heard.
     std::map<std::string, membership::host_report> heard_;
--- a/src/daemon/decide_duty.cpp
+++ b/src/daemon/decide_duty.cpp
@@ -54,6 +54,10 @@
     {
         path_.on_hosts(hosts->hosts, now);
     }
+    else if (const auto* listed = std::get_if<listed_event>(&event))
+    {
+        path_.on_listed_hosts(listed->hosts, now);
+    }
     else if (const auto* records = std::get_if<records_event>(&event))
     {
         path_.on_records(records->records, now);
--- a/src/daemon/packet_path.cpp
+++ b/src/daemon/packet_path.cpp
@@ -384,6 +384,11 @@
     metrics_.set(metric::hosts_live, hosts_.size());
 }
 
+void packet_path::on_listed_hosts(const std::vector<membership::listed_host>& hosts, base::time_point now)
+{
+    dispatcher_.on_listed_hosts(hosts, now);
+}
+
 void packet_path::on_records(const std::vector<flow::flow_record>& records, base::time_point now)
 {
     steering_.on_records(records, now);
--- a/src/daemon/packet_path.hpp
+++ b/src/daemon/packet_path.hpp
@@ -35,6 +35,7 @@
 
     void on_revision(const std::shared_ptr<const config::accepted_revision>& revision, base::time_point now);
     void on_hosts(const std::vector<membership::live_host>& hosts, base::time_point now);
+    void on_listed_hosts(const std::vector<membership::listed_host>& hosts, base::time_point now);
     void on_records(const std::vector<flow::flow_record>& records, base::time_point now);
     void on_pause(base::time_point now);
     void on_leave(base::time_point now);
