Decide on differing flows at one host per flow, with records between hosts

Hosts that can't decide alone pass a packet to the first host of the flow's ranking, then down the ranking until one knows the flow. Records of flows whose table versions differ go to the first two hosts of the ranking. torture_flow drives a handful of instances in virtual time.

--- /dev/null
+++ b/bench/torture_flow.cpp
@@ -0,0 +1,534 @@
+// Randomised faults and changes over a handful of steering instances in virtual
+// time. Usage: torture_flow [--seeds N] [--first S]
+
+#include "flow_fleet.hpp"
+#include "revision_maker.hpp"
+#include "seed_arguments.hpp"
+
+#include <array>
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace galenabay::bench
+{
+
+namespace
+{
+
+constexpr base::duration second{1'000'000};
+constexpr base::duration run_length = 150 * second;
+constexpr base::duration longest_skew = 10 * second;
+constexpr base::duration drain_limit = 3 * second;
+constexpr std::uint32_t idle_timeout_s = 90;
+constexpr std::uint64_t longest_gap_ms = 25'000;
+constexpr std::size_t flow_count = 250;
+/// An established flow that is refused this often in a row counts as broken.
+constexpr int refusal_limit = 6;
+
+struct counts
+{
+    std::uint64_t packets = 0;
+    std::uint64_t flows = 0;
+    std::uint64_t relayed = 0;
+    std::uint64_t changes = 0;
+    std::uint64_t host_faults = 0;
+    std::uint64_t upstream_faults = 0;
+    std::uint64_t refused = 0;
+    /// Flows that moved after every host that had forwarded them had ended.
+    std::uint64_t orphans = 0;
+    /// Flows of upstreams that were removed and left the lineage.
+    std::uint64_t ended = 0;
+    std::uint64_t violations = 0;
+};
+
+struct open_flow
+{
+    base::endpoint caller;
+    base::endpoint address;
+    std::string service;
+    base::endpoint upstream;
+    bool established = false;
+    base::time_point next{};
+    std::uint64_t gap_ms = 1000;
+    int refusals = 0;
+    /// Hosts that forwarded it, with their process count and the time.
+    std::map<std::size_t, std::pair<std::uint32_t, base::time_point>> witnesses;
+};
+
+enum class event : unsigned
+{
+    change,
+    two_changes,
+    kill_host,
+    replace_host,
+    pause_host,
+    fail_upstream,
+    flap_upstream,
+    partition,
+};
+
+class torture_run
+{
+public:
+    torture_run(std::uint64_t seed, const seed_range& arguments, counts& total)
+        : seed_{seed}, arguments_{arguments}, total_{total}, random_{base::mix(seed, 77)}, fleet_{make_fleet_settings(seed)},
+          revisions_{make_services()}
+    {
+        note_upstreams();
+        note_listed();
+        for (std::size_t i = 0; i < fleet_.size(); ++i)
+        {
+            fleet_.at(i).on_revision(revisions_.current(), fleet_.now());
+        }
+        fleet_.publish(revisions_.current(), base::duration{0});
+        fleet_.advance(8 * second);
+    }
+
+    void run()
+    {
+        const auto end = fleet_.now() + run_length;
+        for (std::size_t i = 0; i < flow_count; ++i)
+        {
+            flows_.push_back(open());
+        }
+        next_event_ = fleet_.now() + 5 * second;
+        while (fleet_.now() < end)
+        {
+            fleet_.advance(base::duration{100'000});
+            if (fleet_.now() >= next_event_ && fleet_.now() + 20 * second < end)
+            {
+                next_event_ = fleet_.now() + base::duration{static_cast<std::int64_t>(random_.below(12'000'000))};
+                disturb();
+            }
+            end_faults();
+            for (auto& flow : flows_)
+            {
+                if (flow.next <= fleet_.now())
+                {
+                    send(flow);
+                }
+            }
+        }
+    }
+
+private:
+    static fleet_settings make_fleet_settings(std::uint64_t seed)
+    {
+        fleet_settings settings;
+        settings.hosts = 3 + seed % 4;
+        settings.seed = seed;
+        settings.table_size = 2048;
+        settings.drop_percent = seed % 3 == 0 ? 3 : 0;
+        settings.double_percent = 10;
+        settings.delay_percent = 10;
+        return settings;
+    }
+
+    static std::vector<config::service> make_services()
+    {
+        std::vector<config::service> services{make_service("parts", 5683, 1, 6), make_service("titles", 5684, 101, 3)};
+        for (auto& service : services)
+        {
+            service.flows.idle_timeout_s = idle_timeout_s;
+        }
+        return services;
+    }
+
+    void note_upstreams()
+    {
+        for (const auto& service : revisions_.draft())
+        {
+            for (const auto& upstream : service.upstreams)
+            {
+                owners_[upstream.endpoint] = service.name;
+            }
+        }
+    }
+
+    static base::endpoint caller_of(std::uint64_t number)
+    {
+        return base::endpoint::make_v4(0x0b000000 + static_cast<std::uint32_t>(number), 40000);
+    }
+
+    open_flow open()
+    {
+        ++total_.flows;
+        open_flow flow;
+        flow.caller = caller_of(++last_caller_);
+        const auto& service = revisions_.draft()[random_.below(3) == 0 ? 1 : 0];
+        flow.service = service.name;
+        flow.address = service.address;
+        flow.gap_ms = random_.below(2) == 0 ? 500 + random_.below(2'000) : 5'000 + random_.below(longest_gap_ms - 5'000);
+        flow.next = fleet_.now() + base::duration{static_cast<std::int64_t>(random_.below(2'000'000))};
+        return flow;
+    }
+
+    void send(open_flow& flow)
+    {
+        ++total_.packets;
+        flow.next = fleet_.now() + base::duration{static_cast<std::int64_t>(500 * flow.gap_ms +
+                                                                           random_.below(flow.gap_ms) * 1000)};
+        const auto result = fleet_.send(flow.caller, flow.address);
+        total_.relayed += result.hops;
+        if (arguments_.caller != 0 && flow.caller == caller_of(arguments_.caller))
+        {
+            std::printf("  %lld packet hosts=%zu,%zu hops=%d upstream=%s reason=%s\n",
+                        static_cast<long long>(fleet_.now().time_since_epoch().count() / 1000), result.first_host,
+                        result.last_host, result.hops, result.upstream.to_string().c_str(),
+                        flow::name_of(result.reason));
+        }
+        if (!result.delivered)
+        {
+            total_.refused += result.dropped ? 1 : 0;
+            flow.refusals += result.dropped ? 1 : 0;
+            flow.next = std::min(flow.next, fleet_.now() + second);
+            if (flow.refusals >= refusal_limit)
+            {
+                end_refused(flow, result);
+            }
+            return;
+        }
+        flow.refusals = 0;
+        if (!check(flow, result))
+        {
+            flow = open();
+            return;
+        }
+        if (dead_.count(result.upstream) == 0)
+        {
+            fleet_.answer(result, flow.caller, flow.address);
+            flow.established = true;
+            flow.upstream = result.upstream;
+        }
+        flow.witnesses[result.last_host] = {fleet_.life(result.last_host), fleet_.now()};
+        if (random_.below(40) == 0)
+        {
+            flow = open();
+        }
+    }
+
+    /// False when a promise was broken or the flow lost its last witness.
+    bool check(const open_flow& flow, const delivery& result)
+    {
+        if (owners_[result.upstream] != flow.service)
+        {
+            violation("wrong service", flow, result);
+            return false;
+        }
+        if (flow.established && result.upstream != flow.upstream && listed_.count(flow.upstream) == 0)
+        {
+            ++total_.ended;
+            return false;
+        }
+        if (flow.established && result.upstream != flow.upstream && was_dead_.count(flow.upstream) == 0)
+        {
+            has_witness(flow) ? violation("flow moved", flow, result) : void(++total_.orphans);
+            return false;
+        }
+        const auto drained = draining_.find(result.upstream);
+        if (!flow.established && drained != draining_.end() && fleet_.now() > drained->second + drain_limit)
+        {
+            violation("new flow on a draining upstream", flow, result);
+            return false;
+        }
+        return true;
+    }
+
+    void end_refused(open_flow& flow, const delivery& result)
+    {
+        if (flow.established && dead_.count(flow.upstream) == 0 && listed_.count(flow.upstream) != 0)
+        {
+            has_witness(flow) ? violation("established flow refused", flow, result) : void(++total_.orphans);
+        }
+        flow = open();
+    }
+
+    bool has_witness(const open_flow& flow) const
+    {
+        for (const auto& [host, seen] : flow.witnesses)
+        {
+            const auto& [life, time] = seen;
+            const bool remembers = fleet_.now() - time < idle_timeout_s * second;
+            if (remembers && fleet_.is_up(host) && fleet_.life(host) == life)
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void violation(const char* promise, const open_flow& flow, const delivery& result)
+    {
+        ++total_.violations;
+        std::printf("violation seed=%llu at_ms=%lld promise=\"%s\" caller=%s was=%s now=%s hops=%d hosts=%zu,%zu reason=%s\n",
+                    static_cast<unsigned long long>(seed_),
+                    static_cast<long long>(fleet_.now().time_since_epoch().count() / 1000), promise,
+                    flow.caller.to_string().c_str(), flow.upstream.to_string().c_str(),
+                    result.upstream.to_string().c_str(), result.hops, result.first_host, result.last_host,
+                    flow::name_of(result.reason));
+    }
+
+    void disturb()
+    {
+        constexpr std::array<event, 10> kinds{event::change,     event::change,       event::change,
+                                              event::two_changes, event::kill_host,   event::replace_host,
+                                              event::pause_host, event::fail_upstream, event::flap_upstream,
+                                              event::partition};
+        const auto kind = kinds[random_.below(kinds.size())];
+        if (((arguments_.kinds >> static_cast<unsigned>(kind)) & 1) == 0)
+        {
+            return;
+        }
+        switch (kind)
+        {
+        case event::change:
+            return change();
+        case event::two_changes:
+            change();
+            return change();
+        case event::kill_host:
+            return kill_host();
+        case event::replace_host:
+            return replace_host();
+        case event::pause_host:
+            return pause_host();
+        case event::fail_upstream:
+            return fail_upstream();
+        case event::flap_upstream:
+            return flap_upstream();
+        case event::partition:
+            return;
+        }
+    }
+
+    template <typename... Values> void trace(const char* format, Values... values) const
+    {
+        if (arguments_.trace)
+        {
+            std::printf("  %lld ", static_cast<long long>(fleet_.now().time_since_epoch().count() / 1000));
+            std::printf(format, values...);
+            std::printf("\n");
+        }
+    }
+
+    void change()
+    {
+        ++total_.changes;
+        auto& service = revisions_.draft()[random_.below(4) == 0 ? 1 : 0];
+        auto& upstreams = service.upstreams;
+        auto& chosen = upstreams[random_.below(upstreams.size())];
+        switch (random_.below(6))
+        {
+        case 0:
+        case 1:
+            upstreams.push_back(make_upstream(1000 + ++last_upstream_));
+            break;
+        case 2:
+            chosen.weight = 50 + static_cast<std::uint32_t>(random_.below(4)) * 50;
+            break;
+        case 3:
+        case 4:
+            drain(service, chosen);
+            break;
+        default:
+            remove(service);
+            break;
+        }
+        note_upstreams();
+        publish();
+        trace("change: revision %d, service %s", static_cast<int>(revisions_.current().number), service.name.c_str());
+        for (const auto& one : arguments_.trace ? upstreams : std::vector<config::upstream>{})
+        {
+            trace("  %s %s weight %d", one.endpoint.to_string().c_str(), one.draining ? "draining" : "open", static_cast<int>(one.weight));
+        }
+    }
+
+    void drain(const config::service& service, config::upstream& chosen)
+    {
+        const auto open = std::count_if(service.upstreams.begin(), service.upstreams.end(),
+                                        [](const auto& one) { return !one.draining; });
+        if (chosen.draining)
+        {
+            chosen.draining = false;
+            draining_.erase(chosen.endpoint);
+        }
+        else if (open > 2)
+        {
+            chosen.draining = true;
+        }
+    }
+
+    void remove(config::service& service)
+    {
+        const auto drained = std::find_if(service.upstreams.begin(), service.upstreams.end(),
+                                          [](const auto& one) { return one.draining; });
+        if (drained != service.upstreams.end())
+        {
+            service.upstreams.erase(drained);
+        }
+    }
+
+    void note_listed()
+    {
+        listed_.clear();
+        const auto add = [&](const std::vector<config::upstream>& upstreams)
+        {
+            for (const auto& one : upstreams)
+            {
+                listed_.insert(one.endpoint);
+            }
+        };
+        for (const auto& service : revisions_.current().set.services)
+        {
+            add(service.upstreams);
+        }
+        for (const auto& [name, generations] : revisions_.current().lineage)
+        {
+            for (const auto& generation : generations)
+            {
+                add(generation.upstreams);
+            }
+        }
+    }
+
+    void publish()
+    {
+        const auto first = fleet_.publish(revisions_.accept(), longest_skew);
+        note_listed();
+        for (const auto& service : revisions_.draft())
+        {
+            for (const auto& upstream : service.upstreams)
+            {
+                if (upstream.draining)
+                {
+                    draining_.try_emplace(upstream.endpoint, first);
+                }
+            }
+        }
+    }
+
+    std::size_t up_hosts() const
+    {
+        std::size_t up = 0;
+        for (std::size_t i = 0; i < fleet_.size(); ++i)
+        {
+            up += fleet_.is_up(i) ? 1 : 0;
+        }
+        return up;
+    }
+
+    void kill_host()
+    {
+        const auto host = random_.below(fleet_.size());
+        if (fleet_.is_up(host) && up_hosts() > 2)
+        {
+            ++total_.host_faults;
+            trace("kill host %d", static_cast<int>(host));
+            fleet_.kill(host);
+            restarts_.emplace(fleet_.now() + base::duration{static_cast<std::int64_t>(random_.below(20'000'000))}, host);
+        }
+    }
+
+    void replace_host()
+    {
+        const auto host = random_.below(fleet_.size());
+        if (fleet_.is_up(host) && up_hosts() > 2 && leaving_.insert(host).second)
+        {
+            ++total_.host_faults;
+            trace("leave host %d", static_cast<int>(host));
+            fleet_.leave(host);
+            restarts_.emplace(fleet_.now() + 6 * second, host);
+        }
+    }
+
+    void pause_host()
+    {
+        const auto host = random_.below(fleet_.size());
+        if (fleet_.is_up(host))
+        {
+            ++total_.host_faults;
+            trace("pause host %d", static_cast<int>(host));
+            fleet_.pause(host, base::duration{static_cast<std::int64_t>(2'500'000 + random_.below(40'000'000))});
+        }
+    }
+
+    void fail_upstream()
+    {
+        const auto& service = revisions_.draft()[0];
+        const auto& chosen = service.upstreams[random_.below(service.upstreams.size())];
+        if (dead_.empty())
+        {
+            ++total_.upstream_faults;
+            dead_.insert(chosen.endpoint);
+            was_dead_.insert(chosen.endpoint);
+            fleet_.report_health(config::id_of(service, chosen), false, 2 * second);
+        }
+    }
+
+    void flap_upstream()
+    {
+        ++total_.upstream_faults;
+        const auto& service = revisions_.draft()[0];
+        const auto& chosen = service.upstreams[random_.below(service.upstreams.size())];
+        const auto id = config::id_of(service, chosen);
+        fleet_.report_health(id, false, base::duration{100'000});
+        fleet_.advance(base::duration{400'000});
+        fleet_.report_health(id, dead_.count(chosen.endpoint) == 0, base::duration{100'000});
+    }
+
+    void end_faults()
+    {
+        while (!restarts_.empty() && restarts_.begin()->first <= fleet_.now())
+        {
+            leaving_.erase(restarts_.begin()->second);
+            trace("start host %d", static_cast<int>(restarts_.begin()->second));
+            fleet_.start(restarts_.begin()->second);
+            restarts_.erase(restarts_.begin());
+        }
+    }
+
+    std::uint64_t seed_;
+    seed_range arguments_;
+    counts& total_;
+    base::random_source random_;
+    flow_fleet fleet_;
+    revision_maker revisions_;
+    std::map<base::endpoint, std::string> owners_;
+    std::map<base::endpoint, base::time_point> draining_;
+    /// Upstreams of the newest revision and its lineage.
+    std::set<base::endpoint> listed_;
+    std::set<base::endpoint> dead_;
+    std::set<base::endpoint> was_dead_;
+    std::set<std::size_t> leaving_;
+    std::multimap<base::time_point, std::size_t> restarts_;
+    std::vector<open_flow> flows_;
+    base::time_point next_event_{};
+    std::uint32_t last_caller_ = 0;
+    std::uint32_t last_upstream_ = 0;
+};
+
+} // namespace
+
+} // namespace galenabay::bench
+
+int main(int argc, char** argv)
+{
+    using namespace galenabay::bench;
+    const auto seeds = parse_seeds(argc, argv);
+    counts total;
+    for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed)
+    {
+        torture_run{seed, seeds, total}.run();
+    }
+    const auto show = [](std::uint64_t value) { return static_cast<unsigned long long>(value); };
+    std::printf("torture_flow seeds=%llu packets=%llu flows=%llu relayed=%llu changes=%llu host_faults=%llu "
+                "upstream_faults=%llu refused=%llu orphans=%llu ended=%llu violations=%llu\n",
+                show(seeds.count), show(total.packets), show(total.flows), show(total.relayed), show(total.changes),
+                show(total.host_faults), show(total.upstream_faults), show(total.refused), show(total.orphans),
+                show(total.ended), show(total.violations));
+    return total.violations == 0 ? 0 : 1;
+}
--- a/include/galenabay/flow/flow_record.hpp
+++ b/include/galenabay/flow/flow_record.hpp
@@ -15,7 +15,8 @@
     /// Bytes of one record in a peer message.
     static constexpr std::size_t wire_size = 16;
 
-    /// Hash of caller, service address and service.
+    /// Hash of caller and service address; the low 3 bits tell how long the flow
+    /// has been silent, or mark a control record.
     std::uint64_t key = 0;
     /// Low 32 bits of the service's id.
     std::uint32_t service = 0;
--- a/src/flow/flow_key.hpp
+++ b/src/flow/flow_key.hpp
@@ -2,7 +2,6 @@
 
 #include <galenabay/base/endpoint.hpp>
 #include <galenabay/base/hash.hpp>
-#include <galenabay/config/service_set.hpp>
 
 #include <cstdint>
 
@@ -13,12 +12,11 @@
 constexpr unsigned key_spare_bits = 3;
 constexpr std::uint64_t key_mask = ~std::uint64_t{(1U << key_spare_bits) - 1};
 
-/// Key of a flow; never 0.
-inline std::uint64_t make_flow_key(const base::endpoint& caller, const base::endpoint& address,
-                                   config::service_id service) noexcept
+/// Key of a flow; never 0. The service is no part of it: the upstream that a
+/// flow is on tells the service.
+inline std::uint64_t make_flow_key(const base::endpoint& caller, const base::endpoint& address) noexcept
 {
-    const auto destination = base::mix(base::hash_endpoint(address), service);
-    const auto key = base::mix(base::hash_endpoint(caller), destination) & key_mask;
+    const auto key = base::mix(base::hash_endpoint(caller), base::hash_endpoint(address)) & key_mask;
     return key == 0 ? ~key_mask + 1 : key;
 }
 
--- a/src/flow/flow_table.cpp
+++ b/src/flow/flow_table.cpp
@@ -55,6 +55,7 @@
     where.entries[way] = flow_entry{};
     where.entries[way].first_seen = now;
     where.entries[way].last_seen = now;
+    where.entries[way].confirmed = now;
     return where.entries[way];
 }
 
--- a/src/flow/flow_table.hpp
+++ b/src/flow/flow_table.hpp
@@ -41,16 +41,17 @@
 {
     /// Index of the upstream in `service_index`.
     std::uint32_t upstream : 28 = 0;
-    /// Seen for longer than `flow_table::probation`, or learned from a peer.
+    /// Seen for longer than `flow_table::probation`.
     std::uint32_t established : 1 = 0;
-    /// The deciding host is known to remember this flow since `confirmed`.
-    std::uint32_t is_confirmed : 1 = 0;
-    /// The upstream is not the one that the tables in force give.
-    std::uint32_t pinned : 1 = 0;
-    /// Waits in the queue of records for the deciding host.
-    std::uint32_t queued : 1 = 0;
+    /// Kept on behalf of all hosts, which don't tell of each packet.
+    std::uint32_t registered : 1 = 0;
+    /// Moved away from an upstream that was unhealthy.
+    std::uint32_t moved : 1 = 0;
+    std::uint32_t unused : 1 = 0;
     coarse_time first_seen;
     coarse_time last_seen;
+    /// When the upstream was chosen, learned or last told to the hosts that keep
+    /// records of the flow.
     coarse_time confirmed;
 };
 
--- /dev/null
+++ b/src/flow/host_ranking.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <galenabay/config/service_set.hpp>
+#include <galenabay/membership/host.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace galenabay::flow
+{
+
+/// Order of the live hosts for a flow key, by the weights of rendezvous hashing.
+///
+/// The first host of the order decides on flows that a host can't decide alone,
+/// the second one keeps a copy of its records. In a large fleet only `max_group`
+/// hosts, chosen by service, take part. Owned by one thread.
+class host_ranking
+{
+public:
+    static constexpr std::size_t max_group = 16;
+
+    /// `self`: name of this host. True when the set of hosts has changed.
+    bool set_hosts(std::span<const membership::live_host> hosts, const std::string& self);
+
+    const std::vector<membership::live_host>& hosts() const noexcept { return hosts_; }
+    bool is_self(std::size_t host) const noexcept { return host == self_; }
+    /// Hosts other than this one.
+    std::size_t peer_count() const noexcept { return hosts_.size() - (self_ < hosts_.size() ? 1 : 0); }
+    /// 16-bit hash of the names.
+    std::uint16_t set_hash() const noexcept { return set_hash_; }
+
+    /// The host after this one in the order; the first host when this one does
+    /// not take part. Empty when this host is the last one.
+    std::optional<std::size_t> next(config::service_id service, std::uint64_t key) const;
+
+    /// The first host of the order; empty when that is this host or there is none.
+    std::optional<std::size_t> first(config::service_id service, std::uint64_t key) const;
+
+    /// Number of hosts before this one in the order.
+    std::size_t position(config::service_id service, std::uint64_t key) const;
+
+    /// True when the host is the first or second of the order.
+    bool keeps_records(std::size_t host, config::service_id service, std::uint64_t key) const;
+    bool self_keeps_records(config::service_id service, std::uint64_t key) const;
+
+private:
+    const std::vector<std::size_t>& group(config::service_id service) const;
+    std::uint64_t weight(std::size_t host, std::uint64_t key) const noexcept;
+
+    std::vector<membership::live_host> hosts_;
+    std::size_t self_ = 0;
+    std::uint16_t set_hash_ = 0;
+    std::vector<std::size_t> all_;
+    mutable std::unordered_map<config::service_id, std::vector<std::size_t>> groups_;
+};
+
+} // namespace galenabay::flow
--- /dev/null
+++ b/src/flow/record_handling.cpp
@@ -0,0 +1,274 @@
+#include "flow_key.hpp"
+#include "steering_state.hpp"
+
+#include <algorithm>
+
+namespace galenabay::flow
+{
+
+namespace
+{
+
+/// Time within which a record of a flow that another host has just placed
+/// arrives.
+constexpr base::duration record_latency{1'300'000};
+
+} // namespace
+
+void steering::state::log_complete()
+{
+    complete_log_.emplace_back(now_, exchange_.complete_revision());
+    while (now_ - complete_log_.front().first > record_latency)
+    {
+        complete_log_.pop_front();
+    }
+}
+
+std::uint64_t steering::state::stable_complete_revision() const
+{
+    auto least = exchange_.complete_revision();
+    for (const auto& [time, revision] : complete_log_)
+    {
+        least = std::min(least, revision);
+    }
+    return least;
+}
+
+void steering::state::note_settled()
+{
+    const bool alone = !exchange_.has_peers();
+    const bool known = alone ? revision_ != 0 && now_ - alone_since_ >= base::duration{3'000'000}
+                             : exchange_.complete_for_set() || complete_ranking_.has_value();
+    if (!known)
+    {
+        return;
+    }
+    const auto complete = stable_complete_revision();
+    for (std::uint32_t i = 0; i < index_.service_count(); ++i)
+    {
+        if (auto& slot = index_.service(i); !slot.version_tags.empty() && slot.changed_in <= complete)
+        {
+            slot.settled_tag = slot.version_tags.front();
+            slot.bypassed = slot.awaited_tag != 0;
+        }
+    }
+}
+
+void steering::state::note_complete_set()
+{
+    if (exchange_.has_peers() && exchange_.complete_for_set() && exchange_.complete_revision() >= revision_)
+    {
+        complete_ranking_ = ranking_;
+    }
+}
+
+std::optional<std::size_t> steering::state::host_index(std::uint64_t id) const
+{
+    const auto& hosts = ranking_.hosts();
+    const auto found =
+        std::find_if(hosts.begin(), hosts.end(), [&](const auto& host) { return host.id >> 32 == id >> 32; });
+    return found == hosts.end() ? std::nullopt : std::optional<std::size_t>{found - hosts.begin()};
+}
+
+bool steering::state::needs_record(std::uint64_t key, const flow_entry& entry) const
+{
+    const auto& slot = index_.service(index_.upstream(entry.upstream).service);
+    if (entry.moved != 0 || slot.moved || !slot.present)
+    {
+        return true;
+    }
+    candidate_list candidates;
+    return !slot.choice.choose_all(key, candidates) || candidates[0] != entry.upstream;
+}
+
+void steering::state::scan_table()
+{
+    struct target
+    {
+        scan_request request;
+        std::size_t host = 0;
+        const host_ranking* covered = nullptr;
+    };
+    std::vector<target> targets;
+    for (const auto& request : exchange_.start_scan(revision_))
+    {
+        if (const auto host = host_index(request.host))
+        {
+            const auto past = std::find_if(past_rankings_.begin(), past_rankings_.end(),
+                                           [&](const auto& one) { return one.first == request.covered_set; });
+            const bool same = request.covered_set == ranking_.set_hash();
+            const auto* covered = same ? &ranking_ : past == past_rankings_.end() ? nullptr : &past->second;
+            targets.push_back({request, *host, covered});
+        }
+    }
+    const auto was_sent = [&](const target& to, const service_slot& slot, std::uint64_t key)
+    {
+        if (to.covered == nullptr || to.request.covered_revision < slot.changed_in)
+        {
+            return false;
+        }
+        const auto& hosts = to.covered->hosts();
+        const auto host = std::find_if(hosts.begin(), hosts.end(),
+                                       [&](const auto& one) { return one.id >> 32 == to.request.host >> 32; });
+        return host != hosts.end() &&
+               to.covered->keeps_records(static_cast<std::size_t>(host - hosts.begin()), slot.id, key);
+    };
+    const auto visit = [&](std::uint64_t key, flow_entry& entry)
+    {
+        if (is_expired(entry) || !needs_record(key, entry))
+        {
+            return true;
+        }
+        const auto& slot = index_.service(index_.upstream(entry.upstream).service);
+        entry.registered |= ranking_.self_keeps_records(slot.id, key) ? 1 : 0;
+        if (ranking_.self_keeps_records(slot.id, key))
+        {
+            entry.registered = 1;
+        }
+        for (const auto& to : targets)
+        {
+            if (ranking_.keeps_records(to.host, slot.id, key) && !was_sent(to, slot, key))
+            {
+                exchange_.queue_bulk(to.request.host, key);
+            }
+        }
+        return true;
+    };
+    for (std::size_t bucket = 0; !targets.empty() && bucket < table_.bucket_count(); ++bucket)
+    {
+        table_.visit_bucket(bucket, visit);
+    }
+}
+
+bool steering::state::make_record(std::uint64_t key, flow_record& record)
+{
+    const auto* entry = table_.find(key);
+    if (entry == nullptr || is_expired(*entry))
+    {
+        return false;
+    }
+    const auto& slot = index_.upstream(entry->upstream);
+    const flow_silence silence{coarse_time::of(now_).since(entry->last_seen), entry->established != 0};
+    record.key = encode_silence(key, silence);
+    record.service = static_cast<std::uint32_t>(index_.service(slot.service).id);
+    record.upstream = static_cast<std::uint32_t>(slot.id);
+    ++counters_.records_sent;
+    return true;
+}
+
+std::vector<flow_record> steering::state::take_records(std::size_t host, std::size_t budget_bytes, base::time_point now)
+{
+    now_ = now;
+    if (host >= ranking_.hosts().size() || ranking_.is_self(host))
+    {
+        return {};
+    }
+    if (revision_ != 0 && exchange_.scan_due(revision_))
+    {
+        scan_table();
+    }
+    return exchange_.take(ranking_.hosts()[host].id, budget_bytes, revision_, now,
+                          [&](std::uint64_t key, flow_record& record) { return make_record(key, record); });
+}
+
+void steering::state::on_records(std::span<const flow_record> records, base::time_point now)
+{
+    now_ = now;
+    for (const auto& record : records)
+    {
+        if (!is_notice(record))
+        {
+            on_flow_record(record);
+            continue;
+        }
+        const auto value = decode_notice(record);
+        switch (value.kind)
+        {
+        case notice_kind::changed:
+            on_changed(value);
+            break;
+        case notice_kind::unhealthy:
+            on_unhealthy(value);
+            break;
+        case notice_kind::request:
+        case notice_kind::batch:
+        case notice_kind::complete:
+            exchange_.on_notice(value, now);
+            break;
+        }
+    }
+    note_complete_set();
+}
+
+void steering::state::on_changed(const notice& value)
+{
+    for (std::uint32_t i = 0; i < index_.service_count(); ++i)
+    {
+        auto& slot = index_.service(i);
+        if (static_cast<std::uint32_t>(slot.id) != value.subject || slot.version_tags.empty())
+        {
+            continue;
+        }
+        const auto since = now_ - decode_age(value.number);
+        const auto known =
+            std::find_if(slot.version_tags.begin(), slot.version_tags.end(),
+                         [&](std::uint64_t tag) { return static_cast<std::uint32_t>(tag) == value.detail; });
+        if (known == slot.version_tags.begin())
+        {
+            slot.changed_at = std::min(slot.changed_at, since);
+        }
+        else if (known == slot.version_tags.end() && slot.awaited_tag != value.detail)
+        {
+            slot.awaited_since = slot.awaited_tag == 0 ? since : std::min(slot.awaited_since, since);
+            slot.awaited_tag = value.detail;
+        }
+    }
+}
+
+void steering::state::on_flow_record(const flow_record& record)
+{
+    ++counters_.records_received;
+    const auto upstream = index_.find_upstream(record.service, record.upstream);
+    if (upstream == no_upstream_index)
+    {
+        unresolved_ = true;
+        return;
+    }
+    if (!index_.upstream(upstream).reachable())
+    {
+        return;
+    }
+    const auto told = decode_silence(record.key);
+    const auto key = record.key & key_mask;
+    auto* entry = table_.find(key);
+    if (entry != nullptr && entry->upstream != upstream)
+    {
+        const bool fresher = coarse_time::of(now_).since(entry->last_seen) <= told.silence;
+        if (fresher && !is_expired(*entry))
+        {
+            return;
+        }
+        table_.erase(key);
+        entry = nullptr;
+    }
+    const auto seen = coarse_time::of(now_ - told.silence);
+    if (entry == nullptr)
+    {
+        entry = &table_.insert(key, now_, [&](const flow_entry& one) { return is_expired(one); });
+        entry->upstream = upstream;
+        entry->first_seen = seen;
+        entry->last_seen = seen;
+    }
+    if (seen.since(entry->last_seen).count() > 0)
+    {
+        entry->last_seen = seen;
+    }
+    entry->registered = 1;
+    entry->confirmed = coarse_time::of(now_);
+    if (told.established)
+    {
+        table_.establish(key, *entry);
+    }
+}
+
+} // namespace galenabay::flow
--- a/src/flow/service_index.cpp
+++ b/src/flow/service_index.cpp
@@ -3,6 +3,7 @@
 #include <galenabay/base/invariant.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace galenabay::flow
 {
@@ -70,10 +71,11 @@
 }
 
 void service_index::add_version(service_slot& slot, std::uint32_t index, const config::service& owner,
-                                const std::vector<config::upstream>& upstreams, bool in_force)
+                                const std::vector<config::upstream>& upstreams, std::uint64_t first_revision,
+                                bool in_force)
 {
     slot.choice.add_version();
-    slot.version_tags.push_back(tag_of(upstreams, owner.id()));
+    slot.version_tags.push_back(tag_of(upstreams, base::mix(owner.id(), first_revision)));
     for (const auto& target : upstreams)
     {
         const auto place = slot_of(index, owner, target);
@@ -98,7 +100,7 @@
     {
         upstreams_[place].listed = false;
         upstreams_[place].in_set = false;
-        upstreams_[place].open = false;
+        upstreams_[place].was_open = std::exchange(upstreams_[place].open, false);
     }
     slot.upstreams.clear();
     slot.version_tags.clear();
@@ -106,34 +108,56 @@
     slot.fingerprint = 0;
 }
 
-void service_index::build(std::uint32_t index, const config::service& from,
-                          const std::vector<config::generation>* lineage, base::time_point now)
+bool service_index::build(std::uint32_t index, const config::service& from,
+                          const std::vector<config::generation>* lineage)
 {
     const auto print = fingerprint_of(from, lineage);
     if (services_[index].fingerprint == print)
     {
-        return;
+        return false;
     }
     auto& slot = services_[index];
-    const auto old_tag = slot.version_tags.empty() ? 0 : slot.version_tags.front();
+    const auto old_tags = slot.version_tags;
     clear(slot);
     slot.fingerprint = print;
     slot.draining = from.draining;
     slot.idle_timeout = base::duration{from.flows.idle_timeout_s * 1'000'000LL};
-    add_version(slot, index, from, from.upstreams, true);
-    if (lineage != nullptr)
+    const std::size_t earlier = lineage == nullptr ? 0 : std::min(lineage->size(), max_versions - 1);
+    const auto first_revision = [&](std::size_t version)
+    { return version < earlier ? (*lineage)[version].last_revision + 1 : 0; };
+    slot.history_full = earlier >= config::max_generations;
+    add_version(slot, index, from, from.upstreams, first_revision(0), true);
+    for (std::size_t i = 0; i < earlier; ++i)
     {
-        for (const auto& earlier : *lineage)
-        {
-            if (slot.choice.versions() < max_versions)
-            {
-                add_version(slot, index, from, earlier.upstreams, false);
-            }
-        }
+        add_version(slot, index, from, (*lineage)[i].upstreams, first_revision(i + 1), false);
     }
-    if (slot.version_tags.front() != old_tag)
+    return slot.version_tags != old_tags;
+}
+
+void service_index::note_change(std::uint32_t index, std::uint64_t revision, base::time_point now)
+{
+    auto& slot = services_[index];
+    slot.changed_in = revision;
+    slot.changed_at = now;
+    if (slot.awaited_tag != 0)
     {
-        slot.adopted = now;
+        const bool arrived =
+            std::any_of(slot.version_tags.begin(), slot.version_tags.end(),
+                        [&](std::uint64_t tag) { return static_cast<std::uint32_t>(tag) == slot.awaited_tag; });
+        // What a peer had in force then includes this version or follows it.
+        slot.changed_at = std::min(now, slot.awaited_since);
+        slot.awaited_tag = arrived ? 0 : slot.awaited_tag;
+        slot.bypassed = true;
+    }
+    for (const auto place : slot.upstreams)
+    {
+        auto& entry = upstreams_[place];
+        if (entry.was_open && !entry.open)
+        {
+            entry.closed_in = revision;
+            entry.closed_at = slot.changed_at;
+        }
+        entry.was_open = entry.open;
     }
 }
 
@@ -191,24 +215,34 @@
         auto& owners = entry->second;
         std::erase_if(owners.former,
                       [&](const former_owner& one) { return !one.in_lineage && !in_transition(one, now); });
+        for (const auto& former : owners.former)
+        {
+            services_[former.service].moved = true;
+        }
         const bool unused = owners.current == address_owners::none && owners.former.empty();
         entry = unused ? by_address_.erase(entry) : std::next(entry);
     }
 }
 
-void service_index::take_in(const config::accepted_revision& revision, base::time_point now)
+std::vector<std::uint32_t> service_index::take_in(const config::accepted_revision& revision, base::time_point now)
 {
+    std::vector<std::uint32_t> changed;
     for (auto& slot : services_)
     {
         slot.present = false;
         slot.named = false;
+        slot.moved = false;
     }
     release_addresses(now);
     for (const auto& from : revision.set.services)
     {
         const auto index = slot_of(from.id());
         const auto lineage = revision.lineage.find(from.name);
-        build(index, from, lineage == revision.lineage.end() ? nullptr : &lineage->second, now);
+        if (build(index, from, lineage == revision.lineage.end() ? nullptr : &lineage->second))
+        {
+            note_change(index, revision.number, now);
+            changed.push_back(index);
+        }
         services_[index].present = true;
         services_[index].named = true;
         services_[index].address = from.address;
@@ -223,7 +257,11 @@
             gone.name = name;
             gone.draining = true;
             gone.flows.idle_timeout_s = static_cast<std::uint32_t>(services_[index].idle_timeout.count() / 1'000'000);
-            build(index, gone, &lineage, now);
+            if (build(index, gone, &lineage))
+            {
+                note_change(index, revision.number, now);
+                changed.push_back(index);
+            }
             services_[index].named = true;
         }
         for (const auto& earlier : lineage)
@@ -233,6 +271,7 @@
     }
     drop_unnamed(now);
     mark_taken_over();
+    return changed;
 }
 
 void service_index::mark_taken_over()
@@ -289,6 +328,18 @@
     return no_upstream_index;
 }
 
+bool service_index::owns(const address_owners& owners, std::uint32_t service) noexcept
+{
+    return owners.current == service || std::any_of(owners.former.begin(), owners.former.end(),
+                                                    [&](const former_owner& one) { return one.service == service; });
+}
+
+std::size_t service_index::version_of(std::uint32_t service, std::uint64_t tag) const
+{
+    const auto& tags = services_[service].version_tags;
+    return static_cast<std::size_t>(std::find(tags.begin(), tags.end(), tag) - tags.begin());
+}
+
 bool service_index::in_transition(const former_owner& owner, base::time_point now) const
 {
     return now - owner.since < services_[owner.service].idle_timeout;
--- a/src/flow/service_index.hpp
+++ b/src/flow/service_index.hpp
@@ -27,12 +27,21 @@
     bool in_set = false;
     /// Takes new flows when healthy.
     bool open = false;
+    /// State of `open` before the revision in force.
+    bool was_open = false;
+    /// Revision that closed it, and when that came in force on the first host.
+    std::uint64_t closed_in = 0;
+    base::time_point closed_at{};
     /// Another service uses its endpoint now.
     bool taken_over = false;
     bool healthy = true;
     /// Last time at which the upstream was known to be unhealthy.
     base::time_point unhealthy_at{};
     bool was_unhealthy = false;
+    base::time_point unhealthy_since{};
+    /// Last packet from the upstream.
+    base::time_point answered_at{};
+    bool answered = false;
 
     /// True when packets of known flows may go there.
     bool reachable() const noexcept { return listed && !taken_over; }
@@ -52,10 +61,26 @@
     upstream_choice choice;
     /// All upstreams, those of the lineage included.
     std::vector<std::uint32_t> upstreams;
-    /// Hash of the upstreams and weights of each version; 0 is in force.
+    /// Hash of the upstreams, weights and first revision of each version; 0 is
+    /// in force.
     std::vector<std::uint64_t> version_tags;
-    /// When the version in force was adopted here.
-    base::time_point adopted{};
+    /// Versions before these have been forgotten.
+    bool history_full = false;
+    /// The newest version since which this host knows every flow whose upstream
+    /// differs between versions; 0: none.
+    std::uint64_t settled_tag = 0;
+    /// Since the settled version other hosts may have placed flows on this
+    /// host's behalf, because its revision was out of date.
+    bool bypassed = false;
+    /// Revision that brought the version in force.
+    std::uint64_t changed_in = 0;
+    /// When the first host put the version in force, as far as known here.
+    base::time_point changed_at{};
+    /// A version that a peer has in force and this host has not; 0: none.
+    std::uint32_t awaited_tag = 0;
+    base::time_point awaited_since{};
+    /// Some address belonged to this service before.
+    bool moved = false;
     /// What the slot was built from, to skip unchanged services.
     std::uint64_t fingerprint = 0;
 };
@@ -84,7 +109,8 @@
 {
 public:
     /// Takes in a revision. Services whose state did not change are kept.
-    void take_in(const config::accepted_revision& revision, base::time_point now);
+    /// Returns the services whose versions changed.
+    std::vector<std::uint32_t> take_in(const config::accepted_revision& revision, base::time_point now);
 
     /// nullptr when no service has or had the address.
     const address_owners* find_address(const base::endpoint& address) const;
@@ -100,6 +126,11 @@
     upstream_slot& upstream(std::uint32_t index) { return upstreams_[index]; }
     const upstream_slot& upstream(std::uint32_t index) const { return upstreams_[index]; }
     std::size_t service_count() const noexcept { return services_.size(); }
+    /// True when `owner` is a service that owns or owned the address.
+    static bool owns(const address_owners& owners, std::uint32_t service) noexcept;
+    /// The upstream for new flows of a version tag; its index among the versions,
+    /// or the number of versions when the tag is not among them.
+    std::size_t version_of(std::uint32_t service, std::uint64_t tag) const;
     std::size_t upstream_count() const noexcept { return upstreams_.size(); }
 
     /// True when a former owner's flows may still arrive.
@@ -113,12 +144,12 @@
 
     std::uint32_t slot_of(config::service_id id);
     std::uint32_t slot_of(std::uint32_t service, const config::service& owner, const config::upstream& target);
-    void build(std::uint32_t index, const config::service& from, const std::vector<config::generation>* lineage,
-               base::time_point now);
+    bool build(std::uint32_t index, const config::service& from, const std::vector<config::generation>* lineage);
     void add_version(service_slot& slot, std::uint32_t index, const config::service& owner,
-                     const std::vector<config::upstream>& upstreams, bool in_force);
+                     const std::vector<config::upstream>& upstreams, std::uint64_t first_revision, bool in_force);
     void take_address(const config::service& owner, std::uint32_t index);
     void release_addresses(base::time_point now);
+    void note_change(std::uint32_t index, std::uint64_t revision, base::time_point now);
     void drop_unnamed(base::time_point now);
     void clear(service_slot& slot);
     void lose_address(const base::endpoint& address, std::uint32_t index, base::time_point now);
--- a/src/flow/steering_state.cpp
+++ b/src/flow/steering_state.cpp
@@ -10,167 +10,125 @@
 namespace galenabay::flow
 {
 
-steering::state::state(steering_settings settings) : settings_{std::move(settings)}, table_{settings_.table_size} {}
-
-void steering::state::on_revision(const config::accepted_revision& revision, base::time_point now)
+namespace
 {
-    now_ = now;
-    if (revision.number > revision_)
-    {
-        revision_ = revision.number;
-        index_.take_in(revision, now);
-    }
-}
-
-void steering::state::on_hosts(std::span<const membership::live_host> hosts, base::time_point now)
-{
-    now_ = now;
-    hosts_.assign(hosts.begin(), hosts.end());
-}
-
-void steering::state::on_health(config::upstream_id upstream, bool healthy, base::time_point now)
-{
-    const auto index = index_.find_upstream(upstream);
-    if (index == no_upstream_index)
-    {
-        return;
-    }
-    auto& slot = index_.upstream(index);
-    slot.healthy = healthy;
-    if (!healthy)
-    {
-        slot.was_unhealthy = true;
-        slot.unhealthy_at = now;
-    }
-}
 
-bool steering::state::is_expired(const flow_entry& entry, base::time_point now) const
-{
-    const auto& owner = index_.service(index_.upstream(entry.upstream).service);
-    return coarse_time::of(now).since(entry.last_seen) >= owner.idle_timeout;
-}
+/// Share of the table that one tick looks through for expired flows.
+constexpr std::size_t sweep_divisor = 32;
+/// Sets of hosts that are remembered to send only what a change calls for.
+constexpr std::size_t max_past_rankings = 8;
 
-decision steering::state::drop(drop_reason reason)
-{
-    ++counters_.dropped[static_cast<std::size_t>(reason)];
-    decision result;
-    result.reason = reason;
-    return result;
-}
+} // namespace
 
-decision steering::state::forward(std::uint32_t upstream)
+steering::state::state(steering_settings settings)
+    : settings_{std::move(settings)}, table_{settings_.table_size}, exchange_{settings_.seed}
 {
-    const auto& slot = index_.upstream(upstream);
-    decision result;
-    result.what = verdict::forward;
-    result.service = index_.service(slot.service).id;
-    result.upstream = slot.id;
-    result.upstream_endpoint = slot.endpoint;
-    return result;
+    const auto id = base::hash_text(settings_.self);
+    exchange_.set_self(id);
 }
 
-decision steering::state::decide_unknown(std::uint32_t service, std::uint64_t key, base::time_point now)
-{
-    const auto& owner = index_.service(service);
-    if (owner.draining)
-    {
-        return drop(drop_reason::service_draining);
-    }
-    const auto chosen = owner.choice.choose(key, [&](std::uint32_t one) { return index_.upstream(one).open; });
-    if (chosen == no_upstream_index)
-    {
-        return drop(drop_reason::no_upstream);
-    }
-    auto& entry = table_.insert(key, now, [&](const flow_entry& one) { return is_expired(one, now); });
-    entry.upstream = chosen;
-    return forward(chosen);
-}
-
-decision steering::state::on_packet(const base::endpoint& caller, const base::endpoint& address, std::uint8_t,
-                                    base::time_point now)
+void steering::state::on_revision(const config::accepted_revision& revision, base::time_point now)
 {
     now_ = now;
-    if (revision_ == 0)
-    {
-        return drop(drop_reason::no_revision);
-    }
-    const auto* owners = index_.find_address(address);
-    if (owners == nullptr)
-    {
-        return drop(drop_reason::unknown_service);
-    }
-    bool may_be_older = false;
-    std::array<std::uint32_t, 2> order{owners->current, address_owners::none};
-    for (const auto& former : owners->former)
+    if (revision.number <= revision_)
     {
-        if (index_.in_transition(former, now))
-        {
-            may_be_older = true;
-            order[1] = former.service;
-        }
+        return;
     }
-    for (const auto service : order)
+    note_settled();
+    const bool first = revision_ == 0;
+    revision_ = revision.number;
+    for (const auto service : index_.take_in(revision, now))
     {
-        if (service == address_owners::none)
-        {
-            continue;
-        }
-        const auto key = make_flow_key(caller, address, index_.service(service).id);
-        auto* entry = table_.find(key);
-        if (entry != nullptr && !is_expired(*entry, now))
-        {
-            table_.touch(key, *entry, now);
-            return index_.upstream(entry->upstream).reachable() ? forward(entry->upstream)
-                                                                : drop(drop_reason::upstream_gone);
-        }
-        if (entry != nullptr)
+        const auto& slot = index_.service(service);
+        if (!first)
         {
-            table_.erase(key);
-            table_.count_idle_eviction();
+            exchange_.announce(notice_kind::changed, static_cast<std::uint32_t>(slot.id),
+                               static_cast<std::uint32_t>(slot.version_tags.front()), slot.changed_at, now);
         }
     }
-    if (may_be_older)
+    if (std::exchange(unresolved_, false))
     {
-        return drop(drop_reason::address_moved);
+        exchange_.ask_again();
     }
-    if (owners->current == address_owners::none)
-    {
-        return drop(drop_reason::unknown_service);
-    }
-    return decide_unknown(owners->current, make_flow_key(caller, address, index_.service(owners->current).id), now);
 }
 
-void steering::state::on_upstream_packet(const base::endpoint& caller, const base::endpoint& address,
-                                         const base::endpoint& upstream, base::time_point now)
+void steering::state::on_hosts(std::span<const membership::live_host> hosts, base::time_point now)
 {
     now_ = now;
-    const auto* owners = index_.find_address(address);
-    if (owners == nullptr || owners->current == address_owners::none)
+    const bool had_peers = exchange_.has_peers();
+    note_settled();
+    auto before = ranking_;
+    if (!ranking_.set_hosts(hosts, settings_.self))
     {
         return;
     }
-    const auto key = make_flow_key(caller, address, index_.service(owners->current).id);
-    auto* entry = table_.find(key);
-    if (entry != nullptr && index_.upstream(entry->upstream).endpoint == upstream)
+    past_rankings_.emplace_back(before.set_hash(), std::move(before));
+    if (past_rankings_.size() > max_past_rankings)
     {
-        table_.touch(key, *entry, now);
+        past_rankings_.erase(past_rankings_.begin());
+    }
+    std::vector<membership::live_host> peers;
+    std::copy_if(hosts.begin(), hosts.end(), std::back_inserter(peers),
+                 [&](const membership::live_host& host) { return host.name != settings_.self; });
+    exchange_.set_peers(peers, ranking_.set_hash(), now);
+    if (peers.empty() && (had_peers || alone_since_ == base::time_point{}))
+    {
+        alone_since_ = now;
     }
 }
 
-void steering::state::on_records(std::span<const flow_record>, base::time_point now)
+void steering::state::on_tick(base::time_point now, bool paused)
 {
     now_ = now;
+    if (paused)
+    {
+        resumed_at_ = now;
+        alone_since_ = now;
+        complete_ranking_.reset();
+        exchange_.restart(now);
+        for (std::uint32_t i = 0; i < index_.service_count(); ++i)
+        {
+            index_.service(i).settled_tag = 0;
+        }
+    }
+    exchange_.on_tick(now);
+    note_complete_set();
+    log_complete();
+    list_unhealthy();
+    sweep();
 }
 
-std::vector<flow_record> steering::state::take_records(std::size_t, std::size_t, base::time_point now)
+void steering::state::sweep()
 {
-    now_ = now;
-    return {};
+    const std::size_t count = std::max<std::size_t>(1, table_.bucket_count() / sweep_divisor);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        table_.visit_bucket(next_bucket_,
+                            [&](std::uint64_t key, flow_entry& entry)
+                            {
+                                if (is_expired(entry))
+                                {
+                                    table_.count_idle_eviction();
+                                    return false;
+                                }
+                                const auto service = index_.upstream(entry.upstream).service;
+                                if (entry.moved != 0)
+                                {
+                                    // Other hosts have to keep asking for as long as such flows live.
+                                    note_unhealthy(choose_open(service, key), now_);
+                                }
+                                return true;
+                            });
+        next_bucket_ = (next_bucket_ + 1) % table_.bucket_count();
+    }
 }
 
-void steering::state::on_tick(base::time_point now, bool)
+bool steering::state::is_expired(const flow_entry& entry) const
 {
-    now_ = now;
+    constexpr int registered_factor = 3;
+    const auto& owner = index_.service(index_.upstream(entry.upstream).service);
+    const auto limit = owner.idle_timeout * (entry.registered != 0 ? registered_factor : 1);
+    return coarse_time::of(now_).since(entry.last_seen) >= limit;
 }
 
 bool steering::state::may_reach(const base::endpoint& address, const base::endpoint& upstream) const
@@ -190,8 +148,7 @@
         return true;
     }
     return std::any_of(owners->former.begin(), owners->former.end(),
-                       [&](const former_owner& one)
-                       { return index_.in_transition(one, now_) && reaches(one.service); });
+                       [&](const former_owner& one) { return reaches(one.service); });
 }
 
 const steering_counters& steering::state::counters() noexcept
--- a/src/flow/steering_state.hpp
+++ b/src/flow/steering_state.hpp
@@ -1,17 +1,27 @@
 #pragma once
 
 #include "flow_table.hpp"
+#include "host_ranking.hpp"
+#include "peer_exchange.hpp"
 #include "service_index.hpp"
 
 #include <galenabay/flow/steering.hpp>
 
 #include <array>
+#include <deque>
 #include <optional>
+#include <utility>
 
 namespace galenabay::flow
 {
 
 /// Implementation of `steering`.
+///
+/// A host decides alone on a flow that it knows, and on an unknown one when all
+/// versions of the service give the same upstream. Any other packet goes to the
+/// first host of the flow's ranking. That host knows the flow, or knows that no
+/// host does, or passes the packet down the ranking; the last host of the
+/// ranking takes the flow for a new one.
 class steering::state
 {
 public:
@@ -31,17 +41,95 @@
     const steering_counters& counters() noexcept;
 
 private:
+    /// One packet on its way through the decision.
+    struct packet
+    {
+        std::uint64_t key = 0;
+        const address_owners* owners = nullptr;
+        /// Service whose ranking applies.
+        std::uint32_t service = 0;
+        std::uint8_t hops = 0;
+    };
+
+    /// Where an unknown flow would go if it were new, and whether that is right
+    /// for an older flow as well.
+    struct placement
+    {
+        std::uint32_t upstream = no_upstream_index;
+        bool certain = false;
+    };
+
+    using candidate_list = std::array<std::uint32_t, max_versions>;
+
+    // Outcomes.
     decision drop(drop_reason reason);
-    decision forward(std::uint32_t upstream);
-    decision decide_unknown(std::uint32_t service, std::uint64_t key, base::time_point now);
-    bool is_expired(const flow_entry& entry, base::time_point now) const;
+    decision forward(const packet& of, std::uint32_t upstream);
+    decision relay(std::size_t host);
+
+    // Decisions on packets.
+    flow_entry* find_known(const packet& of);
+    decision decide_known(const packet& of, flow_entry& entry);
+    decision decide_unknown(const packet& of);
+    decision decide_here(const packet& of);
+    std::optional<decision> ask_next(const packet& of);
+    decision place(const packet& of, const placement& where);
+    placement plan(const packet& of) const;
+    placement plan_settled(const packet& of, std::uint32_t settled, bool authoritative) const;
+    void replace_upstream(const packet& of, flow_entry& entry);
+    void tell_keepers(std::uint32_t service, std::uint64_t key);
+    void refresh(const packet& of, flow_entry& entry);
+    bool is_trusted(const packet& of, const flow_entry& entry) const;
+    bool may_decide_alone(const packet& of, std::uint32_t& upstream) const;
+    bool in_transition(const packet& of) const;
+
+    // What is known about services and upstreams.
+    std::uint32_t choose_open(std::uint32_t service, std::uint64_t key) const;
+    bool in_panic(std::uint32_t service) const;
+    bool takes_new(std::uint32_t upstream) const;
+    bool keeps_known(std::uint32_t upstream) const;
+    bool recently_unhealthy(std::uint32_t upstream) const;
+    bool awaits_version(const service_slot& slot) const;
+    /// Peers that have told everything include this host among those that keep
+    /// records of the flow.
+    bool is_keeper(std::uint32_t service, std::uint64_t key) const;
+    bool is_authoritative(std::uint32_t service, std::uint64_t key) const;
+    bool is_expired(const flow_entry& entry) const;
+    bool needs_record(std::uint64_t key, const flow_entry& entry) const;
+
+    // Exchange with peers.
+    void note_settled();
+    void note_complete_set();
+    void log_complete();
+    std::uint64_t stable_complete_revision() const;
+    void scan_table();
+    void on_flow_record(const flow_record& record);
+    void on_changed(const notice& value);
+    void on_unhealthy(const notice& value);
+    bool make_record(std::uint64_t key, flow_record& record);
+    void sweep();
+    void note_unhealthy(std::uint32_t upstream, base::time_point at);
+    void list_unhealthy();
+    std::optional<std::size_t> host_index(std::uint64_t id) const;
 
     steering_settings settings_;
     service_index index_;
     flow_table table_;
-    std::vector<membership::live_host> hosts_;
+    host_ranking ranking_;
+    peer_exchange exchange_;
+    /// The hosts when all peers had last told everything.
+    std::optional<host_ranking> complete_ranking_;
+    /// Earlier sets of hosts by hash, newest last.
+    std::vector<std::pair<std::uint16_t, host_ranking>> past_rankings_;
+    /// Values of `exchange_.complete_revision()` in the last moments.
+    std::deque<std::pair<base::time_point, std::uint64_t>> complete_log_;
     std::uint64_t revision_ = 0;
     base::time_point now_{};
+    /// When this host was last without peers, started or resumed.
+    base::time_point alone_since_{};
+    std::optional<base::time_point> resumed_at_;
+    /// A record named an upstream that no revision here knows.
+    bool unresolved_ = false;
+    std::size_t next_bucket_ = 0;
     steering_counters counters_;
 };
 
