--- a/include/galenabay/flow/steering.hpp
+++ b/include/galenabay/flow/steering.hpp
@@ -43,9 +43,12 @@
     upstream_gone,
     /// The packet was relayed too often.
     too_many_hops,
+    /// Which upstream the flow is on can't be told for a moment; the caller has
+    /// to send again.
+    undecided,
 };
 
-constexpr std::size_t drop_reason_count = 8;
+constexpr std::size_t drop_reason_count = 9;
 
 /// Stable lower-case name, as used in metrics.
 const char* name_of(drop_reason reason);
--- a/src/flow/host_ranking.hpp
+++ b/src/flow/host_ranking.hpp
@@ -31,6 +31,7 @@
     bool is_self(std::size_t host) const noexcept { return host == self_; }
     /// Hosts other than this one.
     std::size_t peer_count() const noexcept { return hosts_.size() - (self_ < hosts_.size() ? 1 : 0); }
+    bool has_self() const noexcept { return self_ < hosts_.size(); }
     /// 16-bit hash of the names.
     std::uint16_t set_hash() const noexcept { return set_hash_; }
 
--- a/src/flow/names.cpp
+++ b/src/flow/names.cpp
@@ -23,6 +23,8 @@
         return "upstream_gone";
     case drop_reason::too_many_hops:
         return "too_many_hops";
+    case drop_reason::undecided:
+        return "undecided";
     }
     return "unknown";
 }
--- a/src/flow/packet_decision.cpp
+++ b/src/flow/packet_decision.cpp
@@ -4,6 +4,9 @@
 #include <galenabay/base/invariant.hpp>
 
 #include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+static unsigned long long dbg(){static auto v=getenv("DK")?strtoull(getenv("DK"),0,16):0;return v;}
 
 namespace galenabay::flow
 {
@@ -20,6 +23,10 @@
 /// of them yet.
 constexpr base::duration alone_limit{3'000'000};
 constexpr base::duration resume_limit{1'500'000};
+/// For this long no host decides by a version that is known to be out of date.
+constexpr base::duration outdated_limit{15'000'000};
+/// A host that started or resumed waits for its peers' answers for this long.
+constexpr base::duration uninformed_limit{8'000'000};
 constexpr std::uint8_t max_hops = 64;
 /// A packet with this many more hops than hosts come before this one has been
 /// to every host of the ranking; views of the ranking may differ by one host.
@@ -60,21 +67,23 @@
 
 std::optional<decision> steering::state::ask_next(const packet& of)
 {
-    const auto& slot = index_.service(of.service);
-    const bool waits = awaits_version(slot);
+    auto& slot = index_.service(of.service);
     const auto position = ranking_.position(slot.id, of.key);
-    if (const bool all_asked = of.hops > position + ranking_slack; all_asked && !waits)
+    const bool all_asked = of.hops > position + ranking_slack;
+    if (all_asked && !awaits_version(slot))
     {
         return std::nullopt;
     }
+    // Another host may place the flow now.
+    slot.bypassed = true;
     if (const auto next = ranking_.next(slot.id, of.key))
     {
         return relay(*next);
     }
-    // The last host can't place a new flow by a table that is out of date: the
-    // packet goes round once more.
+    // No host knows the flow. The first one places it, so that it knows at once.
     const auto first = ranking_.first(slot.id, of.key);
-    return waits && first && of.hops < max_hops / 2 ? std::optional{relay(*first)} : std::nullopt;
+    const bool may_go_round = of.hops < 2 * ranking_.hosts().size() + 2 * ranking_slack;
+    return first && may_go_round ? std::optional{relay(*first)} : std::nullopt;
 }
 
 bool steering::state::in_transition(const packet& of) const
@@ -231,9 +240,9 @@
 decision steering::state::decide_unknown(const packet& of)
 {
     const bool resuming = resumed_at_ && !exchange_.has_peers() && now_ - *resumed_at_ < resume_limit;
-    if (resuming)
+    if (resuming || (of.hops > 0 && !ranking_.has_self()))
     {
-        return drop(drop_reason::no_revision);
+        return drop(drop_reason::undecided);
     }
     if (std::uint32_t upstream = no_upstream_index; may_decide_alone(of, upstream))
     {
@@ -254,6 +263,7 @@
 decision steering::state::decide_here(const packet& of)
 {
     const auto& slot = index_.service(of.service);
+    if(of.key==dbg()||dbg()==1){auto w=plan(of);printf("   decide %lx at %s t %ld rev %lu hops %d plan up %s certain %d auth %d keeper %d await %d byp %d settled %zu/%zu complete_rev %lu changed_in %lu pos %zu/%zu peers %zu\n",of.key,settings_.self.c_str(),now_.time_since_epoch().count()/1000,revision_,of.hops,w.upstream==no_upstream_index?"-":index_.upstream(w.upstream).endpoint.to_string().c_str(),w.certain,is_authoritative(of.service,of.key),is_keeper(of.service,of.key),awaits_version(slot),slot.bypassed,index_.version_of(of.service,slot.settled_tag),slot.choice.versions(),exchange_.complete_revision(),slot.changed_in,ranking_.position(slot.id,of.key),ranking_.hosts().size(),ranking_.peer_count());}
     const bool refused = in_transition(of) || !slot.present || slot.draining;
     const auto where = refused ? placement{} : plan(of);
     const bool authoritative = is_authoritative(of.service, of.key) && !awaits_version(slot);
@@ -263,6 +273,10 @@
         {
             return *next;
         }
+        if (must_wait(of))
+        {
+            return drop(drop_reason::undecided);
+        }
     }
     if (in_transition(of))
     {
@@ -279,6 +293,14 @@
     return place(of, where);
 }
 
+bool steering::state::must_wait(const packet& of) const
+{
+    const auto& slot = index_.service(of.service);
+    const bool outdated = awaits_version(slot) && now_ - slot.awaited_since < outdated_limit;
+    const bool uninformed = uninformed_since_ && now_ - *uninformed_since_ < uninformed_limit;
+    return outdated || uninformed || exchange_.awaits_leaving(slot.changed_in);
+}
+
 decision steering::state::place(const packet& of, const placement& where)
 {
     if (where.upstream == no_upstream_index)
@@ -312,11 +334,16 @@
     return complete_ranking_ && complete_ranking_->self_keeps_records(id, key);
 }
 
+bool steering::state::is_alone() const
+{
+    return !exchange_.has_peers() && alone_since_ && now_ - *alone_since_ >= alone_limit;
+}
+
 bool steering::state::is_authoritative(std::uint32_t service, std::uint64_t key) const
 {
     if (!exchange_.has_peers())
     {
-        return now_ - alone_since_ >= alone_limit;
+        return is_alone();
     }
     return stable_complete_revision() >= index_.service(service).changed_in && is_keeper(service, key);
 }
--- a/src/flow/peer_exchange.cpp
+++ b/src/flow/peer_exchange.cpp
@@ -17,6 +17,8 @@
 constexpr base::duration repeat_interval{2'000'000};
 /// A batch that is missing for this long counts as lost.
 constexpr base::duration loss_timeout{1'500'000};
+/// Time for which a host that left the list may still send records.
+constexpr base::duration leave_time{6'000'000};
 /// A flood of announcements must leave room for records.
 constexpr std::size_t max_announcements = 16;
 
@@ -33,7 +35,7 @@
     link.request_sent.reset();
 }
 
-void peer_exchange::set_peers(std::span<const membership::live_host> peers, std::uint16_t set_hash, base::time_point)
+void peer_exchange::set_peers(std::span<const membership::live_host> peers, std::uint16_t set_hash, base::time_point now)
 {
     set_hash_ = set_hash;
     std::map<std::uint32_t, bool> now_live;
@@ -43,7 +45,11 @@
     }
     for (auto& [name, link] : links_)
     {
-        link.live = link.live && now_live.count(name) > 0;
+        if (link.live && now_live.count(name) == 0)
+        {
+            link.live = false;
+            link.left_at = now;
+        }
     }
     for (const auto& [name, ignored] : now_live)
     {
@@ -55,6 +61,7 @@
             // peer that is new to a running host has none to tell of.
             link.needed = !added || !started_;
             link.live = true;
+            link.left_at.reset();
             ask(link);
         }
     }
@@ -293,6 +300,10 @@
 {
     for (auto& [name, link] : links_)
     {
+        if (link.left_at && now - *link.left_at >= leave_time)
+        {
+            link.left_at.reset();
+        }
         const bool gap = link.live && link.complete && !link.received.has_all(link.complete->last_batch);
         if (!gap)
         {
@@ -314,7 +325,7 @@
     auto least = std::numeric_limits<std::uint64_t>::max();
     for (const auto& [name, link] : links_)
     {
-        if (link.live)
+        if (link.live || link.left_at)
         {
             least = std::min(least, link.has_all(0) ? link.complete->revision : 0);
         }
@@ -322,6 +333,12 @@
     return least;
 }
 
+bool peer_exchange::awaits_leaving(std::uint64_t revision) const
+{
+    return std::any_of(links_.begin(), links_.end(), [&](const auto& entry)
+                       { return entry.second.left_at && !entry.second.has_all(revision); });
+}
+
 bool peer_exchange::complete_for_set() const
 {
     return std::all_of(links_.begin(), links_.end(),
--- a/src/flow/peer_exchange.hpp
+++ b/src/flow/peer_exchange.hpp
@@ -85,9 +85,12 @@
     /// Asks again where batches were lost.
     void on_tick(base::time_point now);
 
-    /// The newest revision up to which all live peers have told everything;
-    /// maximum without peers.
+    /// The newest revision up to which all peers, those that left a moment ago
+    /// included, have told everything; maximum without peers.
     std::uint64_t complete_revision() const;
+    /// A peer that left the list a moment ago may still be sending records of a
+    /// revision.
+    bool awaits_leaving(std::uint64_t revision) const;
     /// As above, and for the present set of hosts.
     bool complete_for_set() const;
     /// Every peer that must be heard has answered.
--- a/src/flow/peer_link.hpp
+++ b/src/flow/peer_link.hpp
@@ -32,6 +32,8 @@
     /// Decisions on unknown flows wait for the answer.
     bool needed = false;
     bool live = false;
+    /// When the peer left the list of hosts; it may still send its records.
+    std::optional<base::time_point> left_at;
     std::uint64_t revision = 0;
     batch_window received;
     std::optional<completed_pass> complete;
--- a/src/flow/record_codec.cpp
+++ b/src/flow/record_codec.cpp
@@ -17,14 +17,15 @@
 constexpr unsigned sender_shift = 32;
 constexpr std::uint64_t kind_mask = 0x1f;
 
-/// Steps of silence: three of flows on probation, four of established ones.
-constexpr std::array<flow_silence, 7> silence_steps{{{base::duration{4'000'000}, false},
-                                                     {base::duration{60'000'000}, false},
-                                                     {base::duration{300'000'000}, false},
-                                                     {base::duration{4'000'000}, true},
-                                                     {base::duration{60'000'000}, true},
-                                                     {base::duration{300'000'000}, true},
-                                                     {base::duration{900'000'000}, true}}};
+struct silence_step
+{
+    /// In percent of the idle timeout.
+    int percent = 0;
+    bool established = false;
+};
+
+constexpr std::array<silence_step, 7> silence_steps{
+    {{2, false}, {30, false}, {100, false}, {2, true}, {30, true}, {100, true}, {200, true}}};
 
 } // namespace
 
@@ -62,22 +63,30 @@
     return value;
 }
 
-std::uint64_t encode_silence(std::uint64_t key, flow_silence value) noexcept
+std::uint64_t encode_silence(std::uint64_t key, flow_silence value, base::duration idle_timeout) noexcept
 {
-    std::uint64_t chosen = value.established ? silence_steps.size() - 1 : 2;
-    for (std::size_t step = silence_steps.size(); step-- > 0;)
+    std::uint64_t chosen = 0;
+    for (std::uint64_t step = 0; step < silence_steps.size(); ++step)
     {
-        if (silence_steps[step].established == value.established && value.silence <= silence_steps[step].silence)
+        const auto& [percent, established] = silence_steps[step];
+        if (established != value.established)
+        {
+            continue;
+        }
+        chosen = step;
+        if (value.silence <= idle_timeout * percent / 100)
         {
-            chosen = step;
+            break;
         }
     }
     return (key & key_mask) | chosen;
 }
 
-flow_silence decode_silence(std::uint64_t record_key) noexcept
+flow_silence decode_silence(std::uint64_t record_key, base::duration idle_timeout) noexcept
 {
-    return silence_steps[std::min<std::uint64_t>(record_key & ~key_mask, silence_steps.size() - 1)];
+    const auto& [percent, established] =
+        silence_steps[std::min<std::uint64_t>(record_key & ~key_mask, silence_steps.size() - 1)];
+    return {idle_timeout * percent / 100, established};
 }
 
 } // namespace galenabay::flow
--- a/src/flow/record_codec.hpp
+++ b/src/flow/record_codec.hpp
@@ -54,15 +54,17 @@
 flow_record encode_notice(const notice& value) noexcept;
 notice decode_notice(const flow_record& record) noexcept;
 
-/// Silence of a flow as far as a record tells: rounded up to a few steps.
+/// Silence of a flow as far as a record tells.
 struct flow_silence
 {
     base::duration silence{};
     bool established = false;
 };
 
-/// Puts the silence into the spare bits of the key.
-std::uint64_t encode_silence(std::uint64_t key, flow_silence value) noexcept;
-flow_silence decode_silence(std::uint64_t record_key) noexcept;
+/// Puts the silence into the spare bits of the key, rounded up to one of a few
+/// steps that are fractions of the service's idle timeout; the last step stands
+/// for all that is longer.
+std::uint64_t encode_silence(std::uint64_t key, flow_silence value, base::duration idle_timeout) noexcept;
+flow_silence decode_silence(std::uint64_t record_key, base::duration idle_timeout) noexcept;
 
 } // namespace galenabay::flow
--- a/src/flow/record_handling.cpp
+++ b/src/flow/record_handling.cpp
@@ -2,6 +2,9 @@
 #include "steering_state.hpp"
 
 #include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+static unsigned long long dbg(){static auto v=getenv("DK")?strtoull(getenv("DK"),0,16):0;return v;}
 
 namespace galenabay::flow
 {
@@ -36,9 +39,7 @@
 
 void steering::state::note_settled()
 {
-    const bool alone = !exchange_.has_peers();
-    const bool known = alone ? revision_ != 0 && now_ - alone_since_ >= base::duration{3'000'000}
-                             : exchange_.complete_for_set() || complete_ranking_.has_value();
+    const bool known = exchange_.has_peers() ? exchange_.complete_for_set() || complete_ranking_ : is_alone();
     if (!known)
     {
         return;
@@ -125,8 +126,10 @@
         {
             entry.registered = 1;
         }
+        if(key==dbg()) {printf("   scan at %s t %ld rev %lu known up %s silence %ld\n",settings_.self.c_str(),now_.time_since_epoch().count()/1000,revision_,index_.upstream(entry.upstream).endpoint.to_string().c_str(), coarse_time::of(now_).since(entry.last_seen).count());}
         for (const auto& to : targets)
         {
+        if(key==dbg()) printf("     target %s keeps %d sent %d covered %lu\n",ranking_.hosts()[to.host].name.c_str(),ranking_.keeps_records(to.host, slot.id, key),was_sent(to,slot,key),to.request.covered_revision);
             if (ranking_.keeps_records(to.host, slot.id, key) && !was_sent(to, slot, key))
             {
                 exchange_.queue_bulk(to.request.host, key);
@@ -149,10 +152,11 @@
     }
     const auto& slot = index_.upstream(entry->upstream);
     const flow_silence silence{coarse_time::of(now_).since(entry->last_seen), entry->established != 0};
-    record.key = encode_silence(key, silence);
+    record.key = encode_silence(key, silence, index_.service(slot.service).idle_timeout);
     record.service = static_cast<std::uint32_t>(index_.service(slot.service).id);
     record.upstream = static_cast<std::uint32_t>(slot.id);
     ++counters_.records_sent;
+    if(key==dbg()) printf("   record made at %s t %ld\n",settings_.self.c_str(),now_.time_since_epoch().count()/1000);
     return true;
 }
 
@@ -228,6 +232,7 @@
 void steering::state::on_flow_record(const flow_record& record)
 {
     ++counters_.records_received;
+    if((record.key&key_mask)==dbg()) printf("   record at %s t %ld up %u\n",settings_.self.c_str(),now_.time_since_epoch().count()/1000,index_.find_upstream(record.service, record.upstream));
     const auto upstream = index_.find_upstream(record.service, record.upstream);
     if (upstream == no_upstream_index)
     {
@@ -238,7 +243,7 @@
     {
         return;
     }
-    const auto told = decode_silence(record.key);
+    const auto told = decode_silence(record.key, index_.service(index_.upstream(upstream).service).idle_timeout);
     const auto key = record.key & key_mask;
     auto* entry = table_.find(key);
     if (entry != nullptr && entry->upstream != upstream)
--- a/src/flow/steering_state.cpp
+++ b/src/flow/steering_state.cpp
@@ -71,7 +71,7 @@
     std::copy_if(hosts.begin(), hosts.end(), std::back_inserter(peers),
                  [&](const membership::live_host& host) { return host.name != settings_.self; });
     exchange_.set_peers(peers, ranking_.set_hash(), now);
-    if (peers.empty() && (had_peers || alone_since_ == base::time_point{}))
+    if (peers.empty() && (had_peers || !alone_since_))
     {
         alone_since_ = now;
     }
@@ -92,6 +92,14 @@
         }
     }
     exchange_.on_tick(now);
+    if (exchange_.informed(revision_))
+    {
+        uninformed_since_.reset();
+    }
+    else if (!uninformed_since_)
+    {
+        uninformed_since_ = now;
+    }
     note_complete_set();
     log_complete();
     list_unhealthy();
--- a/src/flow/steering_state.hpp
+++ b/src/flow/steering_state.hpp
@@ -72,6 +72,8 @@
     decision decide_unknown(const packet& of);
     decision decide_here(const packet& of);
     std::optional<decision> ask_next(const packet& of);
+    /// A new flow can't be placed yet.
+    bool must_wait(const packet& of) const;
     decision place(const packet& of, const placement& where);
     placement plan(const packet& of) const;
     placement plan_settled(const packet& of, std::uint32_t settled, bool authoritative) const;
@@ -92,6 +94,8 @@
     /// Peers that have told everything include this host among those that keep
     /// records of the flow.
     bool is_keeper(std::uint32_t service, std::uint64_t key) const;
+    /// This host has had no peers for so long that there are none.
+    bool is_alone() const;
     bool is_authoritative(std::uint32_t service, std::uint64_t key) const;
     bool is_expired(const flow_entry& entry) const;
     bool needs_record(std::uint64_t key, const flow_entry& entry) const;
@@ -124,9 +128,11 @@
     std::deque<std::pair<base::time_point, std::uint64_t>> complete_log_;
     std::uint64_t revision_ = 0;
     base::time_point now_{};
-    /// When this host was last without peers, started or resumed.
-    base::time_point alone_since_{};
+    /// Since when this host has had no peers; empty before the first list.
+    std::optional<base::time_point> alone_since_;
     std::optional<base::time_point> resumed_at_;
+    /// Since when a peer whose answer is needed has not answered.
+    std::optional<base::time_point> uninformed_since_;
     /// A record named an upstream that no revision here knows.
     bool unresolved_ = false;
     std::size_t next_bucket_ = 0;
