--- a/include/galenabay/dispatch/action.hpp
+++ b/include/galenabay/dispatch/action.hpp
@@ -101,6 +101,9 @@
 /// Values of `send_intent::upstream`: what is about to happen to the request.
 constexpr config::upstream_id intent_to_refuse = 0;
 constexpr config::upstream_id intent_to_run = 1;
+/// As `intent_to_run`, from a host of a data centre to which the request moved
+/// by a change of the configuration.
+constexpr config::upstream_id intent_to_run_elsewhere = 2;
 
 /// Ask a host to remember that this host is about to run or refuse a request.
 /// It declines when the request may have run elsewhere, or is claimed.
--- a/src/dispatch/claim_log.hpp
+++ b/src/dispatch/claim_log.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace galenabay::dispatch
 {
@@ -36,6 +37,22 @@
     /// The accepted claim for a key; null when there is none.
     foreign_claim* find(request_key key);
 
+    /// Keys of the claims that were accepted less than `span` ago and whose
+    /// holder fulfils `predicate`.
+    template <typename Predicate>
+    std::vector<request_key> recent(base::duration span, base::time_point now, Predicate predicate) const
+    {
+        std::vector<request_key> keys;
+        for (auto entry = order_.rbegin(); entry != order_.rend() && now - entry->added < span; ++entry)
+        {
+            if (const auto known = claims_.find(entry->key); known != claims_.end() && predicate(known->second.holder))
+            {
+                keys.push_back(entry->key);
+            }
+        }
+        return keys;
+    }
+
     void on_tick(base::time_point now);
 
 private:
--- a/src/dispatch/dispatcher_claims.cpp
+++ b/src/dispatch/dispatcher_claims.cpp
@@ -78,22 +78,28 @@
 bool dispatcher::state::collect_witnesses(const service_state& service, const request& arrived,
                                           std::vector<claim_witness>& witnesses) const
 {
-    std::vector<std::string> names = service.witnesses;
     bool is_complete = true;
+    const auto add = [&](const std::string& name, bool is_required)
+    {
+        const bool is_known = std::any_of(witnesses.begin(), witnesses.end(),
+                                          [&](const claim_witness& witness) { return witness.host == name; });
+        if (!is_known)
+        {
+            witnesses.push_back({name, false, is_required});
+        }
+    };
     for (const auto& home : other_homes(service, arrived))
     {
         const auto host = first_host_of(service, home);
         is_complete = is_complete && host;
         if (host)
         {
-            names.push_back(*host);
+            add(*host, !is_idempotent(arrived.method));
         }
     }
-    std::sort(names.begin(), names.end());
-    names.erase(std::unique(names.begin(), names.end()), names.end());
-    for (const auto& name : names)
+    for (const auto& name : service.witnesses)
     {
-        witnesses.push_back({name, false});
+        add(name, false);
     }
     return is_complete || is_idempotent(arrived.method);
 }
@@ -141,7 +147,8 @@
         if (!witness.acknowledged)
         {
             ++counters_.intents_sent;
-            out_.emplace_back(send_intent{witness.host, open.arrived.key, is_closing ? intent_to_refuse : intent_to_run,
+            const auto to_run = witness.is_required ? intent_to_run_elsewhere : intent_to_run;
+            out_.emplace_back(send_intent{witness.host, open.arrived.key, is_closing ? intent_to_refuse : to_run,
                                           open.held.sequence});
         }
     }
@@ -152,7 +159,7 @@
     const claim& held = open.held;
     // A host that has forgotten what it ran needs to hear everyone who may know.
     const bool may_have_forgotten = !is_idempotent(open.arrived.method) && is_fresh(now);
-    if (may_have_forgotten && hosts_.misses_neighbour(settings_.retransmission_span, now))
+    if (may_have_forgotten && hosts_.misses_witness(settings_.retransmission_span, now))
     {
         return false;
     }
@@ -167,7 +174,10 @@
     const auto acknowledged = static_cast<std::size_t>(
         std::count_if(held.witnesses.begin(), held.witnesses.end(), [](const auto& w) { return w.acknowledged; }));
     const bool is_late = now - held.asked >= witness_timeout;
-    return acknowledged == held.witnesses.size() || (is_late && acknowledged > 0 && !may_have_forgotten);
+    const bool lacks_required = std::any_of(held.witnesses.begin(), held.witnesses.end(),
+                                            [](const auto& w) { return w.is_required && !w.acknowledged; });
+    return acknowledged == held.witnesses.size() ||
+           (is_late && acknowledged > 0 && !may_have_forgotten && !lacks_required);
 }
 
 void dispatcher::state::update_claim(service_state& service, open_request& open, base::time_point now)
@@ -175,6 +185,7 @@
     if (is_granted(open, now))
     {
         open.held.is_granted = true;
+        note_own_claim(open.arrived.key, now);
         on_granted(service, open, now);
     }
 }
@@ -236,6 +247,7 @@
                                            bool accepted, base::time_point now)
 {
     enter(now);
+    spreader_.on_reply({from, key});
     const auto place = open_.find(key);
     if (place == open_.end() || place->second.held.sequence != sequence)
     {
@@ -268,13 +280,13 @@
                                      std::uint64_t sequence, base::time_point now)
 {
     enter(now);
-    const bool accepted = judge_intent(from, key, upstream == intent_to_refuse, sequence, now);
+    const bool accepted = judge_intent(from, key, upstream, sequence, now);
     out_.emplace_back(send_intent_reply{from, key, sequence, accepted});
     return take_actions();
 }
 
-bool dispatcher::state::judge_intent(const std::string& from, request_key key, bool is_closing, std::uint64_t sequence,
-                                     base::time_point now)
+bool dispatcher::state::judge_intent(const std::string& from, request_key key, config::upstream_id intent,
+                                     std::uint64_t sequence, base::time_point now)
 {
     if (finished_.contains(key))
     {
@@ -297,7 +309,10 @@
             return false;
         }
     }
-    if (is_closing && is_fresh(now))
+    const bool needs_memory = intent != intent_to_run;
+    const bool may_lack_memory = is_fresh(now) || (intent == intent_to_run_elsewhere &&
+                                                   hosts_.missed_neighbour(settings_.retransmission_span, now));
+    if (needs_memory && may_lack_memory)
     {
         return false;
     }
--- a/src/dispatch/dispatcher_membership.cpp
+++ b/src/dispatch/dispatcher_membership.cpp
@@ -7,14 +7,6 @@
 namespace galenabay::dispatch
 {
 
-namespace
-{
-
-/// Hosts that witness a claim; those of the same data centre first.
-constexpr std::size_t max_witnesses = 2;
-
-} // namespace
-
 void dispatcher::state::on_revision(const config::accepted_revision& revision, base::time_point now)
 {
     enter(now);
@@ -43,6 +35,7 @@
         }
     }
     adopted_ = true;
+    update_witnesses(now);
 }
 
 void dispatcher::state::refresh_services(base::time_point now)
@@ -51,6 +44,7 @@
     {
         refresh_service(service, now);
     }
+    update_witnesses(now);
 }
 
 void dispatcher::state::refresh_service(service_state& service, base::time_point now)
@@ -127,6 +121,10 @@
     enter(now);
     leaving_ = true;
     refresh_services(now);
+    for (const auto& host : witnesses_)
+    {
+        spread_claims(host, now);
+    }
     std::vector<request_key> keys;
     for (const auto& [key, open] : open_)
     {
--- /dev/null
+++ b/src/dispatch/dispatcher_spreading.cpp
@@ -0,0 +1,64 @@
+#include "dispatcher_state.hpp"
+
+#include <galenabay/base/hash.hpp>
+
+#include <utility>
+
+namespace galenabay::dispatch
+{
+
+void dispatcher::state::note_own_claim(request_key key, base::time_point now)
+{
+    own_claims_.emplace_back(now, key);
+    while (now - own_claims_.front().first >= settings_.retransmission_span)
+    {
+        own_claims_.pop_front();
+    }
+}
+
+void dispatcher::state::update_witnesses(base::time_point now)
+{
+    std::set<std::string> next;
+    for (const auto& [id, service] : services_)
+    {
+        next.insert(service.witnesses.begin(), service.witnesses.end());
+    }
+    for (const auto& host : next)
+    {
+        if (!witnesses_.contains(host))
+        {
+            spread_claims(host, now);
+        }
+    }
+    witnesses_ = std::move(next);
+}
+
+void dispatcher::state::spread_claims(const std::string& host, base::time_point now)
+{
+    const base::duration span = settings_.retransmission_span;
+    for (const auto& [granted, key] : own_claims_)
+    {
+        if (now - granted < span)
+        {
+            spreader_.add({host, key});
+        }
+    }
+    const auto is_orphan = [this](const std::string& holder) { return !hosts_.is_live(holder); };
+    for (const request_key key : claims_.recent(span, now, is_orphan))
+    {
+        spreader_.add({host, key});
+    }
+}
+
+void dispatcher::state::send_spread_claims(base::time_point now)
+{
+    // The receiver has to know only that the request may have run; any sequence
+    // that no request of this host uses will do.
+    for (const auto& claim : spreader_.take(now))
+    {
+        ++counters_.intents_sent;
+        out_.emplace_back(send_intent{claim.host, claim.key, intent_to_run, base::mix(claim.key, next_sequence_)});
+    }
+}
+
+} // namespace galenabay::dispatch
--- a/src/dispatch/dispatcher_state.hpp
+++ b/src/dispatch/dispatcher_state.hpp
@@ -5,16 +5,20 @@
 
 #include "block_affinity.hpp"
 #include "claim_log.hpp"
+#include "claim_spreader.hpp"
 #include "exchange_table.hpp"
 #include "finished_log.hpp"
 #include "host_directory.hpp"
 #include "open_request.hpp"
 #include "service_state.hpp"
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 
 namespace galenabay::dispatch
 {
@@ -51,7 +55,7 @@
     // dispatcher_tick.cpp
     actions on_tick(base::time_point now);
 
-    std::size_t open_requests() const noexcept { return open_.size(); }
+    std::size_t open_requests() const noexcept { return open_.size() + (leaving_ ? spreader_.size() : 0); }
     const dispatcher_counters& counters() const noexcept { return counters_; }
 
 private:
@@ -118,10 +122,16 @@
                            std::vector<claim_witness>& witnesses) const;
     void on_granted(service_state& service, open_request& open, base::time_point now);
     void on_claim_refused(service_state& service, open_request& open, base::time_point now);
-    bool judge_intent(const std::string& from, request_key key, bool is_closing, std::uint64_t sequence,
+    bool judge_intent(const std::string& from, request_key key, config::upstream_id intent, std::uint64_t sequence,
                       base::time_point now);
     bool yields_to(const std::string& from, const open_request& open) const;
 
+    // dispatcher_spreading.cpp
+    void update_witnesses(base::time_point now);
+    void spread_claims(const std::string& host, base::time_point now);
+    void send_spread_claims(base::time_point now);
+    void note_own_claim(request_key key, base::time_point now);
+
     // dispatcher_tick.cpp
     void enter(base::time_point now);
     void on_pause(base::time_point now);
@@ -142,6 +152,9 @@
     claim_log claims_;
     exchange_table exchanges_;
     block_affinity affinity_;
+    claim_spreader spreader_;
+    std::deque<std::pair<base::time_point, request_key>> own_claims_;
+    std::set<std::string> witnesses_;
     std::unordered_set<request_key> relayed_while_leaving_;
     dispatcher_counters counters_;
     actions out_;
--- a/src/dispatch/dispatcher_tick.cpp
+++ b/src/dispatch/dispatcher_tick.cpp
@@ -99,6 +99,7 @@
     {
         pump(service, now);
     }
+    send_spread_claims(now);
     return take_actions();
 }
 
--- a/src/dispatch/host_directory.cpp
+++ b/src/dispatch/host_directory.cpp
@@ -140,14 +140,15 @@
     return std::any_of(live_.begin(), live_.end(), [&](const auto& live) { return live.data_centre == data_centre; });
 }
 
-bool host_directory::misses_neighbour(base::duration span, base::time_point now) const
+bool host_directory::misses_witness(base::duration span, base::time_point now) const
 {
+    const auto is_neighbour = [&](const auto& entry) { return entry.second.data_centre == data_centre_; };
+    const auto neighbours = static_cast<std::size_t>(std::count_if(known_.begin(), known_.end(), is_neighbour));
     return std::any_of(known_.begin(), known_.end(),
                        [&](const auto& entry)
                        {
-                           const known_host& host = entry.second;
-                           return host.data_centre == data_centre_ && !host.is_leaving &&
-                                  host.missing.is_lasting(span, now);
+                           const bool may_know = is_neighbour(entry) || neighbours < max_witnesses;
+                           return may_know && !entry.second.is_leaving && entry.second.missing.is_lasting(span, now);
                        });
 }
 
--- a/src/dispatch/host_directory.hpp
+++ b/src/dispatch/host_directory.hpp
@@ -3,6 +3,7 @@
 #include <galenabay/base/time.hpp>
 #include <galenabay/membership/host.hpp>
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <span>
@@ -12,6 +13,9 @@
 namespace galenabay::dispatch
 {
 
+/// Hosts that witness a claim; those of the same data centre first.
+constexpr std::size_t max_witnesses = 2;
+
 /// Since when something has been missing, and when it came back.
 struct absence
 {
@@ -50,13 +54,14 @@
 
     bool is_live(const std::string& host) const;
 
-    /// True when a host of this data centre that didn't announce that it leaves
-    /// has been missing for less than `span`.
-    bool misses_neighbour(base::duration span, base::time_point now) const;
-
-    /// The same for the hosts of all data centres.
+    /// True when a host that didn't announce that it leaves has been missing
+    /// for less than `span`.
     bool misses_any_host(base::duration span, base::time_point now) const;
 
+    /// The same for hosts that may have witnessed what a host of this data
+    /// centre did: its neighbours, and all others when it has few neighbours.
+    bool misses_witness(base::duration span, base::time_point now) const;
+
     /// True when a host of this data centre has been missing within `span`,
     /// whether it is back or not, and didn't announce that it leaves.
     bool missed_neighbour(base::duration span, base::time_point now) const;
--- a/src/dispatch/open_request.hpp
+++ b/src/dispatch/open_request.hpp
@@ -53,6 +53,8 @@
 {
     std::string host;
     bool acknowledged = false;
+    /// True: decides for another home of the request and is never passed over.
+    bool is_required = false;
 };
 
 /// The question to the witnesses. The sequence belongs to one host's one
