--- /dev/null
+++ b/bench/bench_dispatch.cpp
@@ -0,0 +1,285 @@
+// Weighs ways of dispatching on one seeded workload and prints the bounds of
+// request dispatch. `bench_dispatch --table` prints the comparison too.
+
+#include "dispatch_simulation.hpp"
+
+#include <galenabay/base/hash.hpp>
+#include <galenabay/dispatch/dispatcher.hpp>
+
+#include <malloc.h>
+
+#include <array>
+#include <cstdio>
+#include <cstring>
+#include <unordered_map>
+
+namespace
+{
+
+using namespace galenabay;
+using namespace galenabay::bench;
+
+constexpr std::uint64_t workload_seed = 20261204;
+
+using runner = outcome (*)(const shape&, const load&);
+
+struct way
+{
+    const char* name;
+    runner play;
+};
+
+constexpr std::array<way, 5> ways{{{"omniscient", run_omniscient},
+                                   {"two_choices", run_two_choices},
+                                   {"leased_slots", run_leased_slots},
+                                   {"sharded", run_sharded},
+                                   {"join_idle", run_join_idle}}};
+
+load make_load(double level, base::duration length, double stragglers = 0)
+{
+    load offered;
+    offered.seed = workload_seed;
+    offered.level = level;
+    offered.length = length;
+    offered.stragglers = stragglers;
+    return offered;
+}
+
+double goodput(const shape& plan, const load& offered, const outcome& result)
+{
+    return result.good_busy_us / (plan.capacity() * static_cast<double>(offered.length.count()));
+}
+
+void print_table()
+{
+    const shape plan;
+    std::printf("%-13s %9s %8s %8s %9s %8s %9s %9s %10s\n", "way", "load", "p50_ms", "p99_ms", "imbalance", "goodput",
+                "refused", "unknown", "B/s/host");
+    struct scenario
+    {
+        const char* name;
+        load offered;
+    };
+    std::vector<scenario> scenarios{{"0.50", make_load(0.5, 8s)},   {"0.80", make_load(0.8, 8s)},
+                                    {"0.95", make_load(0.95, 8s)},  {"0.80+1%", make_load(0.4, 8s, 0.01)},
+                                    {"2x", make_load(2, 4s)},       {"4x", make_load(4, 4s)},
+                                    {"0.80dis", make_load(0.8, 8s)}};
+    scenarios.back().offered.hosts_disagree = true;
+    for (const auto& [name, offered] : scenarios)
+    {
+        for (const auto& way : ways)
+        {
+            outcome result = way.play(plan, offered);
+            const double seconds = std::chrono::duration<double>{offered.length}.count();
+            std::printf("%-13s %9s %8.2f %8.2f %9.3f %8.3f %9.3f %9.3f %10.0f\n", way.name, name,
+                        result.percentile(0.5) / 1000, result.percentile(0.99) / 1000, result.imbalance(),
+                        goodput(plan, offered, result),
+                        static_cast<double>(result.refused) / static_cast<double>(result.offered),
+                        static_cast<double>(result.unknown) / static_cast<double>(result.offered),
+                        static_cast<double>(result.control_bytes) / seconds / static_cast<double>(plan.hosts));
+        }
+    }
+}
+
+void print_at_most(const char* name, double value, double bound)
+{
+    std::printf("%s %.4g %.4g %s\n", name, value, bound, value <= bound ? "ok" : "short");
+}
+
+void print_at_least(const char* name, double value, double bound)
+{
+    std::printf("%s %.4g %.4g %s\n", name, value, bound, value >= bound ? "ok" : "short");
+}
+
+/// A figure for which no bound is set.
+void print_figure(const char* name, double value)
+{
+    std::printf("%s %.4g none ok\n", name, value);
+}
+
+struct decision_cost
+{
+    double ns = 0;
+    double bytes_per_request = 0;
+};
+
+config::accepted_revision make_revision(std::size_t upstreams)
+{
+    config::service service;
+    service.name = "queue";
+    service.address = base::endpoint::make_v4(0x0a000001, 5683);
+    service.requests.queue_limit = 4096;
+    service.requests.deadline_ms = 60'000;
+    for (std::size_t u = 0; u < upstreams; ++u)
+    {
+        config::upstream target;
+        target.name = "u" + std::to_string(u);
+        target.endpoint = base::endpoint::make_v4(0x0a010000U + static_cast<std::uint32_t>(u), 7000);
+        target.data_centre = "dc";
+        service.upstreams.push_back(target);
+    }
+    config::accepted_revision revision;
+    revision.number = 1;
+    revision.set.services = {service};
+    return revision;
+}
+
+std::vector<membership::live_host> make_hosts(std::size_t count)
+{
+    std::vector<membership::live_host> hosts;
+    hosts.push_back({"self", "dc", base::hash_text("self"), {}});
+    for (std::size_t h = 1; h < count; ++h)
+    {
+        const std::string name = "host" + std::to_string(h);
+        hosts.push_back({name, "other" + std::to_string(h % 3), base::hash_text(name), {}});
+    }
+    return hosts;
+}
+
+dispatch::request make_request(const config::accepted_revision& revision, std::uint64_t id)
+{
+    dispatch::request value;
+    value.service = revision.set.services.front().id();
+    value.service_address = revision.set.services.front().address;
+    value.caller = base::endpoint::make_v4(0x0a800000U + static_cast<std::uint32_t>(id % 2000), 5000);
+    value.token = id;
+    value.token_length = 8;
+    value.message_id = static_cast<std::uint16_t>(id);
+    value.path = id % 16;
+    value.key = base::mix(id, 1);
+    return value;
+}
+
+/// Real time and memory of a deciding host: requests that queue behind full
+/// slots, then answers.
+decision_cost measure_decisions(std::size_t hosts, std::size_t upstreams)
+{
+    constexpr std::uint64_t waiting = 2000;
+    constexpr std::uint64_t rounds = 40'000;
+    const auto revision = make_revision(upstreams);
+    dispatch::dispatcher subject{{.self = "self", .data_centre = "dc"}};
+    base::time_point now{};
+    subject.on_hosts(make_hosts(hosts), now);
+    subject.on_revision(revision, now);
+    for (; now < base::time_point{50s}; now += 100ms)
+    {
+        subject.on_tick(now);
+    }
+    std::deque<dispatch::answer> answers;
+    const auto collect = [&](const dispatch::actions& list, std::uint64_t& decisions)
+    {
+        ++decisions;
+        for (const auto& item : list)
+        {
+            if (const auto* sent = std::get_if<dispatch::send_to_upstream>(&item))
+            {
+                dispatch::answer value;
+                value.service_address = sent->service_address;
+                value.caller = sent->caller;
+                value.upstream = sent->upstream;
+                value.code = 0x45;
+                value.piggybacked = true;
+                value.token = sent->key;
+                answers.push_back(value);
+            }
+        }
+    };
+    std::uint64_t decisions = 0;
+    std::unordered_map<dispatch::request_key, std::uint64_t> ids;
+    const std::size_t before = mallinfo2().uordblks;
+    for (std::uint64_t id = 0; id < waiting; ++id)
+    {
+        const auto asked = make_request(revision, id);
+        ids[asked.key] = id;
+        collect(subject.on_request(asked, true, now), decisions);
+    }
+    const double bytes = static_cast<double>(mallinfo2().uordblks - before) / static_cast<double>(waiting);
+    const auto started = std::chrono::steady_clock::now();
+    decisions = 0;
+    for (std::uint64_t id = waiting; id < waiting + rounds; ++id)
+    {
+        now += 100us;
+        if (id % 100 == 0)
+        {
+            subject.on_tick(now);
+        }
+        const auto asked = make_request(revision, id);
+        ids[asked.key] = id;
+        collect(subject.on_request(asked, true, now), decisions);
+        dispatch::answer value = answers.front();
+        answers.pop_front();
+        const std::uint64_t answered = ids.at(value.token);
+        value.token = answered;
+        value.token_length = 8;
+        value.message_id = static_cast<std::uint16_t>(answered);
+        collect(subject.on_answer(value, now), decisions);
+    }
+    const std::chrono::duration<double, std::nano> elapsed = std::chrono::steady_clock::now() - started;
+    return {elapsed.count() / static_cast<double>(decisions), bytes};
+}
+
+void print_bounds()
+{
+    const shape plan;
+    const load steady = make_load(0.8, 20s);
+    outcome bound = run_omniscient(plan, steady);
+    outcome own = run_sharded(plan, steady);
+    print_at_most("dispatch_short_p99_at_80", own.percentile(0.99) / bound.percentile(0.99), 2.0);
+
+    // One percent of runs a hundred times as long doubles the work.
+    const load straggling = make_load(0.4, 20s, 0.01);
+    outcome straggling_bound = run_omniscient(plan, straggling);
+    outcome straggling_own = run_sharded(plan, straggling);
+    print_at_most("dispatch_short_p99_at_80_stragglers",
+                  straggling_own.percentile(0.99) / straggling_bound.percentile(0.99), 2.0);
+    print_at_most("dispatch_imbalance", own.imbalance(), 1.10);
+
+    const load crest = make_load(4, 5s);
+    const outcome crest_own = run_sharded(plan, crest);
+    print_at_least("dispatch_goodput_at_4x", goodput(plan, crest, crest_own), 0.95);
+
+    load flood = make_load(0.5, 10s);
+    flood.flood = 4;
+    const outcome flood_own = run_sharded(plan, flood);
+    load disagree = make_load(0.8, 10s);
+    disagree.hosts_disagree = true;
+    const outcome disagree_own = run_sharded(plan, disagree);
+
+    const std::array<const outcome*, 5> all{&own, &straggling_own, &crest_own, &flood_own, &disagree_own};
+    double false_refusals = 0;
+    double double_runs = 0;
+    double extra = 0;
+    for (const outcome* result : all)
+    {
+        false_refusals += static_cast<double>(result->false_refusals);
+        double_runs += static_cast<double>(result->double_runs);
+        extra = std::max(extra, static_cast<double>(result->extra_requests) / static_cast<double>(result->offered));
+    }
+    print_at_most("dispatch_false_refusals", false_refusals, 0);
+    print_at_most("dispatch_double_runs", double_runs, 0);
+    print_at_most("dispatch_extra_upstream_requests", extra, 0.10);
+    print_at_least("dispatch_fair_caller_share",
+                   static_cast<double>(flood_own.fair_answered) / static_cast<double>(flood_own.fair_offered), 0.9);
+}
+
+void print_costs()
+{
+    const decision_cost usual = measure_decisions(9, 14);
+    print_figure("dispatch_ns_per_decision", usual.ns);
+    print_figure("dispatch_bytes_per_open_request", usual.bytes_per_request);
+    print_figure("dispatch_ns_slope_hosts_x8", measure_decisions(72, 14).ns / usual.ns);
+    print_figure("dispatch_ns_slope_upstreams_x8", measure_decisions(9, 112).ns / usual.ns);
+}
+
+} // namespace
+
+int main(int count, char** values)
+{
+    if (count > 1 && std::strcmp(values[1], "--table") == 0)
+    {
+        print_table();
+    }
+    print_bounds();
+    print_costs();
+    return 0;
+}
