--- a/bench/bench_dispatch.cpp
+++ b/bench/bench_dispatch.cpp
@@ -146,7 +146,7 @@
     value.token_length = 8;
     value.message_id = static_cast<std::uint16_t>(id);
     value.path = id % 16;
-    value.key = base::mix(id, 1);
+    value.key = base::mix(1, id);
     return value;
 }
 
--- a/bench/dispatch_sharded.cpp
+++ b/bench/dispatch_sharded.cpp
@@ -127,7 +127,7 @@
         value.message_id = static_cast<std::uint16_t>(asked.id);
         value.method = asked.kind;
         value.path = asked.path;
-        value.key = base::mix(asked.id, offered_.seed);
+        value.key = base::mix(offered_.seed, asked.id);
         return value;
     }
 
