--- a/src/dispatch/dispatcher_claims.cpp
+++ b/src/dispatch/dispatcher_claims.cpp
@@ -76,7 +76,7 @@
 }
 
 bool dispatcher::state::collect_witnesses(const service_state& service, const request& arrived,
-                                          std::vector<claim_witness>& witnesses) const
+                                          std::vector<claim_witness>& witnesses, base::time_point now) const
 {
     bool is_complete = true;
     const auto add = [&](const std::string& name, bool is_required)
@@ -101,6 +101,14 @@
     {
         add(name, false);
     }
+    if (is_fresh(now))
+    {
+        // The neighbours may have started lately too.
+        for (const auto& name : service.remote_witnesses)
+        {
+            add(name, false);
+        }
+    }
     return is_complete || is_idempotent(arrived.method);
 }
 
@@ -109,7 +117,7 @@
     open.held.is_granted = false;
     open.held.asked = now;
     open.held.witnesses.clear();
-    if (!collect_witnesses(service, open.arrived, open.held.witnesses))
+    if (!collect_witnesses(service, open.arrived, open.held.witnesses, now))
     {
         end_refused(open, false, refusal::no_deciding_host, now);
         return;
@@ -122,7 +130,7 @@
 void dispatcher::state::refresh_claim(service_state& service, open_request& open, base::time_point now)
 {
     std::vector<claim_witness> next;
-    if (!collect_witnesses(service, open.arrived, next))
+    if (!collect_witnesses(service, open.arrived, next, now))
     {
         end_refused(open, false, refusal::no_deciding_host, now);
         return;
@@ -227,17 +235,17 @@
            !is_fresh(now);
 }
 
-bool dispatcher::state::may_vouch(const service_state& service, const open_request& open, base::time_point now) const
+bool dispatcher::state::may_vouch(const service_state& service, const request& arrived, base::time_point now) const
 {
     const base::duration span = settings_.retransmission_span;
     const bool has_witness = !service.witnesses.empty();
-    if (!is_idempotent(open.arrived.method))
+    if (!is_idempotent(arrived.method))
     {
         return has_witness || (!is_fresh(now) && may_run_unwitnessed(now));
     }
     // An idempotent request runs without a claim: whoever may have run it has
     // to be alive and asked.
-    const shard* home = service.map.home(routing_of(open.arrived));
+    const shard* home = service.map.home(routing_of(arrived));
     const bool is_home = home != nullptr && home->data_centre == settings_.data_centre;
     return is_home && service.former.empty() && !is_fresh(now) && !hosts_.missed_neighbour(span, now) &&
            !hosts_.misses_data_centre(span, now);
--- a/src/dispatch/dispatcher_endings.cpp
+++ b/src/dispatch/dispatcher_endings.cpp
@@ -22,7 +22,7 @@
         end_refused(open, true, reason, now);
         return;
     }
-    if (!may_vouch(service, open, now))
+    if (!may_vouch(service, open.arrived, now))
     {
         end_refused(open, false, reason, now);
         return;
--- a/src/dispatch/dispatcher_membership.cpp
+++ b/src/dispatch/dispatcher_membership.cpp
@@ -86,10 +86,12 @@
     }
     service.witnesses = service.deciders[settings_.data_centre];
     std::erase(service.witnesses, settings_.self);
-    const auto elsewhere =
+    auto elsewhere =
         hosts_.ranked_elsewhere(settings_.data_centre, base::mix(service_id, base::hash_text(settings_.data_centre)));
     service.witnesses.insert(service.witnesses.end(), elsewhere.begin(), elsewhere.end());
     service.witnesses.resize(std::min(service.witnesses.size(), max_witnesses));
+    elsewhere.resize(std::min(elsewhere.size(), max_witnesses));
+    service.remote_witnesses = std::move(elsewhere);
 }
 
 actions dispatcher::state::on_hosts(std::span<const membership::live_host> hosts, base::time_point now)
--- a/src/dispatch/dispatcher_requests.cpp
+++ b/src/dispatch/dispatcher_requests.cpp
@@ -31,7 +31,7 @@
     }
     if (finished_.contains(arrived.key))
     {
-        repeat_reply(arrived);
+        repeat_reply(arrived, now);
         return take_actions();
     }
     if (foreign_claim* held = claims_.find(arrived.key))
@@ -55,11 +55,17 @@
     ++counters_.retransmissions;
 }
 
-void dispatcher::state::repeat_reply(const request& arrived)
+void dispatcher::state::repeat_reply(const request& arrived, base::time_point now)
 {
     ++counters_.retransmissions;
     const auto reply = finished_.reply(arrived.key);
-    if (!reply)
+    // What was true when it was said may have changed for a request that needs
+    // no claim to run elsewhere.
+    const auto* refused = reply ? std::get_if<refuse>(&*reply) : nullptr;
+    const bool was_excluded = refused != nullptr && refused->run_excluded && is_idempotent(arrived.method);
+    const service_state* service = find_service(arrived.service);
+    const bool is_outdated = was_excluded && (service == nullptr || !may_vouch(*service, arrived, now));
+    if (!reply || is_outdated)
     {
         reply_unknown(arrived, refusal::outcome_unknown);
         return;
--- a/src/dispatch/dispatcher_runs.cpp
+++ b/src/dispatch/dispatcher_runs.cpp
@@ -20,6 +20,10 @@
 constexpr base::duration busy_delay = 5ms;
 constexpr base::duration least_second_run_delay = 10ms;
 constexpr double second_run_factor = 4;
+/// A run that takes this many times longer than expected is cancelled and
+/// started again elsewhere while others wait for its slot.
+constexpr int move_factor = 8;
+constexpr base::duration least_move_delay = 20ms;
 /// Share of the slots that long requests may hold while short ones wait, and
 /// otherwise.
 constexpr double long_share_crowded = 0.6;
@@ -120,26 +124,25 @@
 const config::upstream* dispatcher::state::choose_upstream(service_state& service, const open_request& open,
                                                            base::time_point now)
 {
+    // Upstreams that may still answer an older request with the same token are
+    // used only when there is no other.
     std::vector<config::upstream_id> avoided = tried(open);
     std::vector<config::upstream_id> excluded = avoided;
-    for (const auto& [id, target] : service.pool.targets())
+    while (const config::upstream* target = service.pool.choose(avoided, now, random_))
     {
         const exchange_id exchange = exchange_of(open.arrived, target->endpoint);
-        if (exchanges_.is_open(exchange))
+        if (!exchanges_.is_taken(exchange, now))
         {
-            excluded.push_back(id);
+            return target;
         }
-        if (exchanges_.is_taken(exchange, now))
+        const config::upstream_id id = config::id_of(service.settings, *target);
+        avoided.push_back(id);
+        if (exchanges_.is_open(exchange))
         {
-            avoided.push_back(id);
+            excluded.push_back(id);
         }
     }
-    const config::upstream* target = service.pool.choose(avoided, now, random_);
-    if (target != nullptr || service.pool.has_other(avoided))
-    {
-        return target;
-    }
-    return service.pool.choose(excluded, now, random_);
+    return service.pool.has_other(avoided) ? nullptr : service.pool.choose(excluded, now, random_);
 }
 
 void dispatcher::state::send(service_state& service, open_request& open, const config::upstream& target,
@@ -280,7 +283,12 @@
 {
     open.next_attempt = now + least_second_run_delay;
     const bool is_crowded = !service.queue.empty() || !service.pool.has_free_slot(now);
-    const config::upstream* target = is_crowded ? nullptr : choose_upstream(service, open, now);
+    if (is_crowded)
+    {
+        try_move(service, open, now);
+        return;
+    }
+    const config::upstream* target = choose_upstream(service, open, now);
     if (target == nullptr || !service.budget.take(now))
     {
         return;
@@ -292,6 +300,22 @@
     send(service, open, *target, now);
 }
 
+void dispatcher::state::try_move(service_state& service, open_request& open, base::time_point now)
+{
+    const base::duration running = now - open.runs.front().sent;
+    const base::duration expected = service.times.expected(open.arrived.method, open.arrived.path);
+    const bool is_late = running >= std::max<base::duration>(least_move_delay, expected * move_factor);
+    const bool is_crest = service.queue.size() * 2 > service.settings.requests.queue_limit;
+    const bool is_only_choice = !service.pool.has_other(tried(open));
+    if (!is_late || is_crest || is_only_choice || now + expected > open.deadline || !service.budget.take(now))
+    {
+        return;
+    }
+    abandon_runs(service, open, now);
+    open.retry = retry_reason::hedge;
+    enqueue(service, open, now);
+}
+
 base::duration dispatcher::state::second_run_delay(const service_state& service, const request& arrived)
 {
     const auto expected = static_cast<double>(service.times.expected(arrived.method, arrived.path).count());
--- a/src/dispatch/dispatcher_state.hpp
+++ b/src/dispatch/dispatcher_state.hpp
@@ -68,7 +68,7 @@
 
     // dispatcher_requests.cpp
     void on_known(open_request& open);
-    void repeat_reply(const request& arrived);
+    void repeat_reply(const request& arrived, base::time_point now);
     void on_claimed_elsewhere(foreign_claim& held, const request& arrived, base::time_point now);
     void route(service_state& service, const request& arrived, bool relayed, base::time_point now);
     std::optional<std::string> decider_of(const service_state& service, const request& arrived,
@@ -91,6 +91,7 @@
     void end_run(service_state& service, const open_request& open, upstream_run& run, run_outcome outcome,
                  base::time_point now);
     void abandon_runs(service_state& service, open_request& open, base::time_point now);
+    void try_move(service_state& service, open_request& open, base::time_point now);
     void try_second_run(service_state& service, open_request& open, base::time_point now);
     base::duration second_run_delay(const service_state& service, const request& arrived);
     base::duration retry_delay(std::size_t attempts);
@@ -117,9 +118,9 @@
     bool has_settled(base::time_point now) const;
     bool is_fresh(base::time_point now) const;
     bool is_exclusive(const open_request& open, base::time_point now) const;
-    bool may_vouch(const service_state& service, const open_request& open, base::time_point now) const;
-    bool collect_witnesses(const service_state& service, const request& arrived,
-                           std::vector<claim_witness>& witnesses) const;
+    bool may_vouch(const service_state& service, const request& arrived, base::time_point now) const;
+    bool collect_witnesses(const service_state& service, const request& arrived, std::vector<claim_witness>& witnesses,
+                           base::time_point now) const;
     void on_granted(service_state& service, open_request& open, base::time_point now);
     void on_claim_refused(service_state& service, open_request& open, base::time_point now);
     bool judge_intent(const std::string& from, request_key key, config::upstream_id intent, std::uint64_t sequence,
--- a/src/dispatch/service_state.hpp
+++ b/src/dispatch/service_state.hpp
@@ -35,6 +35,8 @@
     std::map<std::string, std::vector<std::string>> deciders;
     /// Hosts that witness this host's claims.
     std::vector<std::string> witnesses;
+    /// Hosts of other data centres that come next.
+    std::vector<std::string> remote_witnesses;
     upstream_pool pool;
     admission_queue queue;
     /// Requests that have to go to one certain upstream, oldest first.
