--- /dev/null
+++ b/bench/dispatch_torture.hpp
@@ -0,0 +1,252 @@
+#pragma once
+
+#include <galenabay/base/hash.hpp>
+#include <galenabay/base/random.hpp>
+#include <galenabay/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <initializer_list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+/// A handful of dispatchers under faults, in virtual time.
+namespace galenabay::torture
+{
+
+using namespace galenabay::dispatch;
+using namespace std::chrono_literals;
+
+// Time is scaled down: callers repeat for some 11 s instead of 45 s.
+constexpr base::duration ack_timeout = 500ms;
+constexpr int max_retransmit = 4;
+constexpr base::duration retransmission_span = 12s;
+constexpr base::duration peer_timeout = 1500ms;
+constexpr base::duration heartbeat_interval = 300ms;
+constexpr base::duration settle_time = 2s;
+constexpr base::duration pause_limit = 500ms;
+constexpr std::uint32_t deadline_ms = 2500;
+constexpr base::duration load_time = 20s;
+constexpr base::duration quiet_time = 20s;
+constexpr base::duration warm_up = 13s;
+constexpr std::uint8_t code_unavailable = 0xa3;
+
+struct totals
+{
+    std::uint64_t requests = 0;
+    std::uint64_t runs = 0;
+    std::uint64_t answers = 0;
+    std::uint64_t refusals_not_run = 0;
+    std::uint64_t refusals_unknown = 0;
+    std::uint64_t unanswered = 0;
+    std::uint64_t kills = 0;
+    std::uint64_t freezes = 0;
+    std::uint64_t cuts = 0;
+    std::uint64_t drains = 0;
+    std::uint64_t sheds = 0;
+    std::uint64_t revisions = 0;
+    std::uint64_t violations = 0;
+};
+
+struct host_process
+{
+    std::string name;
+    std::string data_centre;
+    std::unique_ptr<dispatcher> subject;
+    std::uint64_t incarnation = 0;
+    bool alive = false;
+    bool ready = false;
+    bool leaving = false;
+    bool frozen = false;
+    std::vector<std::function<void()>> backlog;
+    /// Last time each peer was heard while ready.
+    std::map<std::size_t, base::time_point> heard;
+};
+
+/// The process that sent something to an upstream.
+struct sender
+{
+    std::size_t host = 0;
+    std::uint64_t incarnation = 0;
+};
+
+struct upstream_process
+{
+    config::upstream target;
+    std::uint32_t running = 0;
+    bool dead = false;
+};
+
+struct caller_request
+{
+    request wire;
+    bool replied = false;
+    bool told_not_run = false;
+    std::uint32_t runs = 0;
+};
+
+/// One seeded run: hosts, upstreams, callers and what goes wrong between them.
+class world
+{
+public:
+    world(std::uint64_t seed, totals& counts, request_key traced)
+        : seed_{seed}, random_{seed}, counts_{counts}, traced_{traced}
+    {
+    }
+
+    bool run();
+
+private:
+    struct event
+    {
+        base::time_point at;
+        std::uint64_t order;
+        std::function<void()> act;
+        bool operator<(const event& other) const { return std::pair{other.at, other.order} < std::pair{at, order}; }
+    };
+
+    void after(base::duration delay, std::function<void()> act);
+    static base::time_point end() { return base::time_point{warm_up + load_time + quiet_time}; }
+    base::duration between(base::duration low, base::duration high);
+    bool chance(double probability) { return random_.unit() < probability; }
+
+    void violation(const char* promise, request_key key);
+
+    void trace(request_key key, std::initializer_list<std::string_view> words) const;
+
+    // Set-up.
+
+    void build();
+
+    void make_revisions();
+
+    void start_host(std::size_t index);
+
+    // Hosts.
+
+    /// Runs `act` on the host's dispatcher, later when it is frozen.
+    void on_host(std::size_t index, std::function<actions(dispatcher&)> act);
+
+    void tick(std::size_t index, std::uint64_t incarnation);
+
+    void heartbeat(std::size_t index);
+
+    void hear(std::size_t index, std::size_t peer, bool is_ready);
+
+    void refresh_view(std::size_t index);
+
+    void trace_view(std::size_t index, const std::vector<membership::live_host>& live);
+
+    std::optional<std::size_t> host_named(const std::string& name) const;
+
+    bool is_cut(std::size_t a, std::size_t b) const;
+
+    /// Delivers between hosts: may drop, delay, reorder and double.
+    void transmit(std::size_t from, std::size_t to, const std::function<void()>& act);
+
+    base::duration network_delay() { return chance(0.03) ? between(1ms, 400ms) : between(100us, 2ms); }
+
+    // Actions.
+
+    void perform(std::size_t index, const actions& list);
+
+    void apply(std::size_t index, const send_to_upstream& sent);
+    void apply(std::size_t /*index*/, const cancel_at_upstream& cancel);
+    void apply(std::size_t index, const deliver& reply);
+    void apply(std::size_t index, const refuse& reply);
+    void apply(std::size_t index, const relay_request& relayed);
+    void apply(std::size_t index, const send_intent& intent);
+    void apply(std::size_t index, const send_intent_reply& reply);
+
+    // Upstreams.
+
+    void arrive_at_upstream(const sender& to, std::size_t upstream, const send_to_upstream& sent);
+
+    void finish_run(const sender& to, std::size_t upstream, const send_to_upstream& sent);
+
+    void deliver_to(const sender& to, const answer& value);
+
+    void answer_from(const sender& to, std::size_t upstream, const request& asked, std::uint8_t code,
+                     base::duration delay);
+
+    // Callers.
+
+    void schedule_load();
+
+    void begin_request(std::size_t index);
+
+    void transmission(request_key key, int number, base::duration timeout);
+
+    void arrive_at_host(std::size_t host, request_key key, bool relayed);
+
+    // Faults.
+
+    void schedule_faults();
+
+    /// `kinds`: which faults this seed may use, one bit each.
+    void fault(std::uint64_t kinds);
+
+    /// One host at a time loses its memory within the span in which a caller
+    /// may repeat: the stated limit.
+    bool may_lose_memory() const { return now_ >= next_memory_loss_; }
+
+    void kill(std::size_t index);
+
+    void stop_host(std::size_t index);
+
+    void freeze(std::size_t index);
+
+    void thaw(std::size_t index);
+
+    void cut(const std::string& data_centre);
+
+    void drain(std::size_t index);
+
+    /// A planned stop of the last hosts has nobody to pass its memory to: the
+    /// stated limit.
+    bool has_heir(std::size_t index) const;
+
+    void fail_upstream(std::size_t index);
+
+    void send_out_second();
+
+    void heal();
+
+    void check_end();
+
+    std::uint64_t seed_;
+    base::random_source random_;
+    totals& counts_;
+    request_key traced_;
+    std::priority_queue<event> events_;
+    std::uint64_t order_ = 0;
+    base::time_point now_{};
+    std::vector<host_process> hosts_;
+    std::vector<upstream_process> upstreams_;
+    std::map<std::size_t, std::string> views_;
+    std::map<request_key, caller_request> requests_;
+    std::set<std::pair<request_key, base::endpoint>> cancelled_;
+    std::set<std::string> cut_;
+    config::service service_;
+    config::accepted_revision first_;
+    config::accepted_revision second_;
+    bool is_second_out_ = false;
+    std::size_t shedding_ = SIZE_MAX;
+    base::time_point next_memory_loss_{};
+    std::uint16_t next_upstream_message_ = 0;
+    double loss_ = 0;
+    double doubling_ = 0;
+    std::uint64_t violations_ = 0;
+};
+
+} // namespace galenabay::torture
--- /dev/null
+++ b/bench/dispatch_torture_hosts.cpp
@@ -0,0 +1,243 @@
+#include "dispatch_torture.hpp"
+
+namespace galenabay::torture
+{
+
+void world::on_host(std::size_t index, std::function<actions(dispatcher&)> act)
+{
+    host_process& host = hosts_[index];
+    if (!host.alive)
+    {
+        return;
+    }
+    if (host.frozen)
+    {
+        host.backlog.push_back([this, index, act = std::move(act)] { on_host(index, act); });
+        return;
+    }
+    perform(index, act(*host.subject));
+}
+
+void world::tick(std::size_t index, std::uint64_t incarnation)
+{
+    host_process& host = hosts_[index];
+    if (!host.alive || host.incarnation != incarnation)
+    {
+        return;
+    }
+    if (!host.frozen)
+    {
+        perform(index, host.subject->on_tick(now_));
+        if (host.leaving && host.subject->open_requests() == 0)
+        {
+            stop_host(index);
+            return;
+        }
+    }
+    const bool is_busy = host.subject->open_requests() > 0;
+    after(is_busy ? 10ms : 100ms, [this, index, incarnation] { tick(index, incarnation); });
+}
+
+void world::heartbeat(std::size_t index)
+{
+    const host_process& host = hosts_[index];
+    if (host.alive && !host.frozen)
+    {
+        for (std::size_t peer = 0; peer < hosts_.size(); ++peer)
+        {
+            const bool is_ready = host.ready && !host.leaving;
+            transmit(index, peer, [this, index, peer, is_ready] { hear(peer, index, is_ready); });
+        }
+        refresh_view(index);
+    }
+    after(heartbeat_interval, [this, index] { heartbeat(index); });
+}
+
+void world::hear(std::size_t index, std::size_t peer, bool is_ready)
+{
+    host_process& host = hosts_[index];
+    if (!host.alive || host.frozen)
+    {
+        return;
+    }
+    if (is_ready)
+    {
+        host.heard[peer] = now_;
+    }
+    else
+    {
+        host.heard.erase(peer);
+    }
+}
+
+void world::refresh_view(std::size_t index)
+{
+    host_process& host = hosts_[index];
+    if (!host.alive || host.frozen)
+    {
+        return;
+    }
+    std::vector<membership::live_host> live;
+    for (std::size_t peer = 0; peer < hosts_.size(); ++peer)
+    {
+        const auto heard = host.heard.find(peer);
+        const bool is_self = peer == index && host.ready && !host.leaving;
+        if (is_self || (peer != index && heard != host.heard.end() && now_ - heard->second < peer_timeout))
+        {
+            const auto& other = hosts_[peer];
+            live.push_back({other.name, other.data_centre, base::hash_text(other.name), {}});
+        }
+    }
+    on_host(index, [this, live](dispatcher& subject) { return subject.on_hosts(live, now_); });
+    trace_view(index, live);
+}
+
+void world::trace_view(std::size_t index, const std::vector<membership::live_host>& live)
+{
+    std::string names;
+    for (const auto& host : live)
+    {
+        names += " " + host.name;
+    }
+    if (std::exchange(views_[index], names) != names)
+    {
+        trace(0, {hosts_[index].name, "sees", names});
+    }
+}
+
+std::optional<std::size_t> world::host_named(const std::string& name) const
+{
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+    {
+        if (hosts_[i].name == name)
+        {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+bool world::is_cut(std::size_t a, std::size_t b) const
+{
+    const auto& first = hosts_[a].data_centre;
+    const auto& second = hosts_[b].data_centre;
+    return first != second && (cut_.contains(first) || cut_.contains(second));
+}
+
+void world::transmit(std::size_t from, std::size_t to, const std::function<void()>& act)
+{
+    const int copies = chance(doubling_) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy)
+    {
+        if (is_cut(from, to) || (from != to && chance(loss_)))
+        {
+            continue;
+        }
+        after(network_delay(), act);
+    }
+}
+
+void world::perform(std::size_t index, const actions& list)
+{
+    for (const auto& item : list)
+    {
+        std::visit([&](const auto& value) { apply(index, value); }, item);
+    }
+}
+
+void world::apply(std::size_t index, const send_to_upstream& sent)
+{
+    const sender from{index, hosts_[index].incarnation};
+    for (std::size_t u = 0; u < upstreams_.size(); ++u)
+    {
+        if (upstreams_[u].target.endpoint == sent.upstream && !chance(loss_))
+        {
+            after(network_delay(), [this, from, u, sent] { arrive_at_upstream(from, u, sent); });
+        }
+    }
+}
+
+void world::apply(std::size_t /*index*/, const cancel_at_upstream& cancel)
+{
+    cancelled_.insert({cancel.key, cancel.upstream});
+}
+
+void world::apply(std::size_t index, const deliver& reply)
+{
+    trace(reply.key, {hosts_[index].name, "delivers"});
+    auto& asked = requests_.at(reply.key);
+    request_key content = 0;
+    std::copy_n(reply.bytes->begin(), sizeof content, std::as_writable_bytes(std::span{&content, 1}).begin());
+    if (content != reply.key)
+    {
+        violation("each answer goes to its own request", reply.key);
+    }
+    if (!chance(loss_))
+    {
+        counts_.answers += asked.replied ? 0 : 1;
+        asked.replied = true;
+    }
+}
+
+void world::apply(std::size_t index, const refuse& reply)
+{
+    trace(reply.key,
+          {hosts_[index].name, reply.run_excluded ? "says not run:" : "says unknown:", name_of(reply.reason)});
+    if (chance(loss_))
+    {
+        return;
+    }
+    // A refusal counts as said when it reaches the caller: until then the
+    // caller may repeat the request and may have it run.
+    auto& asked = requests_.at(reply.key);
+    if (reply.run_excluded && asked.runs > 0)
+    {
+        violation("5.03 is true", reply.key);
+    }
+    counts_.refusals_not_run += !asked.replied && reply.run_excluded ? 1 : 0;
+    counts_.refusals_unknown += !asked.replied && !reply.run_excluded ? 1 : 0;
+    asked.told_not_run = asked.told_not_run || (reply.run_excluded && !asked.replied);
+    asked.replied = true;
+}
+
+void world::apply(std::size_t index, const relay_request& relayed)
+{
+    trace(relayed.key, {hosts_[index].name, "relays to", relayed.host});
+    if (const auto to = host_named(relayed.host))
+    {
+        transmit(index, *to, [this, to, key = relayed.key] { arrive_at_host(*to, key, true); });
+    }
+}
+
+void world::apply(std::size_t index, const send_intent& intent)
+{
+    trace(intent.key,
+          {hosts_[index].name, intent.upstream == intent_to_refuse ? "asks to refuse:" : "asks to run:", intent.host});
+    if (const auto to = host_named(intent.host))
+    {
+        transmit(index, *to,
+                 [this, to, intent, from = hosts_[index].name]
+                 {
+                     on_host(*to, [this, intent, from](dispatcher& subject)
+                             { return subject.on_intent(from, intent.key, intent.upstream, intent.sequence, now_); });
+                 });
+    }
+}
+
+void world::apply(std::size_t index, const send_intent_reply& reply)
+{
+    trace(reply.key, {hosts_[index].name, reply.accepted ? "accepts for" : "declines for", reply.host});
+    if (const auto to = host_named(reply.host))
+    {
+        transmit(index, *to,
+                 [this, to, reply, from = hosts_[index].name]
+                 {
+                     on_host(*to,
+                             [this, reply, from](dispatcher& subject) {
+                                 return subject.on_intent_reply(from, reply.key, reply.sequence, reply.accepted, now_);
+                             });
+                 });
+    }
+}
+
+} // namespace galenabay::torture
