--- a/src/dispatch/dispatcher_membership.cpp
+++ b/src/dispatch/dispatcher_membership.cpp
@@ -7,14 +7,6 @@
 namespace galenabay::dispatch
 {
 
-namespace
-{
-
-/// Hosts that witness a claim; those of the same data centre first.
-constexpr std::size_t max_witnesses = 2;
-
-} // namespace
-
 void dispatcher::state::on_revision(const config::accepted_revision& revision, base::time_point now)
 {
     enter(now);
@@ -43,6 +35,7 @@
         }
     }
     adopted_ = true;
+    update_witnesses(now);
 }
 
 void dispatcher::state::refresh_services(base::time_point now)
@@ -51,6 +44,7 @@
     {
         refresh_service(service, now);
     }
+    update_witnesses(now);
 }
 
 void dispatcher::state::refresh_service(service_state& service, base::time_point now)
@@ -92,10 +86,12 @@
     }
     service.witnesses = service.deciders[settings_.data_centre];
     std::erase(service.witnesses, settings_.self);
-    const auto elsewhere =
+    auto elsewhere =
         hosts_.ranked_elsewhere(settings_.data_centre, base::mix(service_id, base::hash_text(settings_.data_centre)));
     service.witnesses.insert(service.witnesses.end(), elsewhere.begin(), elsewhere.end());
     service.witnesses.resize(std::min(service.witnesses.size(), max_witnesses));
+    elsewhere.resize(std::min(elsewhere.size(), max_witnesses));
+    service.remote_witnesses = std::move(elsewhere);
 }
 
 actions dispatcher::state::on_hosts(std::span<const membership::live_host> hosts, base::time_point now)
@@ -127,6 +123,10 @@
     enter(now);
     leaving_ = true;
     refresh_services(now);
+    for (const auto& host : witnesses_)
+    {
+        spread_claims(host, now);
+    }
     std::vector<request_key> keys;
     for (const auto& [key, open] : open_)
     {
