Torture of revisions: hosts, racing operators and a faulty platform in virtual time

Blocking calls of an event run the events that fall into their wait, so that operators and hosts interleave inside an accept. Ruled out as a product fault: a crash of the harness itself when a host restarted while it read.

--- /dev/null
+++ b/bench/revision_torture/fake_platform.cpp
@@ -0,0 +1,202 @@
+#include "fake_platform.hpp"
+
+#include <src/platform/chunk_store.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace galenabay::torture
+{
+
+namespace
+{
+
+using base::error_code;
+using namespace std::chrono_literals;
+
+const std::string manifest_name = "config/manifest";
+
+platform::object convert(const stub::stored_object& stored)
+{
+    return platform::object{stored.key, stored.version, stored.value};
+}
+
+base::error cut_off(const char* step)
+{
+    return base::error::make(error_code::unavailable, step, "platform", "cut off");
+}
+
+} // namespace
+
+bool fake_platform::happens(std::uint64_t percent)
+{
+    const bool does = random_.below(100) < percent;
+    faults_ += does ? 1U : 0U;
+    return does;
+}
+
+void fake_platform::take_time()
+{
+    ++calls_;
+    queue_.run_for(std::chrono::microseconds{500 + random_.below(20'000)});
+}
+
+base::error fake_platform::fail(error_code code, const char* step)
+{
+    return base::error::make(code, step, "platform", "fault");
+}
+
+base::result<platform::object> fake_platform::get(const std::string& key)
+{
+    take_time();
+    if (down_)
+    {
+        return fail(error_code::unavailable, "get");
+    }
+    if (happens(rates_.rejected))
+    {
+        return fail(error_code::exhausted, "get");
+    }
+    const auto stored = happens(rates_.stale) ? objects_.get_previous(key) : objects_.get(key);
+    return stored ? base::result<platform::object>{convert(*stored)} : fail(error_code::not_found, "get");
+}
+
+base::result<std::vector<platform::object>> fake_platform::list(const std::string& prefix)
+{
+    take_time();
+    if (down_)
+    {
+        return fail(error_code::unavailable, "list");
+    }
+    std::vector<platform::object> rows;
+    for (const auto& stored : objects_.list(prefix))
+    {
+        rows.push_back(convert(stored));
+    }
+    return rows;
+}
+
+base::result<std::uint64_t> fake_platform::put(const std::string& key, const std::string& value,
+                                               std::uint64_t expected)
+{
+    take_time();
+    if (down_)
+    {
+        return fail(error_code::unavailable, "put");
+    }
+    if (happens(rates_.rejected))
+    {
+        return fail(error_code::exhausted, "put");
+    }
+    if (happens(rates_.late_write))
+    {
+        queue_.after(std::chrono::milliseconds{random_.below(5'000)},
+                     [this, key, value, expected, epoch = epoch_]
+                     {
+                         if (epoch == epoch_)
+                         {
+                             static_cast<void>(write(key, value, expected));
+                         }
+                     });
+        return fail(error_code::timeout, "put");
+    }
+    const auto written = write(key, value, expected);
+    if (happens(rates_.lost_answer))
+    {
+        return fail(error_code::timeout, "put");
+    }
+    return written;
+}
+
+base::result<std::uint64_t> fake_platform::write(const std::string& key, const std::string& value,
+                                                 std::uint64_t expected)
+{
+    const auto outcome = objects_.put(key, value, expected);
+    if (outcome.status != stub::write_status::done)
+    {
+        return fail(error_code::conflict, "put");
+    }
+    if (key == manifest_name)
+    {
+        on_manifest(value);
+    }
+    return outcome.version;
+}
+
+bool fake_platform::has_all_pieces(const platform::manifest& content) const
+{
+    return std::all_of(content.chunks.begin(), content.chunks.end(), [&](const std::string& chunk)
+                       { return objects_.get(platform::chunk_prefix + chunk).has_value(); });
+}
+
+void fake_platform::on_manifest(const std::string& text)
+{
+    const auto parsed = platform::parse_manifest(text).value();
+    ledger_.committed.emplace(parsed.number, parsed.digest);
+    if (++ledger_.texts[text] > 1)
+    {
+        violation_ = "a change was accepted twice";
+    }
+    if (!has_all_pieces(parsed))
+    {
+        violation_ = "a set was accepted before all of it was written";
+    }
+}
+
+base::result<void> fake_platform::remove(const std::string& key, std::uint64_t expected)
+{
+    take_time();
+    if (down_)
+    {
+        return fail(error_code::unavailable, "remove");
+    }
+    const auto outcome = objects_.remove(key, expected);
+    if (outcome.status == stub::write_status::conflict)
+    {
+        return fail(error_code::conflict, "remove");
+    }
+    const auto manifest = objects_.get(manifest_name);
+    if (manifest && !has_all_pieces(platform::parse_manifest(manifest->value).value()))
+    {
+        violation_ = "a piece of the accepted set was removed";
+    }
+    return base::outcome::success();
+}
+
+void fake_platform::restore(std::uint64_t version)
+{
+    if (objects_.restore(version))
+    {
+        ++epoch_;
+        ++ledger_.restores;
+        ledger_.texts.clear();
+    }
+}
+
+base::result<platform::object> fake_client::get(const std::string& key) const
+{
+    return is_cut() ? base::result<platform::object>{cut_off("get")} : target_->get(key);
+}
+
+base::result<std::vector<platform::object>> fake_client::list(const std::string& prefix) const
+{
+    return is_cut() ? base::result<std::vector<platform::object>>{cut_off("list")} : target_->list(prefix);
+}
+
+base::result<std::uint64_t> fake_client::put(const std::string& key, const std::string& value,
+                                             std::uint64_t expected) const
+{
+    return is_cut() ? base::result<std::uint64_t>{cut_off("put")} : target_->put(key, value, expected);
+}
+
+base::result<void> fake_client::remove(const std::string& key, std::uint64_t expected) const
+{
+    return is_cut() ? base::result<void>{cut_off("remove")} : target_->remove(key, expected);
+}
+
+base::result<platform::object> fake_client::watch(const std::string& key, std::uint64_t, std::chrono::milliseconds) const
+{
+    return get(key);
+}
+
+} // namespace galenabay::torture
--- /dev/null
+++ b/bench/revision_torture/fake_platform.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "virtual_time.hpp"
+
+#include <galenabay/base/random.hpp>
+#include <galenabay/platform/object_client.hpp>
+
+#include <src/platform/manifest.hpp>
+#include <tools/platform_stub/object_store.hpp>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace galenabay::torture
+{
+
+/// Likelihood of each fault per call, in percent.
+struct fault_rates
+{
+    std::uint64_t stale = 0;
+    std::uint64_t lost_answer = 0;
+    std::uint64_t late_write = 0;
+    std::uint64_t rejected = 0;
+};
+
+/// What the platform accepted, to judge reports and hosts by.
+struct ledger
+{
+    /// Number and digest of every manifest that was committed.
+    std::set<std::pair<std::uint64_t, std::string>> committed;
+    /// Text of every manifest since the latest restore.
+    std::map<std::string, std::size_t> texts;
+    std::size_t restores = 0;
+};
+
+/// The object API with faults, in virtual time.
+class fake_platform
+{
+public:
+    fake_platform(event_queue& queue, base::random_source& random) : queue_{queue}, random_{random} {}
+
+    base::result<platform::object> get(const std::string& key);
+    base::result<std::vector<platform::object>> list(const std::string& prefix);
+    base::result<std::uint64_t> put(const std::string& key, const std::string& value, std::uint64_t expected);
+    base::result<void> remove(const std::string& key, std::uint64_t expected);
+
+    void set_down(bool down) noexcept { down_ = down; }
+    void set_rates(const fault_rates& rates) noexcept { rates_ = rates; }
+    /// Goes back to an earlier version; writes under way are gone.
+    void restore(std::uint64_t version);
+
+    const ledger& accepted() const noexcept { return ledger_; }
+    const stub::object_store& objects() const noexcept { return objects_; }
+    std::uint64_t version() const { return objects_.version(); }
+    std::size_t faults() const noexcept { return faults_; }
+    std::size_t calls() const noexcept { return calls_; }
+    /// First breach of a promise that the platform itself saw; empty: none.
+    const std::string& violation() const noexcept { return violation_; }
+
+private:
+    bool happens(std::uint64_t percent);
+    void take_time();
+    base::error fail(base::error_code code, const char* step);
+    base::result<std::uint64_t> write(const std::string& key, const std::string& value, std::uint64_t expected);
+    void on_manifest(const std::string& text);
+    bool has_all_pieces(const platform::manifest& content) const;
+
+    event_queue& queue_;
+    base::random_source& random_;
+    stub::object_store objects_;
+    ledger ledger_;
+    fault_rates rates_;
+    bool down_ = false;
+    std::uint64_t epoch_ = 0;
+    std::size_t faults_ = 0;
+    std::size_t calls_ = 0;
+    std::string violation_;
+};
+
+/// What `store_logic` takes for a client. `cut` stands for a broken path between
+/// this client and the platform.
+class fake_client
+{
+public:
+    explicit fake_client(fake_platform& target, const bool* cut = nullptr) : target_{&target}, cut_{cut} {}
+
+    base::result<platform::object> get(const std::string& key) const;
+    base::result<std::vector<platform::object>> list(const std::string& prefix) const;
+    base::result<std::vector<platform::object>> list_keys(const std::string& prefix) const { return list(prefix); }
+    base::result<std::uint64_t> put(const std::string& key, const std::string& value, std::uint64_t expected) const;
+    base::result<void> remove(const std::string& key, std::uint64_t expected) const;
+    base::result<platform::object> watch(const std::string& key, std::uint64_t after,
+                                         std::chrono::milliseconds wait) const;
+
+private:
+    bool is_cut() const { return cut_ != nullptr && *cut_; }
+
+    fake_platform* target_;
+    const bool* cut_;
+};
+
+} // namespace galenabay::torture
--- /dev/null
+++ b/bench/revision_torture/virtual_time.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace galenabay::torture
+{
+
+/// Queue of events on a clock that moves only when events run. A blocking call
+/// of an event runs the events that fall into its wait, so that operators and
+/// hosts interleave.
+class event_queue
+{
+public:
+    using time = std::chrono::microseconds;
+
+    time now() const noexcept { return now_; }
+
+    void after(time delay, std::function<void()> event) { events_.emplace(now_ + delay, std::move(event)); }
+
+    void run_for(time length)
+    {
+        const time end = now_ + length;
+        while (!events_.empty() && events_.begin()->first <= end)
+        {
+            auto node = events_.extract(events_.begin());
+            now_ = std::max(now_, node.key());
+            node.mapped()();
+            ++count_;
+        }
+        now_ = std::max(now_, end);
+    }
+
+    std::size_t count() const noexcept { return count_; }
+
+private:
+    std::multimap<time, std::function<void()>> events_;
+    time now_{0};
+    std::size_t count_ = 0;
+};
+
+/// The clock of retries, driven by the queue of the world that runs now.
+struct virtual_time
+{
+    static inline event_queue* queue = nullptr;
+
+    static std::chrono::steady_clock::time_point now()
+    {
+        return std::chrono::steady_clock::time_point{queue->now()};
+    }
+    static void sleep_for(std::chrono::milliseconds time) { queue->run_for(time); }
+};
+
+} // namespace galenabay::torture
--- /dev/null
+++ b/bench/revision_torture/world.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "fake_platform.hpp"
+#include "virtual_time.hpp"
+
+#include <galenabay/base/random.hpp>
+#include <galenabay/config/accepted_revision.hpp>
+#include <galenabay/config/revision_log.hpp>
+#include <galenabay/revision/follower.hpp>
+
+#include <src/platform/store_logic.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace galenabay::torture
+{
+
+/// What one seed did.
+struct outcome
+{
+    std::size_t events = 0;
+    std::size_t applies = 0;
+    std::size_t accepted = 0;
+    std::size_t conflicts = 0;
+    std::size_t unknown = 0;
+    std::size_t adoptions = 0;
+    std::size_t faults = 0;
+    std::size_t alarms = 0;
+    /// The promise that was broken; empty: none.
+    std::string violation;
+};
+
+/// Some hosts, racing operators and one platform with faults, in virtual time.
+///
+/// Promises that are checked: a host never goes back to an older revision; what
+/// it has in force was accepted as a whole under that number; an apply that
+/// reports success was accepted, one that reports a conflict was not and never
+/// is; no change is accepted twice; after the faults all hosts have the newest.
+class world
+{
+public:
+    explicit world(std::uint64_t seed);
+
+    outcome run();
+
+private:
+    using logic = platform::store_logic<fake_client, virtual_time>;
+
+    struct host
+    {
+        std::string name;
+        std::uint64_t incarnation = 0;
+        bool cut = false;
+        std::uint64_t group = 0;
+        std::chrono::microseconds paused_until{0};
+        std::unique_ptr<revision::follower> follower;
+        std::shared_ptr<logic> reader;
+        config::revision_log log;
+        std::optional<config::accepted_revision> in_force;
+    };
+
+    void start(host& starting);
+    void tick(host& ticking);
+    void carry_out(host& acting, const revision::actions& actions);
+    void adopt(host& adopting);
+    void ask_platform(host& asking, const revision::fetch_from_platform& fetch);
+    void read_platform(std::size_t index, std::uint64_t incarnation, revision::fetch_from_platform fetch,
+                       base::duration left);
+    void ask_peer(host& asking, const revision::fetch_from_peer& fetch);
+    void answer_peer(std::size_t from, std::size_t to, std::uint64_t incarnation, std::uint64_t after);
+    void heartbeat(host& sending);
+    void operate();
+    void apply(bool informed);
+    void judge(const base::result<platform::stored_revision>& outcome, const config::accepted_revision& next,
+               std::size_t restores);
+    void disturb();
+    void finish();
+    void check_leftovers();
+
+    bool reaches(const host& from, const host& to) const { return from.group == to.group; }
+    bool is_paused(const host& each) const { return each.paused_until > queue_.now(); }
+    bool chance(std::uint64_t percent) { return random_.below(100) < percent; }
+    std::chrono::microseconds random_time(std::chrono::microseconds longest);
+    base::time_point now() const { return base::time_point{queue_.now()}; }
+    std::size_t index_of(const std::string& name) const;
+    std::uint64_t newest_in_force() const;
+    void violate(const std::string& promise);
+
+    base::random_source random_;
+    event_queue queue_;
+    fake_platform platform_;
+    std::vector<host> hosts_;
+    std::vector<std::string> refused_texts_;
+    std::uint64_t author_ = 0;
+    std::size_t running_applies_ = 0;
+    bool disturbing_ = true;
+    outcome outcome_;
+};
+
+} // namespace galenabay::torture
