--- a/bench/revision_torture/fake_platform.cpp
+++ b/bench/revision_torture/fake_platform.cpp
@@ -76,8 +76,7 @@
     return rows;
 }
 
-base::result<std::uint64_t> fake_platform::put(const std::string& key, const std::string& value,
-                                               std::uint64_t expected)
+base::result<std::uint64_t> fake_platform::put(const std::string& key, const std::string& value, std::uint64_t expected)
 {
     take_time();
     if (down_)
@@ -125,7 +124,8 @@
 
 bool fake_platform::has_all_pieces(const platform::manifest& content) const
 {
-    return std::all_of(content.chunks.begin(), content.chunks.end(), [&](const std::string& chunk)
+    return std::all_of(content.chunks.begin(), content.chunks.end(),
+                       [&](const std::string& chunk)
                        { return objects_.get(platform::chunk_prefix + chunk).has_value(); });
 }
 
@@ -194,7 +194,8 @@
     return is_cut() ? base::result<void>{cut_off("remove")} : target_->remove(key, expected);
 }
 
-base::result<platform::object> fake_client::watch(const std::string& key, std::uint64_t, std::chrono::milliseconds) const
+base::result<platform::object> fake_client::watch(const std::string& key, std::uint64_t,
+                                                  std::chrono::milliseconds) const
 {
     return get(key);
 }
--- a/bench/revision_torture/virtual_time.hpp
+++ b/bench/revision_torture/virtual_time.hpp
@@ -47,10 +47,7 @@
 {
     static inline event_queue* queue = nullptr;
 
-    static std::chrono::steady_clock::time_point now()
-    {
-        return std::chrono::steady_clock::time_point{queue->now()};
-    }
+    static std::chrono::steady_clock::time_point now() { return std::chrono::steady_clock::time_point{queue->now()}; }
     static void sleep_for(std::chrono::milliseconds time) { queue->run_for(time); }
 };
 
--- a/bench/revision_torture/world.cpp
+++ b/bench/revision_torture/world.cpp
@@ -93,8 +93,7 @@
 
 std::size_t world::index_of(const std::string& name) const
 {
-    const auto found =
-        std::find_if(hosts_.begin(), hosts_.end(), [&](const host& each) { return each.name == name; });
+    const auto found = std::find_if(hosts_.begin(), hosts_.end(), [&](const host& each) { return each.name == name; });
     return static_cast<std::size_t>(found - hosts_.begin());
 }
 
@@ -252,8 +251,9 @@
                          return;
                      }
                      const auto offered = config::decode_update(receiver.follower->current(), bytes);
-                     carry_out(receiver, offered ? receiver.follower->on_peer_revision(hosts_[to].name, offered.value(), now())
-                                                 : receiver.follower->on_peer_failure(hosts_[to].name, now()));
+                     carry_out(receiver,
+                               offered ? receiver.follower->on_peer_revision(hosts_[to].name, offered.value(), now())
+                                       : receiver.follower->on_peer_failure(hosts_[to].name, now()));
                  });
 }
 
--- a/include/galenabay/config/revision_log.hpp
+++ b/include/galenabay/config/revision_log.hpp
@@ -23,7 +23,7 @@
     void add(const accepted_revision* previous, const accepted_revision& next);
 
     /// The changes after revision `after`, or the whole when they are not known
-    /// or larger; empty when nothing newer is in force.
+    /// or very large; empty when nothing newer is in force.
     std::vector<std::byte> update_since(std::uint64_t after) const;
 
 private:
@@ -33,8 +33,11 @@
         std::vector<std::byte> bytes;
     };
 
-    std::uint64_t number_ = 0;
-    std::vector<std::byte> whole_;
+    const std::vector<std::byte>& whole() const;
+
+    accepted_revision latest_;
+    /// Encoded when a peer first asks for it.
+    mutable std::vector<std::byte> whole_;
     std::deque<entry> changes_;
 };
 
--- a/src/config/codec.cpp
+++ b/src/config/codec.cpp
@@ -9,6 +9,8 @@
 #include <Poco/Crypto/DigestEngine.h>
 
 #include <algorithm>
+#include <iterator>
+#include <map>
 #include <utility>
 
 namespace galenabay::config
@@ -22,11 +24,22 @@
     return {value.data(), value.size()};
 }
 
-bool is_unchanged(const service& element, const std::vector<service>& earlier)
+using service_index = std::map<std::string, const service*>;
+
+service_index index_by_name(const service_set& set)
+{
+    service_index index;
+    for (const auto& element : set.services)
+    {
+        index.emplace_hint(index.end(), element.name, &element);
+    }
+    return index;
+}
+
+bool holds(const service_index& index, const service& element)
 {
-    const auto same = [&](const service& other) { return other.name == element.name; };
-    const auto found = std::find_if(earlier.begin(), earlier.end(), same);
-    return found != earlier.end() && *found == element;
+    const auto found = index.find(element.name);
+    return found != index.end() && *found->second == element;
 }
 
 base::result<accepted_revision> read_revision(schema::Revision::Reader reader)
@@ -134,14 +147,15 @@
 
 std::vector<std::byte> encode_change(const accepted_revision& before, const accepted_revision& after)
 {
+    const auto earlier = index_by_name(before.set);
+    const auto later = index_by_name(after.set);
     std::vector<service> changed;
     std::copy_if(after.set.services.begin(), after.set.services.end(), std::back_inserter(changed),
-                 [&](const service& element) { return !is_unchanged(element, before.set.services); });
+                 [&](const service& element) { return !holds(earlier, element); });
     std::vector<std::string> removed;
     for (const auto& element : before.set.services)
     {
-        const auto same = [&](const service& other) { return other.name == element.name; };
-        if (std::none_of(after.set.services.begin(), after.set.services.end(), same))
+        if (!later.contains(element.name))
         {
             removed.push_back(element.name);
         }
--- a/src/config/revision_log.cpp
+++ b/src/config/revision_log.cpp
@@ -17,6 +17,9 @@
 
 using encoded = std::vector<std::byte>;
 
+/// Changes that are larger than this together are not worth more than the whole.
+constexpr std::size_t largest_changes = 256U << 10U;
+
 capnp::Data::Reader to_data(const encoded& bytes)
 {
     return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
@@ -51,8 +54,8 @@
 
 void revision_log::add(const accepted_revision* previous, const accepted_revision& next)
 {
-    whole_ = encode_revision(next);
-    number_ = next.number;
+    latest_ = next;
+    whole_.clear();
     if (previous == nullptr || previous->number + 1 != next.number)
     {
         changes_.clear();
@@ -65,9 +68,18 @@
     }
 }
 
+const std::vector<std::byte>& revision_log::whole() const
+{
+    if (whole_.empty())
+    {
+        whole_ = encode_revision(latest_);
+    }
+    return whole_;
+}
+
 std::vector<std::byte> revision_log::update_since(std::uint64_t after) const
 {
-    if (after >= number_)
+    if (after >= latest_.number)
     {
         return {};
     }
@@ -81,12 +93,12 @@
             size += change.bytes.size();
         }
     }
-    const bool complete = after + wanted.size() == number_;
+    const bool complete = after + wanted.size() == latest_.number;
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::RevisionUpdate>();
-    if (after == 0 || !complete || size >= whole_.size())
+    if (after == 0 || !complete || size > largest_changes)
     {
-        root.setWhole(to_data(whole_));
+        root.setWhole(to_data(whole()));
         return pack_canonical(root.asReader());
     }
     auto changes = root.initChanges(static_cast<unsigned>(wanted.size()));
