--- /dev/null
+++ b/bench/revision_bench/live_fleet.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <galenabay/config/revision_log.hpp>
+#include <galenabay/platform/revision_store.hpp>
+#include <galenabay/revision/follower.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace galenabay::bench
+{
+
+/// One host's part in learning revisions: the real follower and the real client
+/// of the platform, on two threads; peers are called directly in place of RPC.
+class live_host
+{
+public:
+    /// `reaches_platform` false: cut off from the platform, hears peers only.
+    live_host(std::size_t index, const base::endpoint& platform, bool reaches_platform);
+    live_host(const live_host&) = delete;
+    live_host& operator=(const live_host&) = delete;
+    ~live_host();
+
+    void start(const std::vector<std::unique_ptr<live_host>>& fleet);
+    void stop();
+
+    std::uint64_t number() const noexcept { return number_.load(); }
+    std::uint64_t reversions() const noexcept { return reversions_.load(); }
+    /// Bytes of updates and heartbeats that this host sent to peers.
+    std::uint64_t bytes_sent() const noexcept { return bytes_sent_.load(); }
+
+private:
+    using clock = std::chrono::steady_clock;
+
+    void run();
+    void watch_platform();
+    void carry_out(const revision::actions& actions);
+    void adopt();
+    void take_answer();
+    void hear_peers();
+    void fetch_from(const revision::fetch_from_peer& fetch);
+    std::vector<std::byte> update_since(std::uint64_t after);
+    base::time_point now() const;
+
+    std::size_t index_;
+    bool reaches_platform_;
+    platform::revision_store store_;
+    revision::follower follower_;
+    clock::time_point started_ = clock::now();
+    clock::time_point next_heartbeat_ = started_;
+    const std::vector<std::unique_ptr<live_host>>* fleet_ = nullptr;
+
+    std::mutex log_mutex_;
+    config::revision_log log_;
+
+    std::mutex fetch_mutex_;
+    std::optional<revision::fetch_from_platform> wanted_;
+    std::optional<base::result<std::optional<platform::stored_revision>>> answer_;
+
+    std::atomic<std::uint64_t> number_{0};
+    std::atomic<std::uint64_t> reversions_{0};
+    std::atomic<std::uint64_t> bytes_sent_{0};
+    std::atomic<bool> stopping_{false};
+    std::thread control_;
+    std::thread watcher_;
+};
+
+} // namespace galenabay::bench
--- a/bench/revision_sizes.cpp
+++ b/bench/revision_sizes.cpp
@@ -54,23 +54,53 @@
     config::accepted_revision decoded;
     std::vector<std::byte> bytes;
     std::vector<std::vector<std::byte>> pieces;
-    measure("copy of a revision", [&] { decoded = first; return decoded.set.services.size(); });
-    measure("succeed", [&] { second = config::succeed(&first, set, "operator", 2); return second.set.services.size(); });
+    measure("copy of a revision",
+            [&]
+            {
+                decoded = first;
+                return decoded.set.services.size();
+            });
+    measure("succeed",
+            [&]
+            {
+                second = config::succeed(&first, set, "operator", 2);
+                return second.set.services.size();
+            });
     measure("canonical set, bytes", [&] { return config::encode_service_set(second.set).size(); });
     measure("digest", [&] { return config::digest_of(second.set).size(); });
-    measure("whole revision, bytes", [&] { bytes = config::encode_revision(second); return bytes.size(); });
+    measure("whole revision, bytes",
+            [&]
+            {
+                bytes = config::encode_revision(second);
+                return bytes.size();
+            });
     measure("decode whole revision", [&] { return config::decode_revision(bytes).value().set.services.size(); });
-    measure("pieces, bytes", [&] { pieces = config::encode_pieces(second); return total(pieces); });
+    measure("pieces, bytes",
+            [&]
+            {
+                pieces = config::encode_pieces(second);
+                return total(pieces);
+            });
     std::printf("pieces %zu, of which differ after one change %zu bytes\n", pieces.size(),
                 different(config::encode_pieces(first), pieces));
     config::accepted_revision header = second;
     header.set.services.clear();
     header.lineage.clear();
     measure("decode pieces", [&] { return config::decode_pieces(header, pieces).value().set.services.size(); });
-    measure("change, bytes", [&] { bytes = config::encode_change(first, second); return bytes.size(); });
+    measure("change, bytes",
+            [&]
+            {
+                bytes = config::encode_change(first, second);
+                return bytes.size();
+            });
     measure("apply change", [&] { return config::decode_change(first, bytes).value().set.services.size(); });
     config::revision_log log;
-    measure("log a revision", [&] { log.add(&first, second); return std::size_t{0}; });
+    measure("log a revision",
+            [&]
+            {
+                log.add(&first, second);
+                return std::size_t{0};
+            });
     measure("update of one change, bytes", [&] { return log.update_since(1).size(); });
     return 0;
 }
--- a/include/galenabay/config/revision_log.hpp
+++ b/include/galenabay/config/revision_log.hpp
@@ -22,6 +22,9 @@
     /// when there was none.
     void add(const accepted_revision* previous, const accepted_revision& next);
 
+    /// The revision that was added last; null when none was.
+    const accepted_revision* latest() const noexcept { return latest_.number == 0 ? nullptr : &latest_; }
+
     /// The changes after revision `after`, or the whole when they are not known
     /// or very large; empty when nothing newer is in force.
     std::vector<std::byte> update_since(std::uint64_t after) const;
--- a/src/config/revision_log.cpp
+++ b/src/config/revision_log.cpp
@@ -54,18 +54,20 @@
 
 void revision_log::add(const accepted_revision* previous, const accepted_revision& next)
 {
-    latest_ = next;
-    whole_.clear();
     if (previous == nullptr || previous->number + 1 != next.number)
     {
         changes_.clear();
-        return;
     }
-    changes_.push_back({next.number, encode_change(*previous, next)});
+    else
+    {
+        changes_.push_back({next.number, encode_change(*previous, next)});
+    }
     if (changes_.size() > max_changes)
     {
         changes_.pop_front();
     }
+    latest_ = next;
+    whole_.clear();
 }
 
 const std::vector<std::byte>& revision_log::whole() const
