--- a/bench/bench_revision.cpp
+++ b/bench/bench_revision.cpp
@@ -112,7 +112,8 @@
         const auto bytes_before = bytes_sent();
         for (int round = 1; round <= changes; ++round)
         {
-            const auto next = config::succeed(&latest.revision, with_change(latest.revision.set, round), "bench", round);
+            const auto next =
+                config::succeed(&latest.revision, with_change(latest.revision.set, round), "bench", round);
             const auto start = std::chrono::steady_clock::now();
             latest = store.accept(next, latest.manifest_version).value();
             wait_for(next.number);
@@ -150,7 +151,8 @@
         std::this_thread::sleep_for(idle_time);
         const auto after = server_.state().counts();
         const auto calls = after.reads + after.watches - before.reads - before.watches;
-        figures_.idle_calls_per_host = static_cast<double>(calls) / 6 / std::chrono::duration<double>(idle_time).count();
+        figures_.idle_calls_per_host =
+            static_cast<double>(calls) / 6 / std::chrono::duration<double>(idle_time).count();
     }
 
     void count(const stub::call_counts& before, std::uint64_t bytes_before)
@@ -225,8 +227,7 @@
     const auto endpoint = base::endpoint::parse("127.0.0.1", server.port()).value();
     platform::revision_store writer{platform::object_client::make(endpoint, 3000ms)};
     platform::revision_store reader{platform::object_client::make(endpoint, 3000ms)};
-    const auto first =
-        writer.accept(config::succeed(nullptr, bench::make_large_set(), "bench", 0), 0).value();
+    const auto first = writer.accept(config::succeed(nullptr, bench::make_large_set(), "bench", 0), 0).value();
     static_cast<void>(reader.read().value());
     const auto next = config::succeed(&first.revision, with_change(first.revision.set, 1), "bench", 1);
     server.state().apply("{\"delay_ms\": " + std::to_string(slow_call.count()) + "}");
@@ -264,8 +265,8 @@
     const double slow_s = std::chrono::duration<double>(slow_call).count();
     // Gossip from the watchers to all hosts of a data centre, and one hop more for
     // a data centre that has lost the platform.
-    const double hops = std::ceil(std::log(per_centre / revision::watchers_per_data_centre) /
-                                  std::log(1 + gossip_fan_out)) + 1;
+    const double hops =
+        std::ceil(std::log(per_centre / revision::watchers_per_data_centre) / std::log(1 + gossip_fan_out)) + 1;
     const double hop_s = heartbeat_interval_s + slow_s + large.cpu_from_peer_ms / 1e3;
     const double watch_s = 3 * slow_s + large.cpu_from_platform_ms / 1e3;
     print("revision_seconds_in_force_3900_worked_out", large.accept_seconds + watch_s + hops * hop_s, 11);
@@ -279,8 +280,8 @@
     const double watcher_bytes = large.platform_bytes / change_interval;
     const double holder_bytes = large.status_bytes * (2 / change_interval + 1.0 / 5);
     const double update_bytes = large.update_bytes * (1 + gossip_fan_out) / change_interval;
-    print("revision_bytes_without_heartbeats_per_host_second_3900_worked_out", watcher_bytes + holder_bytes + update_bytes,
-          22'000);
+    print("revision_bytes_without_heartbeats_per_host_second_3900_worked_out",
+          watcher_bytes + holder_bytes + update_bytes, 22'000);
 }
 
 } // namespace
@@ -293,8 +294,8 @@
     print("revision_platform_writes_per_change_9", live.writes_per_change, 300);
     print("revision_platform_reads_per_change_9", live.reads_per_change_and_host * hosts_today, 2000);
     print("revision_platform_calls_per_idle_second_9", live.idle_calls_per_host * hosts_today, 2000);
-    print("revision_update_bytes_per_host_second_9",
-          live.peer_bytes_per_host * changes_per_day / seconds_per_day, 3072);
+    print("revision_update_bytes_per_host_second_9", live.peer_bytes_per_host * changes_per_day / seconds_per_day,
+          3072);
     print("revision_cpu_ms_per_change_from_platform", large.cpu_from_platform_ms, 100);
     print("revision_cpu_ms_per_change_from_peer", large.cpu_from_peer_ms, 100);
     print_target(live, large);
--- a/bench/revision_bench/live_fleet.cpp
+++ b/bench/revision_bench/live_fleet.cpp
@@ -22,8 +22,7 @@
 } // namespace
 
 live_host::live_host(std::size_t index, const base::endpoint& platform, bool reaches_platform)
-    : index_{index}, reaches_platform_{reaches_platform},
-      store_{platform::object_client::make(platform, call_timeout)},
+    : index_{index}, reaches_platform_{reaches_platform}, store_{platform::object_client::make(platform, call_timeout)},
       follower_{revision::follower_settings{.seed = index + 1}}
 {
 }
