--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,120 @@
+# Functions to run a fleet on loopback; sourced by demo.sh and soak.sh, which set
+# `bin` (the folder of programs), `work` (an empty folder) and `net` (the first two
+# numbers of the loopback addresses, 127.0 in the examples).
+
+declare -A host_pid=() host_address=()
+fleet_pids=()
+
+# run_program LOG PROGRAM ARGUMENT...: starts a program; its id is in `started`.
+run_program() {
+  local log=$1
+  shift
+  "$@" >>"$log" 2>&1 &
+  started=$!
+  fleet_pids+=("$started")
+}
+
+# stop_fleet: ends every program that was started here.
+stop_fleet() {
+  local pid
+  for pid in "${fleet_pids[@]}"; do
+    kill -CONT "$pid" 2>/dev/null
+    kill "$pid" 2>/dev/null
+  done
+  for pid in "${fleet_pids[@]}"; do wait "$pid" 2>/dev/null; done
+  fleet_pids=()
+}
+
+# http_get ADDRESS PORT PATH: prints head and body of the answer.
+http_get() {
+  (
+    exec 3<>"/dev/tcp/$1/$2" || exit 1
+    printf 'GET %s HTTP/1.0\r\nHost: %s\r\n\r\n' "$3" "$1" >&3
+    timeout 2 cat <&3
+  ) 2>/dev/null
+}
+
+# wait_for SECONDS COMMAND...: repeats a command until it succeeds.
+wait_for() {
+  local end=$(($(date +%s) + $1))
+  shift
+  until "$@"; do
+    [ "$(date +%s)" -lt "$end" ] || return 1
+    sleep 0.1
+  done
+}
+
+is_ready() { http_get "$1" 7103 /readyz | head -1 | grep -q ' 200 '; }
+
+# start_platform [ARGUMENT...]: starts the platform stand-in with an empty list of hosts.
+start_platform() {
+  platform=$net.0.1:7000
+  echo '[]' >"$work/hosts.yaml"
+  run_program "$work/platform.log" "$bin/platform_stub" --listen "$platform" --hosts "$work/hosts.yaml" "$@"
+  platform_pid=$started
+  wait_for 10 http_get "$net.0.1" 7000 /v1/stats >/dev/null
+}
+
+# write_fleet_files: writes the platform's list of hosts and the fabric's list.
+write_fleet_files() {
+  local name
+  for name in "${!host_address[@]}"; do
+    local address=${host_address[$name]}
+    printf -- '- {name: %s, data_centre: %s, control: "%s:7100", relay: "%s:7101", health: "%s:7103"}\n' \
+      "$name" "${name%-*}" "$address" "$address" "$address"
+  done >"$work/hosts.next"
+  [ -s "$work/hosts.next" ] || echo '[]' >"$work/hosts.next"
+  mv "$work/hosts.next" "$work/hosts.yaml"
+  kill -HUP "$platform_pid"
+}
+
+# fabric_add ADDRESS, fabric_remove ADDRESS: callers follow this file.
+fabric_add() { echo "$1" >>"$work/fabric"; }
+fabric_remove() {
+  grep -vxF "$1" "$work/fabric" >"$work/fabric.next"
+  mv "$work/fabric.next" "$work/fabric"
+}
+
+# start_host NAME ADDRESS: NAME is DATA_CENTRE-NUMBER.
+start_host() {
+  local name=$1 address=$2
+  cat >"$work/$name.yaml" <<Y
+name: $name
+data_centre: ${name%-*}
+address: $address
+platform: $platform
+test: {drop_peers_file: "$work/$name.cut"}
+Y
+  : >"$work/$name.cut"
+  run_program "$work/$name.log" "$bin/galena_balancerd" --config "$work/$name.yaml"
+  host_pid[$name]=$started
+  host_address[$name]=$address
+  write_fleet_files
+}
+
+# kill_host NAME: ends it without a word; it stays on the lists.
+kill_host() {
+  kill -9 "${host_pid[$1]}"
+  wait "${host_pid[$1]}" 2>/dev/null
+}
+
+# forget_host NAME: takes it off the platform's list.
+forget_host() {
+  unset "host_address[$1]" "host_pid[$1]"
+  write_fleet_files
+}
+
+# site_field FILE KEY: the values of a key of all services, in order.
+site_field() { sed -nE "s/^ +(- )?$2: *([^ #{]+).*/\2/p" "$1"; }
+
+# site_data_centres FILE: each data centre once.
+site_data_centres() { grep -oE 'data_centre: [a-z0-9-]+' "$1" | sed 's/.*: //' | awk '!seen[$0]++'; }
+
+# sum_metrics NAME_PATTERN ADDRESS...: sums counters over hosts, those above 0.
+sum_metrics() {
+  local pattern=$1 address
+  shift
+  for address in "$@"; do http_get "$address" 7103 /metrics; done |
+    grep -aE "^($pattern)[{ ]" | tr -d '\r' |
+    awk '{sum[$1] += $2} END {for (name in sum) if (sum[name] > 0) print name "=" sum[name]}' | sort
+}
