Flow records travel in both directions of the scheduled heartbeats

Cause: flow records started heartbeats of their own, 4 a second more than planned; nine hosts sent 2.5 KB/s each without any flow. Ruled out: repeated data centre and endpoints (omitted since the last change), reconnects (none counted as failed). Change: the answer to a heartbeat carries records too; records wait for the next scheduled exchange; their share of the budget is 30%.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -84,8 +84,8 @@
 }
 
 interface Peer {
-  heartbeat @0 (report :HostReport, flows :FlowBatch) -> (report :HostReport);
-  # Exchanges reports; `flows` carries registry entries that fit the budget.
+  heartbeat @0 (report :HostReport, flows :FlowBatch) -> (report :HostReport, flows :FlowBatch);
+  # Exchanges reports and registry entries that fit the budget.
   fetchRevision @1 (after :UInt64) -> (number :UInt64, revision :Data);
   # The revision in force at the peer when its number is larger than `after`;
   # otherwise number 0.
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -21,6 +21,9 @@
 constexpr base::duration pause_limit{1'000'000};
 /// A paused host that hears no peer serves again after this long.
 constexpr base::duration resume_limit{5'000'000};
+/// Flow records kept for a peer that can't be reached; beyond that the older
+/// ones are dropped.
+constexpr std::size_t max_waiting_records = 8192;
 /// A new host that hears no peer serves after this long.
 constexpr base::duration lonely_start_limit{3'000'000};
 
@@ -68,6 +71,12 @@
     return self_;
 }
 
+std::vector<flow::flow_record> control_duty::take_records(const std::string& host)
+{
+    const auto found = contacts_.find(host);
+    return found == contacts_.end() ? std::vector<flow::flow_record>{} : std::exchange(found->second.records, {});
+}
+
 const membership::host_report* control_duty::last_report(const std::string& name) const
 {
     const auto found = heard_.find(name);
@@ -281,13 +290,13 @@
     to.due = now + settings_.heartbeat_interval;
     auto exchange = to.link->exchange(own_report(), std::exchange(to.records, {}))
                         .then(
-                            [this, name](const membership::host_report& report)
+                            [this, name](const heartbeat_answer& answer)
                             {
                                 metrics_.add(metric::heartbeats_ok);
                                 contacts_[name].tried = true;
-                                if (report.name == name)
+                                if (answer.report.name == name)
                                 {
-                                    hear(report, {});
+                                    hear(answer.report, answer.records);
                                 }
                             },
                             [this, name](kj::Exception&&)
@@ -307,8 +316,7 @@
         {
             continue;
         }
-        const bool due = now >= to.due && initiates(row.name, now);
-        if (due || !to.records.empty())
+        if (now >= to.due && initiates(row.name, now))
         {
             send_heartbeat(row.name, to, now);
         }
@@ -320,6 +328,10 @@
     for (outgoing_records batch; links_.decide_to_control.pop(batch);)
     {
         auto& waiting = contacts_[batch.host].records;
+        if (waiting.size() + batch.records.size() > max_waiting_records)
+        {
+            waiting.clear();
+        }
         waiting.insert(waiting.end(), batch.records.begin(), batch.records.end());
     }
     std::erase_if(contacts_, [](const auto& entry) { return entry.second.link.get() == nullptr; });
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -58,6 +58,7 @@
     // peer_handler
     bool on_heartbeat(const membership::host_report& report, const std::vector<flow::flow_record>& records) override;
     membership::host_report own_report() override;
+    std::vector<flow::flow_record> take_records(const std::string& host) override;
     const membership::host_report* last_report(const std::string& name) const override;
     const std::vector<std::byte>& encoded_revision() const override { return encoded_revision_; }
     std::uint64_t revision_number() const override;
--- a/src/daemon/decide_duty.cpp
+++ b/src/daemon/decide_duty.cpp
@@ -19,7 +19,9 @@
 constexpr std::size_t packets_per_round = 256;
 constexpr std::chrono::milliseconds idle_wait{5};
 /// Part of the control budget that flow records may use, in percent.
-constexpr std::size_t records_share_percent = 50;
+constexpr std::size_t records_share_percent = 30;
+/// Flow records are collected this often for the next heartbeats.
+constexpr base::duration records_interval{500'000};
 constexpr std::size_t microseconds_per_second = 1'000'000;
 
 } // namespace
@@ -101,7 +103,7 @@
 
 void decide_duty::send_records(base::time_point now)
 {
-    const auto interval_us = static_cast<std::size_t>(settings_.heartbeat_interval.count());
+    const auto interval_us = static_cast<std::size_t>(records_interval.count());
     const std::size_t budget =
         settings_.control_bytes_per_second * records_share_percent / 100 * interval_us / microseconds_per_second;
     for (auto& batch : path_.take_records(budget, now))
@@ -120,7 +122,7 @@
     }
     if (now >= next_records_)
     {
-        next_records_ = now + settings_.heartbeat_interval;
+        next_records_ = now + records_interval;
         send_records(now);
     }
     if (now >= next_metrics_)
--- a/src/daemon/peer_link.cpp
+++ b/src/daemon/peer_link.cpp
@@ -59,8 +59,8 @@
     connection_ = nullptr;
 }
 
-kj::Promise<membership::host_report> peer_link::send_report(const membership::host_report& own,
-                                                            const std::vector<flow::flow_record>& records)
+kj::Promise<heartbeat_answer> peer_link::send_report(const membership::host_report& own,
+                                                     const std::vector<flow::flow_record>& records)
 {
     const auto place = connection_->heard ? place_fields::omitted : place_fields::included;
     auto request = peer().heartbeatRequest();
@@ -69,8 +69,16 @@
     {
         write_records(records, request.initFlows());
     }
-    return request.send().then([this](capnp::Response<schema::Peer::HeartbeatResults> response)
-                               { return take_report(response.getReport()); });
+    return request.send().then(
+        [this](capnp::Response<schema::Peer::HeartbeatResults> response)
+        {
+            auto received = read_records(response.getFlows());
+            if (!received)
+            {
+                kj::throwFatalException(KJ_EXCEPTION(FAILED, "malformed flow records"));
+            }
+            return heartbeat_answer{take_report(response.getReport()), std::move(received).value()};
+        });
 }
 
 membership::host_report peer_link::take_report(schema::HostReport::Reader answered)
@@ -86,19 +94,19 @@
     return std::move(report).value();
 }
 
-kj::Promise<membership::host_report> peer_link::exchange(const membership::host_report& own,
-                                                         std::vector<flow::flow_record> records)
+kj::Promise<heartbeat_answer> peer_link::exchange(const membership::host_report& own,
+                                                  std::vector<flow::flow_record> records)
 {
     ++open_calls_;
     auto whole = connect().then([this, own, records = std::move(records)]() { return send_report(own, records); });
     return timer_.timeoutAfter(exchange_timeout, kj::mv(whole))
         .then(
-            [this](membership::host_report report)
+            [this](heartbeat_answer answer)
             {
                 --open_calls_;
-                return report;
+                return answer;
             },
-            [this](kj::Exception&& failure) -> membership::host_report
+            [this](kj::Exception&& failure) -> heartbeat_answer
             {
                 --open_calls_;
                 drop_connection();
--- a/src/daemon/peer_link.hpp
+++ b/src/daemon/peer_link.hpp
@@ -19,6 +19,13 @@
 namespace galenabay::daemon
 {
 
+/// What a peer answers to a heartbeat.
+struct heartbeat_answer
+{
+    membership::host_report report;
+    std::vector<flow::flow_record> records;
+};
+
 /// Connection to one peer. Connects on first use and again after a failure.
 /// Owned by the control thread; used inside its event loop only.
 class peer_link
@@ -26,10 +33,9 @@
 public:
     peer_link(kj::Network& network, kj::Timer& timer, metric_board& metrics, const base::endpoint& control);
 
-    /// Sends this host's report and flow records; gives the peer's report.
+    /// Sends this host's report and flow records; gives the peer's.
     /// Rejected when the peer can't be reached in time.
-    kj::Promise<membership::host_report> exchange(const membership::host_report& own,
-                                                  std::vector<flow::flow_record> records);
+    kj::Promise<heartbeat_answer> exchange(const membership::host_report& own, std::vector<flow::flow_record> records);
 
     /// The peer's revision when its number is larger than `after`; otherwise an
     /// empty vector.
@@ -51,8 +57,8 @@
     };
 
     kj::Promise<void> connect();
-    kj::Promise<membership::host_report> send_report(const membership::host_report& own,
-                                                     const std::vector<flow::flow_record>& records);
+    kj::Promise<heartbeat_answer> send_report(const membership::host_report& own,
+                                              const std::vector<flow::flow_record>& records);
     membership::host_report take_report(schema::HostReport::Reader answered);
     schema::Peer::Client& peer();
     void drop_connection();
--- a/src/daemon/peer_server.cpp
+++ b/src/daemon/peer_server.cpp
@@ -17,6 +17,10 @@
     KJ_REQUIRE(handler_.on_heartbeat(report.value(), records.value()), "not accepted");
     const auto place = sent.hasPlace() ? place_fields::included : place_fields::omitted;
     write_report(handler_.own_report(), place, context.getResults().initReport());
+    if (const auto waiting = handler_.take_records(report.value().name); !waiting.empty())
+    {
+        write_records(waiting, context.getResults().initFlows());
+    }
     return kj::READY_NOW;
 }
 
--- a/src/daemon/peer_server.hpp
+++ b/src/daemon/peer_server.hpp
@@ -24,6 +24,8 @@
     /// False when the report must not be accepted (partition test).
     virtual bool on_heartbeat(const membership::host_report& report, const std::vector<flow::flow_record>& records) = 0;
     virtual membership::host_report own_report() = 0;
+    /// Flow records that wait for this host; they are handed out once.
+    virtual std::vector<flow::flow_record> take_records(const std::string& host) = 0;
     /// Last report of a host; null when never heard.
     virtual const membership::host_report* last_report(const std::string& name) const = 0;
     /// Encoded revision in force; empty when none.
