--- a/bench/flow_fleet.hpp
+++ b/bench/flow_fleet.hpp
@@ -115,8 +115,8 @@
         newest_ = revision;
         for (std::size_t i = 0; i < hosts_.size(); ++i)
         {
-            const base::duration delay{static_cast<std::int64_t>(
-                random_.below(static_cast<std::uint64_t>(longest.count()) + 1))};
+            const base::duration delay{
+                static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(longest.count()) + 1))};
             schedule(i, revision, delay);
         }
     }
@@ -136,6 +136,10 @@
         hosts_[host]->life = life + 1;
         hosts_[host]->ready_at = now_ + base::duration{1'500'000};
         hosts_[host]->in_fabric = false;
+        for (const auto& [upstream, healthy] : reported_)
+        {
+            hosts_[host]->health.emplace(now_ + base::duration{1'000'000}, std::pair{upstream, healthy});
+        }
         if (newest_)
         {
             hosts_[host]->logic->on_revision(*newest_, now_);
@@ -152,10 +156,7 @@
     }
 
     /// Stops a host's process for a while; packets to it wait or get lost.
-    void pause(std::size_t host, base::duration length)
-    {
-        hosts_[host]->paused_until = now_ + length;
-    }
+    void pause(std::size_t host, base::duration length) { hosts_[host]->paused_until = now_ + length; }
 
     /// Cuts hosts with different sides from each other; all 0: heals.
     void set_side(std::size_t host, int side) { hosts_[host]->side = side; }
@@ -163,11 +164,11 @@
     /// Reports an upstream's health to each host within `longest`.
     void report_health(config::upstream_id upstream, bool healthy, base::duration longest)
     {
+        reported_[upstream] = healthy;
         for (auto& host : hosts_)
         {
             const auto delay = random_.below(static_cast<std::uint64_t>(longest.count()) + 1);
-            host->health.emplace(now_ + base::duration{static_cast<std::int64_t>(delay)},
-                                 std::pair{upstream, healthy});
+            host->health.emplace(now_ + base::duration{static_cast<std::int64_t>(delay)}, std::pair{upstream, healthy});
         }
     }
 
@@ -270,8 +271,8 @@
         ++made_;
         result.logic = std::make_unique<flow::steering>(
             flow::steering_settings{name_of(host), settings_.table_size, settings_.seed * 1000 + made_});
-        result.next_heartbeat = now_ + base::duration{static_cast<std::int64_t>(random_.below(
-                                           static_cast<std::uint64_t>(settings_.heartbeat.count())))};
+        result.next_heartbeat = now_ + base::duration{static_cast<std::int64_t>(
+                                           random_.below(static_cast<std::uint64_t>(settings_.heartbeat.count())))};
         return result;
     }
 
@@ -349,8 +350,8 @@
     {
         auto& host = *hosts_[from];
         const std::size_t peers = std::max<std::size_t>(1, settings_.hosts - 1);
-        const auto beat_bytes = settings_.bytes_per_second * static_cast<std::size_t>(settings_.heartbeat.count()) /
-                                1'000'000 / peers;
+        const auto beat_bytes =
+            settings_.bytes_per_second * static_cast<std::size_t>(settings_.heartbeat.count()) / 1'000'000 / peers;
         for (std::size_t to = 0; to < hosts_.size(); ++to)
         {
             if (to == from || !reaches(from, to))
@@ -420,6 +421,7 @@
     std::vector<std::unique_ptr<node>> hosts_;
     std::vector<batch> batches_;
     std::optional<config::accepted_revision> newest_;
+    std::map<config::upstream_id, bool> reported_;
 };
 
 } // namespace galenabay::bench
--- a/bench/torture_flow.cpp
+++ b/bench/torture_flow.cpp
@@ -52,6 +52,7 @@
     std::string service;
     base::endpoint upstream;
     bool established = false;
+    bool opened = false;
     base::time_point next{};
     std::uint64_t gap_ms = 1000;
     int refusals = 0;
@@ -75,8 +76,8 @@
 {
 public:
     torture_run(std::uint64_t seed, const seed_range& arguments, counts& total)
-        : seed_{seed}, arguments_{arguments}, total_{total}, random_{base::mix(seed, 77)}, fleet_{make_fleet_settings(seed)},
-          revisions_{make_services()}
+        : seed_{seed}, arguments_{arguments}, total_{total}, random_{base::mix(seed, 77)},
+          fleet_{make_fleet_settings(seed)}, revisions_{make_services()}
     {
         note_upstreams();
         note_listed();
@@ -162,7 +163,8 @@
         const auto& service = revisions_.draft()[random_.below(3) == 0 ? 1 : 0];
         flow.service = service.name;
         flow.address = service.address;
-        flow.gap_ms = random_.below(2) == 0 ? 500 + random_.below(2'000) : 5'000 + random_.below(longest_gap_ms - 5'000);
+        flow.gap_ms =
+            random_.below(2) == 0 ? 500 + random_.below(2'000) : 5'000 + random_.below(longest_gap_ms - 5'000);
         flow.next = fleet_.now() + base::duration{static_cast<std::int64_t>(random_.below(2'000'000))};
         return flow;
     }
@@ -170,8 +172,8 @@
     void send(open_flow& flow)
     {
         ++total_.packets;
-        flow.next = fleet_.now() + base::duration{static_cast<std::int64_t>(500 * flow.gap_ms +
-                                                                           random_.below(flow.gap_ms) * 1000)};
+        flow.next = fleet_.now() +
+                    base::duration{static_cast<std::int64_t>(500 * flow.gap_ms + random_.below(flow.gap_ms) * 1000)};
         const auto result = fleet_.send(flow.caller, flow.address);
         total_.relayed += result.hops;
         if (arguments_.caller != 0 && flow.caller == caller_of(arguments_.caller))
@@ -198,6 +200,7 @@
             flow = open();
             return;
         }
+        flow.opened = true;
         if (dead_.count(result.upstream) == 0)
         {
             fleet_.answer(result, flow.caller, flow.address);
@@ -230,7 +233,7 @@
             return false;
         }
         const auto drained = draining_.find(result.upstream);
-        if (!flow.established && drained != draining_.end() && fleet_.is_known(drained->second, drain_limit))
+        if (!flow.opened && drained != draining_.end() && fleet_.is_known(drained->second, drain_limit))
         {
             violation("new flow on a draining upstream", flow, result);
             return false;
@@ -264,20 +267,19 @@
     void violation(const char* promise, const open_flow& flow, const delivery& result)
     {
         ++total_.violations;
-        std::printf("violation seed=%llu at_ms=%lld promise=\"%s\" caller=%s was=%s now=%s hops=%d hosts=%zu,%zu reason=%s\n",
-                    static_cast<unsigned long long>(seed_),
-                    static_cast<long long>(fleet_.now().time_since_epoch().count() / 1000), promise,
-                    flow.caller.to_string().c_str(), flow.upstream.to_string().c_str(),
-                    result.upstream.to_string().c_str(), result.hops, result.first_host, result.last_host,
-                    flow::name_of(result.reason));
+        std::printf(
+            "violation seed=%llu at_ms=%lld promise=\"%s\" caller=%s was=%s now=%s hops=%d hosts=%zu,%zu reason=%s\n",
+            static_cast<unsigned long long>(seed_),
+            static_cast<long long>(fleet_.now().time_since_epoch().count() / 1000), promise,
+            flow.caller.to_string().c_str(), flow.upstream.to_string().c_str(), result.upstream.to_string().c_str(),
+            result.hops, result.first_host, result.last_host, flow::name_of(result.reason));
     }
 
     void disturb()
     {
-        constexpr std::array<event, 10> kinds{event::change,     event::change,       event::change,
-                                              event::two_changes, event::kill_host,   event::replace_host,
-                                              event::pause_host, event::fail_upstream, event::flap_upstream,
-                                              event::partition};
+        constexpr std::array<event, 10> kinds{
+            event::change,       event::change,     event::change,        event::two_changes,   event::kill_host,
+            event::replace_host, event::pause_host, event::fail_upstream, event::flap_upstream, event::partition};
         const auto kind = kinds[random_.below(kinds.size())];
         if (((arguments_.kinds >> static_cast<unsigned>(kind)) & 1) == 0)
         {
@@ -343,7 +345,8 @@
         trace("change: revision %d, service %s", static_cast<int>(revisions_.current().number), service.name.c_str());
         for (const auto& one : arguments_.trace ? upstreams : std::vector<config::upstream>{})
         {
-            trace("  %s %s weight %d", one.endpoint.to_string().c_str(), one.draining ? "draining" : "open", static_cast<int>(one.weight));
+            trace("  %s %s weight %d", one.endpoint.to_string().c_str(), one.draining ? "draining" : "open",
+                  static_cast<int>(one.weight));
         }
     }
 
@@ -429,7 +432,8 @@
             ++total_.host_faults;
             trace("kill host %d", static_cast<int>(host));
             fleet_.kill(host);
-            restarts_.emplace(fleet_.now() + base::duration{static_cast<std::int64_t>(random_.below(20'000'000))}, host);
+            restarts_.emplace(fleet_.now() + base::duration{static_cast<std::int64_t>(random_.below(20'000'000))},
+                              host);
         }
     }
 
--- a/src/flow/packet_decision.cpp
+++ b/src/flow/packet_decision.cpp
@@ -6,7 +6,11 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
-static unsigned long long dbg(){static auto v=getenv("DK")?strtoull(getenv("DK"),0,16):0;return v;}
+static unsigned long long dbg()
+{
+    static auto v = getenv("DK") ? strtoull(getenv("DK"), 0, 16) : 0;
+    return v;
+}
 
 namespace galenabay::flow
 {
@@ -223,8 +227,8 @@
 bool steering::state::may_decide_alone(const packet& of, std::uint32_t& upstream) const
 {
     const auto& slot = index_.service(of.service);
-    if (!of.owners->former.empty() || !slot.present || slot.draining || slot.history_full || awaits_version(slot) ||
-        !exchange_.informed(revision_))
+    if (of.hops > 0 || !of.owners->former.empty() || !slot.present || slot.draining || slot.history_full ||
+        awaits_version(slot) || !exchange_.informed(revision_))
     {
         return false;
     }
@@ -263,7 +267,18 @@
 decision steering::state::decide_here(const packet& of)
 {
     const auto& slot = index_.service(of.service);
-    if(of.key==dbg()||dbg()==1){auto w=plan(of);printf("   decide %lx at %s t %ld rev %lu hops %d plan up %s certain %d auth %d keeper %d await %d byp %d settled %zu/%zu complete_rev %lu changed_in %lu pos %zu/%zu peers %zu\n",of.key,settings_.self.c_str(),now_.time_since_epoch().count()/1000,revision_,of.hops,w.upstream==no_upstream_index?"-":index_.upstream(w.upstream).endpoint.to_string().c_str(),w.certain,is_authoritative(of.service,of.key),is_keeper(of.service,of.key),awaits_version(slot),slot.bypassed,index_.version_of(of.service,slot.settled_tag),slot.choice.versions(),exchange_.complete_revision(),slot.changed_in,ranking_.position(slot.id,of.key),ranking_.hosts().size(),ranking_.peer_count());}
+    if (of.key == dbg() || dbg() == 1)
+    {
+        auto w = plan(of);
+        printf("   decide %lx at %s t %ld rev %lu hops %d plan up %s certain %d auth %d keeper %d await %d byp %d "
+               "settled %zu/%zu complete_rev %lu changed_in %lu pos %zu/%zu peers %zu\n",
+               of.key, settings_.self.c_str(), now_.time_since_epoch().count() / 1000, revision_, of.hops,
+               w.upstream == no_upstream_index ? "-" : index_.upstream(w.upstream).endpoint.to_string().c_str(),
+               w.certain, is_authoritative(of.service, of.key), is_keeper(of.service, of.key), awaits_version(slot),
+               slot.bypassed, index_.version_of(of.service, slot.settled_tag), slot.choice.versions(),
+               exchange_.complete_revision(), slot.changed_in, ranking_.position(slot.id, of.key),
+               ranking_.hosts().size(), ranking_.peer_count());
+    }
     const bool refused = in_transition(of) || !slot.present || slot.draining;
     const auto where = refused ? placement{} : plan(of);
     const bool authoritative = is_authoritative(of.service, of.key) && !awaits_version(slot);
@@ -345,7 +360,9 @@
     {
         return is_alone();
     }
-    return stable_complete_revision() >= index_.service(service).changed_in && is_keeper(service, key);
+    const auto& slot = index_.service(service);
+    const bool stable = stable_complete_revision() >= slot.changed_in && now_ - slot.adopted_at >= record_latency;
+    return stable && is_keeper(service, key);
 }
 
 steering::state::placement steering::state::plan(const packet& of) const
--- a/src/flow/peer_exchange.cpp
+++ b/src/flow/peer_exchange.cpp
@@ -35,7 +35,8 @@
     link.request_sent.reset();
 }
 
-void peer_exchange::set_peers(std::span<const membership::live_host> peers, std::uint16_t set_hash, base::time_point now)
+void peer_exchange::set_peers(std::span<const membership::live_host> peers, std::uint16_t set_hash,
+                              base::time_point now)
 {
     set_hash_ = set_hash;
     std::map<std::uint32_t, bool> now_live;
@@ -335,8 +336,8 @@
 
 bool peer_exchange::awaits_leaving(std::uint64_t revision) const
 {
-    return std::any_of(links_.begin(), links_.end(), [&](const auto& entry)
-                       { return entry.second.left_at && !entry.second.has_all(revision); });
+    return std::any_of(links_.begin(), links_.end(),
+                       [&](const auto& entry) { return entry.second.left_at && !entry.second.has_all(revision); });
 }
 
 bool peer_exchange::complete_for_set() const
--- a/src/flow/record_codec.hpp
+++ b/src/flow/record_codec.hpp
@@ -46,6 +46,9 @@
 
 constexpr std::uint32_t max_notice_number = (1U << 24) - 1;
 constexpr base::duration age_unit{16'000};
+/// Time within which a record of a flow that another host has just placed
+/// arrives.
+constexpr base::duration record_latency{1'300'000};
 
 std::uint32_t encode_age(base::duration age) noexcept;
 base::duration decode_age(std::uint32_t number) noexcept;
--- a/src/flow/service_index.cpp
+++ b/src/flow/service_index.cpp
@@ -126,7 +126,8 @@
     const auto first_revision = [&](std::size_t version)
     { return version < earlier ? (*lineage)[version].last_revision + 1 : 0; };
     slot.history_full = earlier >= config::max_generations;
-    add_version(slot, index, from, from.upstreams, first_revision(0), true);
+    slot.first_revision = first_revision(0);
+    add_version(slot, index, from, from.upstreams, slot.first_revision, true);
     for (std::size_t i = 0; i < earlier; ++i)
     {
         add_version(slot, index, from, (*lineage)[i].upstreams, first_revision(i + 1), false);
@@ -138,6 +139,7 @@
 {
     auto& slot = services_[index];
     slot.changed_in = revision;
+    slot.adopted_at = now;
     slot.changed_at = now;
     if (slot.awaited_tag != 0)
     {
--- a/src/flow/service_index.hpp
+++ b/src/flow/service_index.hpp
@@ -74,6 +74,10 @@
     bool bypassed = false;
     /// Revision that brought the version in force.
     std::uint64_t changed_in = 0;
+    /// The first revision with this state, as far as the lineage tells.
+    std::uint64_t first_revision = 0;
+    /// When the version came in force here.
+    base::time_point adopted_at{};
     /// When the first host put the version in force, as far as known here.
     base::time_point changed_at{};
     /// A version that a peer has in force and this host has not; 0: none.
--- a/src/flow/steering_state.cpp
+++ b/src/flow/steering_state.cpp
@@ -40,7 +40,7 @@
     for (const auto service : index_.take_in(revision, now))
     {
         const auto& slot = index_.service(service);
-        if (!first)
+        if (!first || slot.first_revision == revision.number)
         {
             exchange_.announce(notice_kind::changed, static_cast<std::uint32_t>(slot.id),
                                static_cast<std::uint32_t>(slot.version_tags.front()), slot.changed_at, now);
