--- a/src/flow/peer_exchange.cpp
+++ b/src/flow/peer_exchange.cpp
@@ -168,9 +168,16 @@
     }
 }
 
-void peer_exchange::queue_bulk(std::uint64_t host, std::uint64_t key)
+void peer_exchange::queue_bulk(std::uint64_t host, queued_flow flow)
 {
-    links_[name_of_host(host)].bulk.push_back(key);
+    links_[name_of_host(host)].bulk.push_back(flow);
+}
+
+void peer_exchange::end_scan(std::uint64_t host)
+{
+    auto& bulk = links_[name_of_host(host)].bulk;
+    std::stable_sort(bulk.begin(), bulk.end(),
+                     [](const queued_flow& a, const queued_flow& b) { return a.silence < b.silence; });
 }
 
 bool peer_exchange::scan_due(std::uint64_t revision) const
@@ -260,7 +267,7 @@
     }
     while (to.size() < limit && link.bulk_sent < link.bulk.size())
     {
-        if (record_of(link.bulk[link.bulk_sent], record))
+        if (record_of(link.bulk[link.bulk_sent].key, record))
         {
             to.push_back(record);
         }
--- a/src/flow/peer_exchange.hpp
+++ b/src/flow/peer_exchange.hpp
@@ -74,7 +74,9 @@
 
     /// Starts a pass for every peer that lacks one and returns them by host id.
     std::vector<scan_request> start_scan(std::uint64_t revision);
-    void queue_bulk(std::uint64_t host, std::uint64_t key);
+    void queue_bulk(std::uint64_t host, queued_flow flow);
+    /// Orders the queue of a peer after a scan.
+    void end_scan(std::uint64_t host);
 
     /// Records for a peer. `record_of(key, record)` fills in a flow; false when
     /// the flow is no longer known.
--- a/src/flow/peer_link.hpp
+++ b/src/flow/peer_link.hpp
@@ -21,6 +21,13 @@
     std::uint32_t last_batch = 0;
 };
 
+/// A flow to tell a peer of, with its silence when it was queued.
+struct queued_flow
+{
+    std::uint64_t key = 0;
+    base::duration silence{};
+};
+
 /// State of the record exchange with one peer. Owned by `peer_exchange`.
 struct peer_link
 {
@@ -45,7 +52,8 @@
     std::uint16_t peer_nonce = 0;
     std::uint32_t last_batch = 0;
     std::deque<std::uint64_t> urgent;
-    std::vector<std::uint64_t> bulk;
+    /// The flow seen last comes first.
+    std::vector<queued_flow> bulk;
     std::size_t bulk_sent = 0;
     bool answer_due = false;
     std::size_t unhealthy_sent = 0;
--- a/src/flow/record_handling.cpp
+++ b/src/flow/record_handling.cpp
@@ -136,7 +136,7 @@
                        to.request.covered_revision);
             if (ranking_.keeps_records(to.host, slot.id, key) && !was_sent(to, slot, key))
             {
-                exchange_.queue_bulk(to.request.host, key);
+                exchange_.queue_bulk(to.request.host, {key, coarse_time::of(now_).since(entry.last_seen)});
             }
         }
         return true;
@@ -145,6 +145,10 @@
     {
         table_.visit_bucket(bucket, visit);
     }
+    for (const auto& to : targets)
+    {
+        exchange_.end_scan(to.request.host);
+    }
 }
 
 bool steering::state::make_record(std::uint64_t key, flow_record& record)
