--- a/src/flow/packet_decision.cpp
+++ b/src/flow/packet_decision.cpp
@@ -324,16 +324,13 @@
     }
     auto& entry = table_.insert(of.key, now_, [&](const flow_entry& one) { return is_expired(one); });
     entry.upstream = where.upstream;
-    entry.registered = 1;
     candidate_list candidates;
-    const auto& slot = index_.service(of.service);
-    const bool agree = slot.choice.choose_all(of.key, candidates);
-    if (!agree || candidates[0] != where.upstream || !of.owners->former.empty())
+    index_.service(of.service).choice.choose_all(of.key, candidates);
+    const auto newest = candidates[0];
+    entry.moved = newest != where.upstream && newest != no_upstream_index && recently_unhealthy(newest) ? 1 : 0;
+    if (needs_record(of.key, entry))
     {
-        entry.moved =
-            candidates[0] != where.upstream && candidates[0] != no_upstream_index && recently_unhealthy(candidates[0])
-                ? 1
-                : 0;
+        entry.registered = 1;
         tell_keepers(of.service, of.key);
     }
     return forward(of, where.upstream);
--- a/src/flow/record_handling.cpp
+++ b/src/flow/record_handling.cpp
@@ -73,8 +73,10 @@
     {
         return true;
     }
+    // An unknown flow goes where the version in force says.
     candidate_list candidates;
-    return !slot.choice.choose_all(key, candidates) || candidates[0] != entry.upstream;
+    slot.choice.choose_all(key, candidates);
+    return candidates[0] != entry.upstream;
 }
 
 void steering::state::scan_table()
