--- a/bench/flow_fleet.hpp
+++ b/bench/flow_fleet.hpp
@@ -136,6 +136,10 @@
         hosts_[host]->life = life + 1;
         hosts_[host]->ready_at = now_ + base::duration{1'500'000};
         hosts_[host]->in_fabric = false;
+        for (const auto& [upstream, healthy] : reported_)
+        {
+            hosts_[host]->health.emplace(now_ + base::duration{1'000'000}, std::pair{upstream, healthy});
+        }
         if (newest_)
         {
             hosts_[host]->logic->on_revision(*newest_, now_);
@@ -160,6 +164,7 @@
     /// Reports an upstream's health to each host within `longest`.
     void report_health(config::upstream_id upstream, bool healthy, base::duration longest)
     {
+        reported_[upstream] = healthy;
         for (auto& host : hosts_)
         {
             const auto delay = random_.below(static_cast<std::uint64_t>(longest.count()) + 1);
@@ -416,6 +421,7 @@
     std::vector<std::unique_ptr<node>> hosts_;
     std::vector<batch> batches_;
     std::optional<config::accepted_revision> newest_;
+    std::map<config::upstream_id, bool> reported_;
 };
 
 } // namespace galenabay::bench
--- a/bench/torture_flow.cpp
+++ b/bench/torture_flow.cpp
@@ -52,6 +52,7 @@
     std::string service;
     base::endpoint upstream;
     bool established = false;
+    bool opened = false;
     base::time_point next{};
     std::uint64_t gap_ms = 1000;
     int refusals = 0;
@@ -199,6 +200,7 @@
             flow = open();
             return;
         }
+        flow.opened = true;
         if (dead_.count(result.upstream) == 0)
         {
             fleet_.answer(result, flow.caller, flow.address);
@@ -231,7 +233,7 @@
             return false;
         }
         const auto drained = draining_.find(result.upstream);
-        if (!flow.established && drained != draining_.end() && fleet_.is_known(drained->second, drain_limit))
+        if (!flow.opened && drained != draining_.end() && fleet_.is_known(drained->second, drain_limit))
         {
             violation("new flow on a draining upstream", flow, result);
             return false;
--- a/src/flow/packet_decision.cpp
+++ b/src/flow/packet_decision.cpp
@@ -227,8 +227,8 @@
 bool steering::state::may_decide_alone(const packet& of, std::uint32_t& upstream) const
 {
     const auto& slot = index_.service(of.service);
-    if (!of.owners->former.empty() || !slot.present || slot.draining || slot.history_full || awaits_version(slot) ||
-        !exchange_.informed(revision_))
+    if (of.hops > 0 || !of.owners->former.empty() || !slot.present || slot.draining || slot.history_full ||
+        awaits_version(slot) || !exchange_.informed(revision_))
     {
         return false;
     }
@@ -324,16 +324,13 @@
     }
     auto& entry = table_.insert(of.key, now_, [&](const flow_entry& one) { return is_expired(one); });
     entry.upstream = where.upstream;
-    entry.registered = 1;
     candidate_list candidates;
-    const auto& slot = index_.service(of.service);
-    const bool agree = slot.choice.choose_all(of.key, candidates);
-    if (!agree || candidates[0] != where.upstream || !of.owners->former.empty())
+    index_.service(of.service).choice.choose_all(of.key, candidates);
+    const auto newest = candidates[0];
+    entry.moved = newest != where.upstream && newest != no_upstream_index && recently_unhealthy(newest) ? 1 : 0;
+    if (needs_record(of.key, entry))
     {
-        entry.moved =
-            candidates[0] != where.upstream && candidates[0] != no_upstream_index && recently_unhealthy(candidates[0])
-                ? 1
-                : 0;
+        entry.registered = 1;
         tell_keepers(of.service, of.key);
     }
     return forward(of, where.upstream);
@@ -360,7 +357,9 @@
     {
         return is_alone();
     }
-    return stable_complete_revision() >= index_.service(service).changed_in && is_keeper(service, key);
+    const auto& slot = index_.service(service);
+    const bool stable = stable_complete_revision() >= slot.changed_in && now_ - slot.adopted_at >= record_latency;
+    return stable && is_keeper(service, key);
 }
 
 steering::state::placement steering::state::plan(const packet& of) const
--- a/src/flow/record_handling.cpp
+++ b/src/flow/record_handling.cpp
@@ -13,15 +13,6 @@
 namespace galenabay::flow
 {
 
-namespace
-{
-
-/// Time within which a record of a flow that another host has just placed
-/// arrives.
-constexpr base::duration record_latency{1'300'000};
-
-} // namespace
-
 void steering::state::log_complete()
 {
     complete_log_.emplace_back(now_, exchange_.complete_revision());
@@ -82,8 +73,10 @@
     {
         return true;
     }
+    // An unknown flow goes where the version in force says.
     candidate_list candidates;
-    return !slot.choice.choose_all(key, candidates) || candidates[0] != entry.upstream;
+    slot.choice.choose_all(key, candidates);
+    return candidates[0] != entry.upstream;
 }
 
 void steering::state::scan_table()
@@ -145,7 +138,7 @@
                        to.request.covered_revision);
             if (ranking_.keeps_records(to.host, slot.id, key) && !was_sent(to, slot, key))
             {
-                exchange_.queue_bulk(to.request.host, key);
+                exchange_.queue_bulk(to.request.host, {key, coarse_time::of(now_).since(entry.last_seen)});
             }
         }
         return true;
@@ -154,6 +147,10 @@
     {
         table_.visit_bucket(bucket, visit);
     }
+    for (const auto& to : targets)
+    {
+        exchange_.end_scan(to.request.host);
+    }
 }
 
 bool steering::state::make_record(std::uint64_t key, flow_record& record)
