--- a/bench/dispatch_torture.cpp
+++ b/bench/dispatch_torture.cpp
@@ -148,6 +148,7 @@
           {
               host_process& started = hosts_[index];
               started.ready = started.alive && started.incarnation == incarnation && !started.leaving;
+              started.ready_since = now_;
               trace(0, {started.name, "is ready"});
               refresh_view(index);
           });
--- a/bench/dispatch_torture.hpp
+++ b/bench/dispatch_torture.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <functional>
 #include <initializer_list>
 #include <map>
@@ -35,6 +36,8 @@
 constexpr base::duration heartbeat_interval = 300ms;
 constexpr base::duration settle_time = 2s;
 constexpr base::duration pause_limit = 500ms;
+/// Time in which a host that has become ready is told what others know.
+constexpr base::duration heir_age = 2s;
 constexpr std::uint32_t deadline_ms = 2500;
 constexpr base::duration load_time = 20s;
 constexpr base::duration quiet_time = 20s;
@@ -49,6 +52,7 @@
     std::uint64_t refusals_not_run = 0;
     std::uint64_t refusals_unknown = 0;
     std::uint64_t unanswered = 0;
+    std::uint64_t later_blocks = 0;
     std::uint64_t kills = 0;
     std::uint64_t freezes = 0;
     std::uint64_t cuts = 0;
@@ -66,6 +70,7 @@
     std::uint64_t incarnation = 0;
     bool alive = false;
     bool ready = false;
+    base::time_point ready_since{};
     bool leaving = false;
     bool frozen = false;
     std::vector<std::function<void()>> backlog;
@@ -93,6 +98,15 @@
     bool replied = false;
     bool told_not_run = false;
     std::uint32_t runs = 0;
+    /// Index of the caller's transfer of several blocks; 0: none.
+    std::size_t transfer = 0;
+};
+
+/// What an answer of an upstream says.
+struct answer_content
+{
+    request_key key = 0;
+    std::uint64_t upstream = 0;
 };
 
 /// One seeded run: hosts, upstreams, callers and what goes wrong between them.
@@ -185,6 +199,12 @@
 
     void begin_request(std::size_t index);
 
+    void ask_block(std::size_t transfer, std::uint16_t port, std::uint32_t block);
+
+    void on_block(const caller_request& asked, std::uint64_t upstream);
+
+    void send_first(caller_request asked);
+
     void transmission(request_key key, int number, base::duration timeout);
 
     void arrive_at_host(std::size_t host, request_key key, bool relayed);
@@ -196,8 +216,8 @@
     /// `kinds`: which faults this seed may use, one bit each.
     void fault(std::uint64_t kinds);
 
-    /// One host at a time loses its memory within the span in which a caller
-    /// may repeat: the stated limit.
+    /// One host at a time dies within the span in which a caller may repeat: the
+    /// stated limit. Planned stops are not limited.
     bool may_lose_memory() const { return now_ >= next_memory_loss_; }
 
     void kill(std::size_t index);
@@ -212,8 +232,8 @@
 
     void drain(std::size_t index);
 
-    /// A planned stop of the last hosts has nobody to pass its memory to: the
-    /// stated limit.
+    /// True when another host has been there long enough to know what this one
+    /// knows. The memory of all hosts at once is out of what can be promised.
     bool has_heir(std::size_t index) const;
 
     void fail_upstream(std::size_t index);
@@ -235,6 +255,9 @@
     std::vector<upstream_process> upstreams_;
     std::map<std::size_t, std::string> views_;
     std::map<request_key, caller_request> requests_;
+    /// Which upstream served the first block, by transfer.
+    std::map<std::size_t, std::uint64_t> first_blocks_;
+    std::uint16_t next_message_ = 0;
     std::set<std::pair<request_key, base::endpoint>> cancelled_;
     std::set<std::string> cut_;
     config::service service_;
--- a/bench/dispatch_torture_upstreams.cpp
+++ b/bench/dispatch_torture_upstreams.cpp
@@ -67,8 +67,10 @@
     value.piggybacked = chance(0.5);
     value.message_id = value.piggybacked ? asked.message_id : next_upstream_message_++;
     value.code = code;
-    const auto* content = reinterpret_cast<const std::byte*>(&asked.key);
-    value.bytes = std::make_shared<const std::vector<std::byte>>(content, content + sizeof asked.key);
+    const answer_content content{asked.key, upstream + 1};
+    std::vector<std::byte> bytes(sizeof content);
+    std::memcpy(bytes.data(), &content, sizeof content);
+    value.bytes = std::make_shared<const std::vector<std::byte>>(std::move(bytes));
     const int copies = chance(doubling_) ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy)
     {
@@ -93,23 +95,65 @@
 
 void world::begin_request(std::size_t index)
 {
-    caller_request asked;
     const auto port = static_cast<std::uint16_t>(4000 + random_.below(12));
-    asked.wire.service = service_.id();
-    asked.wire.service_address = service_.address;
-    asked.wire.caller = base::endpoint::make_v4(0x0a020001, port);
-    asked.wire.token = random_.below(6);
-    asked.wire.token_length = 1;
-    asked.wire.message_id = static_cast<std::uint16_t>(index);
+    if (index % 8 == 0)
+    {
+        ask_block(index + 1, port, 0);
+        return;
+    }
+    caller_request asked;
     asked.wire.method = chance(0.5) ? method::post : method::get;
     asked.wire.path = random_.below(3);
-    asked.wire.key = base::mix(base::mix(port, asked.wire.token), index);
+    asked.wire.caller = base::endpoint::make_v4(0x0a020001, port);
+    send_first(std::move(asked));
+}
+
+void world::ask_block(std::size_t transfer, std::uint16_t port, std::uint32_t block)
+{
+    caller_request asked;
+    asked.transfer = transfer;
+    asked.wire.method = method::get;
+    asked.wire.path = 100 + transfer % 2;
+    asked.wire.block = block;
+    asked.wire.caller = base::endpoint::make_v4(0x0a020001, port);
+    send_first(std::move(asked));
+}
+
+void world::send_first(caller_request asked)
+{
+    request& wire = asked.wire;
+    wire.service = service_.id();
+    wire.service_address = service_.address;
+    wire.token = random_.below(6);
+    wire.token_length = 1;
+    wire.message_id = next_message_++;
+    wire.key = base::mix(base::mix(wire.caller.port(), wire.token), wire.message_id);
     ++counts_.requests;
-    const request_key key = asked.wire.key;
+    const request_key key = wire.key;
     requests_.emplace(key, std::move(asked));
     transmission(key, 0, between(ack_timeout, ack_timeout * 3 / 2));
 }
 
+void world::on_block(const caller_request& asked, std::uint64_t upstream)
+{
+    constexpr std::uint32_t last_block = 3;
+    if (asked.wire.block == 0)
+    {
+        first_blocks_[asked.transfer] = upstream;
+    }
+    counts_.later_blocks += asked.wire.block > 0 ? 1 : 0;
+    if (first_blocks_.at(asked.transfer) != upstream)
+    {
+        violation("blocks of an answer are never mixed", asked.wire.key);
+        return;
+    }
+    if (asked.wire.block < last_block)
+    {
+        after(between(1ms, 300ms), [this, transfer = asked.transfer, port = asked.wire.caller.port(),
+                                    block = asked.wire.block] { ask_block(transfer, port, block + 1); });
+    }
+}
+
 void world::transmission(request_key key, int number, base::duration timeout)
 {
     if (requests_.at(key).replied || number > max_retransmit)
--- a/bench/torture_dispatch.cpp
+++ b/bench/torture_dispatch.cpp
@@ -49,6 +49,7 @@
     print("refused_not_run", sum.refusals_not_run);
     print("refused_unknown", sum.refusals_unknown);
     print("unanswered", sum.unanswered);
+    print("later_blocks", sum.later_blocks);
     print("kills", sum.kills);
     print("freezes", sum.freezes);
     print("cuts", sum.cuts);
--- a/include/galenabay/dispatch/request.hpp
+++ b/include/galenabay/dispatch/request.hpp
@@ -38,6 +38,12 @@
     return value != method::post && value != method::patch;
 }
 
+/// True when the answer may come in blocks (RFC 7959).
+constexpr bool may_have_blocks(method value) noexcept
+{
+    return value == method::get || value == method::fetch;
+}
+
 /// A request as it arrived from a caller. Plain value.
 struct request
 {
--- a/src/dispatch/block_affinity.cpp
+++ b/src/dispatch/block_affinity.cpp
@@ -14,14 +14,45 @@
 
 void block_affinity::remember(std::uint64_t transfer, config::upstream_id upstream, base::time_point now)
 {
-    entries_[transfer] = {upstream, now};
+    entry& known = entries_[transfer];
+    const bool is_first = known.upstream == 0 || now - known.used >= active_span_;
+    known.upstream = is_first || known.upstream == upstream ? upstream : 0;
+    known.used = now;
     order_.push_back({transfer, now});
 }
 
 std::optional<config::upstream_id> block_affinity::find(std::uint64_t transfer) const
 {
     const auto place = entries_.find(transfer);
-    return place == entries_.end() ? std::nullopt : std::optional{place->second.upstream};
+    const bool is_known = place != entries_.end() && place->second.upstream != 0;
+    return is_known ? std::optional{place->second.upstream} : std::nullopt;
+}
+
+void block_affinity::on_later_block(std::uint64_t transfer, base::time_point now)
+{
+    if (const auto place = entries_.find(transfer); place != entries_.end())
+    {
+        place->second.later_block = now;
+    }
+}
+
+std::optional<config::upstream_id> block_affinity::preferred(std::uint64_t transfer, base::time_point now) const
+{
+    const auto place = entries_.find(transfer);
+    const bool is_recent = place != entries_.end() && now - place->second.used < active_span_;
+    return is_recent ? find(transfer) : std::nullopt;
+}
+
+bool block_affinity::is_active(std::uint64_t transfer, base::time_point now) const
+{
+    const auto place = entries_.find(transfer);
+    return place != entries_.end() && place->second.later_block && now - *place->second.later_block < active_span_;
+}
+
+void block_affinity::clear()
+{
+    entries_.clear();
+    order_.clear();
 }
 
 void block_affinity::on_tick(base::time_point now)
--- a/src/dispatch/block_affinity.hpp
+++ b/src/dispatch/block_affinity.hpp
@@ -17,11 +17,27 @@
 class block_affinity
 {
 public:
-    explicit block_affinity(base::duration memory) : memory_{memory} {}
+    /// `memory`: how long an upstream is remembered. `active_span`: longest
+    /// time between two blocks of a transfer.
+    block_affinity(base::duration memory, base::duration active_span) : memory_{memory}, active_span_{active_span} {}
 
-    /// `transfer`: hash of caller, service and path.
+    /// `transfer`: hash of caller, service and path. When another upstream has
+    /// served a first block shortly before, two transfers may be under way: no
+    /// upstream is remembered, and later blocks can't be served.
     void remember(std::uint64_t transfer, config::upstream_id upstream, base::time_point now);
     std::optional<config::upstream_id> find(std::uint64_t transfer) const;
+
+    /// A request for a later block was seen.
+    void on_later_block(std::uint64_t transfer, base::time_point now);
+    /// The upstream from which another first block should come, if any: that of
+    /// a transfer that may be under way.
+    std::optional<config::upstream_id> preferred(std::uint64_t transfer, base::time_point now) const;
+    /// True while later blocks are being asked for.
+    bool is_active(std::uint64_t transfer, base::time_point now) const;
+
+    /// Forgets everything: another host may have served blocks meanwhile.
+    void clear();
+
     void on_tick(base::time_point now);
 
 private:
@@ -29,6 +45,7 @@
     {
         config::upstream_id upstream = 0;
         base::time_point used{};
+        std::optional<base::time_point> later_block;
     };
     struct dated_transfer
     {
@@ -37,6 +54,7 @@
     };
 
     base::duration memory_;
+    base::duration active_span_;
     std::unordered_map<std::uint64_t, entry> entries_;
     std::deque<dated_transfer> order_;
 };
--- a/src/dispatch/dispatcher_membership.cpp
+++ b/src/dispatch/dispatcher_membership.cpp
@@ -3,6 +3,7 @@
 #include <galenabay/base/hash.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace galenabay::dispatch
 {
@@ -69,11 +70,12 @@
         service.former.push_back({std::move(service.map), now + settings_.retransmission_span});
     }
     service.map = std::move(next);
+    affinity_.clear();
 }
 
-void dispatcher::state::refresh_hosts(service_state& service)
+void dispatcher::state::refresh_deciders(service_state& service)
 {
-    service.deciders.clear();
+    const auto before = std::exchange(service.deciders, {});
     const std::uint64_t service_id = service.settings.id();
     for (const auto& name : hosts_.data_centres())
     {
@@ -84,6 +86,22 @@
         }
         service.deciders[name] = std::move(ranked);
     }
+    const auto has_same_first = [](const auto& a, const auto& b)
+    {
+        const bool is_empty = a.second.empty() || b.second.empty();
+        return a.first == b.first && (is_empty ? a.second == b.second : a.second.front() == b.second.front());
+    };
+    const auto& after = service.deciders;
+    if (!std::equal(before.begin(), before.end(), after.begin(), after.end(), has_same_first))
+    {
+        affinity_.clear();
+    }
+}
+
+void dispatcher::state::refresh_hosts(service_state& service)
+{
+    refresh_deciders(service);
+    const std::uint64_t service_id = service.settings.id();
     service.witnesses = service.deciders[settings_.data_centre];
     std::erase(service.witnesses, settings_.self);
     auto elsewhere =
--- a/src/dispatch/dispatcher_requests.cpp
+++ b/src/dispatch/dispatcher_requests.cpp
@@ -115,9 +115,9 @@
 {
     // All blocks of an answer have to reach the host that knows who served the
     // first one.
-    const bool may_have_blocks = arrived.method == method::get || arrived.method == method::fetch;
-    return may_have_blocks ? base::mix(base::hash_endpoint(arrived.caller, arrived.service), arrived.path)
-                           : base::mix(arrived.key, arrived.service);
+    return may_have_blocks(arrived.method)
+               ? base::mix(base::hash_endpoint(arrived.caller, arrived.service), arrived.path)
+               : base::mix(arrived.key, arrived.service);
 }
 
 std::optional<std::string> dispatcher::state::decider_of(const service_state& service, const request& arrived,
@@ -175,18 +175,39 @@
     resume(service, open, now);
 }
 
-bool dispatcher::state::needs_pinning(const request& arrived) const
+bool dispatcher::state::needs_pinning(const request& arrived, base::time_point now) const
 {
-    return arrived.block > 0;
+    if (!may_have_blocks(arrived.method))
+    {
+        return false;
+    }
+    const std::uint64_t transfer = routing_of(arrived);
+    return arrived.block > 0 || (affinity_.is_active(transfer, now) && affinity_.find(transfer));
+}
+
+bool dispatcher::state::is_own_decision(const service_state& service, const request& arrived,
+                                        base::time_point now) const
+{
+    return decider_of(service, arrived, now) == settings_.self;
+}
+
+void dispatcher::state::remember_block(const service_state& service, const request& arrived,
+                                       config::upstream_id upstream, base::time_point now)
+{
+    if (may_have_blocks(arrived.method) && is_own_decision(service, arrived, now))
+    {
+        affinity_.remember(routing_of(arrived), upstream, now);
+    }
 }
 
 void dispatcher::state::enqueue(service_state& service, open_request& open, base::time_point now)
 {
-    if (needs_pinning(open.arrived))
+    if (open.runs.empty() && needs_pinning(open.arrived, now))
     {
         enqueue_pinned(service, open, now);
         return;
     }
+    open.is_pinned = false;
     if (!service.pool.has_other({}))
     {
         begin_refusal(service, open, refusal::no_upstream, now);
@@ -219,7 +240,7 @@
 
 void dispatcher::state::leave_queue(service_state& service, open_request& open)
 {
-    if (open.phase == request_phase::queued && !needs_pinning(open.arrived))
+    if (open.phase == request_phase::queued && !open.is_pinned)
     {
         service.queue.erase(open.position);
     }
@@ -230,7 +251,8 @@
 void dispatcher::state::enqueue_pinned(service_state& service, open_request& open, base::time_point now)
 {
     const auto upstream = affinity_.find(routing_of(open.arrived));
-    const bool is_known = upstream && service.pool.find(*upstream) != nullptr;
+    const bool is_known =
+        upstream && service.pool.find(*upstream) != nullptr && is_own_decision(service, open.arrived, now);
     if (!is_known)
     {
         begin_refusal(service, open, refusal::no_upstream, now);
@@ -241,7 +263,12 @@
         begin_refusal(service, open, refusal::queue_full, now);
         return;
     }
+    if (open.arrived.block > 0)
+    {
+        affinity_.on_later_block(routing_of(open.arrived), now);
+    }
     open.phase = request_phase::queued;
+    open.is_pinned = true;
     service.pinned.push_back(open.arrived.key);
     pump(service, now);
 }
--- a/src/dispatch/dispatcher_runs.cpp
+++ b/src/dispatch/dispatcher_runs.cpp
@@ -89,25 +89,34 @@
         open_request& open = open_.at(*place);
         const auto id = affinity_.find(routing_of(open.arrived));
         const config::upstream* target = id ? service.pool.find(*id) : nullptr;
-        if (target == nullptr)
+        const bool is_hopeless = target == nullptr || now >= open.deadline;
+        const bool may_start = !is_hopeless && service.pool.has_room(*id) &&
+                               !exchanges_.is_open(exchange_of(open.arrived, target->endpoint));
+        if (!is_hopeless && !may_start)
         {
-            place = service.pinned.erase(place);
-            open.phase = request_phase::backing_off;
-            begin_refusal(service, open, refusal::no_upstream, now);
+            ++place;
             continue;
         }
-        if (!service.pool.has_room(*id) || exchanges_.is_open(exchange_of(open.arrived, target->endpoint)))
+        place = service.pinned.erase(place);
+        if (may_start)
         {
-            ++place;
+            send(service, open, *target, now);
             continue;
         }
-        place = service.pinned.erase(place);
-        send(service, open, *target, now);
+        begin_refusal(service, open, target == nullptr ? refusal::no_upstream : refusal::deadline_unreachable, now);
     }
 }
 
 void dispatcher::state::start(service_state& service, open_request& open, base::time_point now)
 {
+    const auto preferred =
+        may_have_blocks(open.arrived.method) ? affinity_.preferred(routing_of(open.arrived), now) : std::nullopt;
+    if (preferred && open.runs.empty() && service.pool.has_free_slot(*preferred, now) &&
+        !exchanges_.is_taken(exchange_of(open.arrived, service.pool.find(*preferred)->endpoint), now))
+    {
+        send(service, open, *service.pool.find(*preferred), now);
+        return;
+    }
     if (const config::upstream* target = choose_upstream(service, open, now))
     {
         send(service, open, *target, now);
@@ -168,7 +177,7 @@
     open.phase = request_phase::running;
     exchanges_.open(exchange_of(arrived, target.endpoint), arrived.key, arrived.message_id);
     service.pool.on_sent(id);
-    const bool may_hedge = is_idempotent(arrived.method) && !needs_pinning(arrived) && open.runs.size() == 1;
+    const bool may_hedge = is_idempotent(arrived.method) && !open.is_pinned && open.runs.size() == 1;
     open.next_attempt = may_hedge ? now + second_run_delay(service, arrived) : base::time_point::max();
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(open.deadline - now).count();
     out_.emplace_back(send_to_upstream{arrived.key, target.endpoint, arrived.service_address, arrived.caller,
@@ -206,7 +215,7 @@
         if (!has_failed)
         {
             service.times.on_finished(open.arrived.method, open.arrived.path, now - run->sent);
-            affinity_.remember(routing_of(open.arrived), run->upstream, now);
+            remember_block(service, open.arrived, run->upstream, now);
         }
         run->state = run_state::abandoned;
         end_run(service, open, *run, has_failed ? run_outcome::failed : run_outcome::succeeded, now);
@@ -237,7 +246,7 @@
     }
     const base::duration delay = retry_delay(open.runs.size());
     const bool is_crest = service.queue.size() * 2 > service.settings.requests.queue_limit;
-    const bool may_retry = open.runs.size() < max_attempts && !needs_pinning(open.arrived) && !is_crest && !leaving_ &&
+    const bool may_retry = open.runs.size() < max_attempts && !open.is_pinned && !is_crest && !leaving_ &&
                            now + delay < open.deadline && service.pool.has_other(tried(open)) &&
                            service.budget.take(now);
     if (!may_retry)
--- a/src/dispatch/dispatcher_state.hpp
+++ b/src/dispatch/dispatcher_state.hpp
@@ -64,6 +64,7 @@
     void refresh_services(base::time_point now);
     void replace_map(service_state& service, shard_map next, base::time_point now);
     void refresh_hosts(service_state& service);
+    void refresh_deciders(service_state& service);
     void hand_on(open_request& open, base::time_point now);
 
     // dispatcher_requests.cpp
@@ -76,7 +77,10 @@
     void admit(service_state& service, const request& arrived, base::time_point now);
     void enqueue(service_state& service, open_request& open, base::time_point now);
     void enqueue_pinned(service_state& service, open_request& open, base::time_point now);
-    bool needs_pinning(const request& arrived) const;
+    bool needs_pinning(const request& arrived, base::time_point now) const;
+    bool is_own_decision(const service_state& service, const request& arrived, base::time_point now) const;
+    void remember_block(const service_state& service, const request& arrived, config::upstream_id upstream,
+                        base::time_point now);
     void leave_queue(service_state& service, open_request& open);
     void relay(const request& arrived, const std::string& host);
 
--- a/src/dispatch/dispatcher_tick.cpp
+++ b/src/dispatch/dispatcher_tick.cpp
@@ -21,8 +21,8 @@
 dispatcher::state::state(dispatcher_settings settings)
     : settings_{std::move(settings)}, random_{base::mix(settings_.seed, base::hash_text(settings_.self))},
       hosts_{settings_.self, settings_.data_centre}, finished_{settings_.reply_span, settings_.key_span},
-      claims_{settings_.key_span}, exchanges_{settings_.reply_span}, affinity_{settings_.reply_span}, next_sequence_{
-                                                                                                          random_()}
+      claims_{settings_.key_span}, exchanges_{settings_.reply_span},
+      affinity_{settings_.reply_span, settings_.retransmission_span}, next_sequence_{random_()}
 {
 }
 
@@ -55,6 +55,7 @@
 void dispatcher::state::on_pause(base::time_point now)
 {
     fresh_since_ = now;
+    affinity_.clear();
     for (auto& [key, open] : open_)
     {
         service_state& service = *find_service(open.arrived.service);
--- a/src/dispatch/open_request.hpp
+++ b/src/dispatch/open_request.hpp
@@ -74,7 +74,10 @@
     request arrived;
     request_phase phase = request_phase::queued;
     base::time_point deadline{};
-    /// Queue position; meaningful in phase `queued`.
+    /// True: goes to the upstream that served the first block, and waits apart
+    /// from the queue.
+    bool is_pinned = false;
+    /// Queue position; meaningful in phase `queued` when not pinned.
     queue_position position;
     std::vector<upstream_run> runs;
     claim held;
--- a/src/dispatch/upstream_pool.cpp
+++ b/src/dispatch/upstream_pool.cpp
@@ -120,23 +120,16 @@
     return place == members_.end() || !place->second.configured ? nullptr : &place->second.target;
 }
 
-std::vector<std::pair<config::upstream_id, const config::upstream*>> upstream_pool::targets() const
+bool upstream_pool::has_room(config::upstream_id id) const
 {
-    std::vector<std::pair<config::upstream_id, const config::upstream*>> result;
-    for (const auto& [id, entry] : members_)
-    {
-        if (entry.configured)
-        {
-            result.emplace_back(id, &entry.target);
-        }
-    }
-    return result;
+    const auto place = members_.find(id);
+    return place != members_.end() && place->second.running < place->second.target.slots;
 }
 
-bool upstream_pool::has_room(config::upstream_id id) const
+bool upstream_pool::has_free_slot(config::upstream_id id, base::time_point now) const
 {
     const auto place = members_.find(id);
-    return place != members_.end() && place->second.running < place->second.target.slots;
+    return place != members_.end() && place->second.running < slots_of(place->second, now);
 }
 
 bool upstream_pool::has_free_slot(base::time_point now) const
--- a/src/dispatch/upstream_pool.hpp
+++ b/src/dispatch/upstream_pool.hpp
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <map>
 #include <span>
-#include <utility>
 #include <vector>
 
 namespace galenabay::dispatch
@@ -46,13 +45,12 @@
     /// True when the upstream is configured, draining or not.
     const config::upstream* find(config::upstream_id id) const;
 
-    /// Upstreams that are configured, with their ids.
-    std::vector<std::pair<config::upstream_id, const config::upstream*>> targets() const;
-
     /// True when the upstream, draining or not, has a slot that this host
     /// hasn't filled.
     bool has_room(config::upstream_id id) const;
 
+    /// True when the upstream may take a request now.
+    bool has_free_slot(config::upstream_id id, base::time_point now) const;
     /// True when some upstream may take a request now.
     bool has_free_slot(base::time_point now) const;
 
