--- a/src/dispatch/dispatcher_membership.cpp
+++ b/src/dispatch/dispatcher_membership.cpp
@@ -55,7 +55,7 @@
     const std::span<const config::upstream> members =
         own != nullptr ? std::span<const config::upstream>{own->upstreams} : std::span<const config::upstream>{};
     service.pool.adopt(service.settings, members, !adopted_);
-    refresh_hosts(service);
+    refresh_hosts(service, now);
 }
 
 void dispatcher::state::replace_map(service_state& service, shard_map next, base::time_point now)
@@ -70,10 +70,10 @@
         service.former.push_back({std::move(service.map), now + settings_.retransmission_span});
     }
     service.map = std::move(next);
-    affinity_.clear();
+    forget_blocks(now);
 }
 
-void dispatcher::state::refresh_deciders(service_state& service)
+void dispatcher::state::refresh_deciders(service_state& service, base::time_point now)
 {
     const auto before = std::exchange(service.deciders, {});
     const std::uint64_t service_id = service.settings.id();
@@ -94,13 +94,13 @@
     const auto& after = service.deciders;
     if (!std::equal(before.begin(), before.end(), after.begin(), after.end(), has_same_first))
     {
-        affinity_.clear();
+        forget_blocks(now);
     }
 }
 
-void dispatcher::state::refresh_hosts(service_state& service)
+void dispatcher::state::refresh_hosts(service_state& service, base::time_point now)
 {
-    refresh_deciders(service);
+    refresh_deciders(service, now);
     const std::uint64_t service_id = service.settings.id();
     service.witnesses = service.deciders[settings_.data_centre];
     std::erase(service.witnesses, settings_.self);
--- a/src/dispatch/dispatcher_requests.cpp
+++ b/src/dispatch/dispatcher_requests.cpp
@@ -185,16 +185,27 @@
     return arrived.block > 0 || (affinity_.is_active(transfer, now) && affinity_.find(transfer));
 }
 
-bool dispatcher::state::is_own_decision(const service_state& service, const request& arrived,
-                                        base::time_point now) const
+bool dispatcher::state::may_serve_blocks(const service_state& service, const request& arrived,
+                                         base::time_point now) const
 {
-    return decider_of(service, arrived, now) == settings_.self;
+    // Two hosts that both believe they decide would mix what two upstreams say:
+    // only the home serves transfers, and only once a change has become known.
+    const shard* home = service.map.home(routing_of(arrived));
+    return home != nullptr && home->data_centre == settings_.data_centre &&
+           first_host_of(service, settings_.data_centre) == settings_.self &&
+           now - deciders_changed_ >= settings_.settle_time;
+}
+
+void dispatcher::state::forget_blocks(base::time_point now)
+{
+    affinity_.clear();
+    deciders_changed_ = now;
 }
 
 void dispatcher::state::remember_block(const service_state& service, const request& arrived,
                                        config::upstream_id upstream, base::time_point now)
 {
-    if (may_have_blocks(arrived.method) && is_own_decision(service, arrived, now))
+    if (may_have_blocks(arrived.method) && may_serve_blocks(service, arrived, now))
     {
         affinity_.remember(routing_of(arrived), upstream, now);
     }
@@ -252,7 +263,7 @@
 {
     const auto upstream = affinity_.find(routing_of(open.arrived));
     const bool is_known =
-        upstream && service.pool.find(*upstream) != nullptr && is_own_decision(service, open.arrived, now);
+        upstream && service.pool.find(*upstream) != nullptr && may_serve_blocks(service, open.arrived, now);
     if (!is_known)
     {
         begin_refusal(service, open, refusal::no_upstream, now);
--- a/src/dispatch/dispatcher_state.hpp
+++ b/src/dispatch/dispatcher_state.hpp
@@ -63,8 +63,8 @@
     void refresh_service(service_state& service, base::time_point now);
     void refresh_services(base::time_point now);
     void replace_map(service_state& service, shard_map next, base::time_point now);
-    void refresh_hosts(service_state& service);
-    void refresh_deciders(service_state& service);
+    void refresh_hosts(service_state& service, base::time_point now);
+    void refresh_deciders(service_state& service, base::time_point now);
     void hand_on(open_request& open, base::time_point now);
 
     // dispatcher_requests.cpp
@@ -78,7 +78,8 @@
     void enqueue(service_state& service, open_request& open, base::time_point now);
     void enqueue_pinned(service_state& service, open_request& open, base::time_point now);
     bool needs_pinning(const request& arrived, base::time_point now) const;
-    bool is_own_decision(const service_state& service, const request& arrived, base::time_point now) const;
+    bool may_serve_blocks(const service_state& service, const request& arrived, base::time_point now) const;
+    void forget_blocks(base::time_point now);
     void remember_block(const service_state& service, const request& arrived, config::upstream_id upstream,
                         base::time_point now);
     void leave_queue(service_state& service, open_request& open);
@@ -157,6 +158,8 @@
     claim_log claims_;
     exchange_table exchanges_;
     block_affinity affinity_;
+    /// Last change of who decides what, as far as it may concern transfers.
+    base::time_point deciders_changed_{};
     claim_spreader spreader_;
     std::deque<std::pair<base::time_point, request_key>> own_claims_;
     std::set<std::string> witnesses_;
--- a/src/dispatch/dispatcher_tick.cpp
+++ b/src/dispatch/dispatcher_tick.cpp
@@ -55,7 +55,7 @@
 void dispatcher::state::on_pause(base::time_point now)
 {
     fresh_since_ = now;
-    affinity_.clear();
+    forget_blocks(now);
     for (auto& [key, open] : open_)
     {
         service_state& service = *find_service(open.arrived.service);
