--- a/src/dispatch/dispatcher_membership.cpp
+++ b/src/dispatch/dispatcher_membership.cpp
@@ -3,6 +3,7 @@
 #include <galenabay/base/hash.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace galenabay::dispatch
 {
@@ -54,7 +55,7 @@
     const std::span<const config::upstream> members =
         own != nullptr ? std::span<const config::upstream>{own->upstreams} : std::span<const config::upstream>{};
     service.pool.adopt(service.settings, members, !adopted_);
-    refresh_hosts(service);
+    refresh_hosts(service, now);
 }
 
 void dispatcher::state::replace_map(service_state& service, shard_map next, base::time_point now)
@@ -69,11 +70,12 @@
         service.former.push_back({std::move(service.map), now + settings_.retransmission_span});
     }
     service.map = std::move(next);
+    forget_blocks(now);
 }
 
-void dispatcher::state::refresh_hosts(service_state& service)
+void dispatcher::state::refresh_deciders(service_state& service, base::time_point now)
 {
-    service.deciders.clear();
+    const auto before = std::exchange(service.deciders, {});
     const std::uint64_t service_id = service.settings.id();
     for (const auto& name : hosts_.data_centres())
     {
@@ -84,6 +86,22 @@
         }
         service.deciders[name] = std::move(ranked);
     }
+    const auto has_same_first = [](const auto& a, const auto& b)
+    {
+        const bool is_empty = a.second.empty() || b.second.empty();
+        return a.first == b.first && (is_empty ? a.second == b.second : a.second.front() == b.second.front());
+    };
+    const auto& after = service.deciders;
+    if (!std::equal(before.begin(), before.end(), after.begin(), after.end(), has_same_first))
+    {
+        forget_blocks(now);
+    }
+}
+
+void dispatcher::state::refresh_hosts(service_state& service, base::time_point now)
+{
+    refresh_deciders(service, now);
+    const std::uint64_t service_id = service.settings.id();
     service.witnesses = service.deciders[settings_.data_centre];
     std::erase(service.witnesses, settings_.self);
     auto elsewhere =
