--- a/bench/bench_revision.cpp
+++ b/bench/bench_revision.cpp
@@ -251,7 +251,7 @@
     std::uint64_t violations = 0;
     for (std::uint64_t seed = 1; seed <= virtual_seeds; ++seed)
     {
-        violations += torture::world{seed}.run().violation.empty() ? 0U : 1U;
+        violations += revision_torture::world{seed}.run().violation.empty() ? 0U : 1U;
     }
     return violations;
 }
--- a/bench/revision_torture/fake_platform.cpp
+++ b/bench/revision_torture/fake_platform.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <chrono>
 
-namespace galenabay::torture
+namespace galenabay::revision_torture
 {
 
 namespace
@@ -210,4 +210,4 @@
     return get(key);
 }
 
-} // namespace galenabay::torture
+} // namespace galenabay::revision_torture
--- a/bench/revision_torture/fake_platform.hpp
+++ b/bench/revision_torture/fake_platform.hpp
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-namespace galenabay::torture
+namespace galenabay::revision_torture
 {
 
 /// Likelihood of each fault per call, in percent.
@@ -106,4 +106,4 @@
     const bool* cut_;
 };
 
-} // namespace galenabay::torture
+} // namespace galenabay::revision_torture
--- a/bench/revision_torture/virtual_time.hpp
+++ b/bench/revision_torture/virtual_time.hpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <utility>
 
-namespace galenabay::torture
+namespace galenabay::revision_torture
 {
 
 /// Queue of events on a clock that moves only when events run. A blocking call
@@ -51,4 +51,4 @@
     static void sleep_for(std::chrono::milliseconds time) { queue->run_for(time); }
 };
 
-} // namespace galenabay::torture
+} // namespace galenabay::revision_torture
--- a/bench/revision_torture/world.cpp
+++ b/bench/revision_torture/world.cpp
@@ -6,7 +6,7 @@
 #include <utility>
 #include <variant>
 
-namespace galenabay::torture
+namespace galenabay::revision_torture
 {
 
 namespace
@@ -474,4 +474,4 @@
     }
 }
 
-} // namespace galenabay::torture
+} // namespace galenabay::revision_torture
--- a/bench/revision_torture/world.hpp
+++ b/bench/revision_torture/world.hpp
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace galenabay::torture
+namespace galenabay::revision_torture
 {
 
 /// What one seed did.
@@ -102,4 +102,4 @@
     outcome outcome_;
 };
 
-} // namespace galenabay::torture
+} // namespace galenabay::revision_torture
--- a/bench/torture_revision.cpp
+++ b/bench/torture_revision.cpp
@@ -24,7 +24,7 @@
     std::exit(1);
 }
 
-void add(torture::outcome& sum, const torture::outcome& each)
+void add(revision_torture::outcome& sum, const revision_torture::outcome& each)
 {
     sum.events += each.events;
     sum.applies += each.applies;
@@ -38,11 +38,11 @@
 
 int run(std::uint64_t first, std::uint64_t count)
 {
-    torture::outcome sum;
+    revision_torture::outcome sum;
     std::size_t violations = 0;
     for (running_seed = first; running_seed < first + count; ++running_seed)
     {
-        const auto each = torture::world{running_seed}.run();
+        const auto each = revision_torture::world{running_seed}.run();
         add(sum, each);
         if (!each.violation.empty())
         {
--- a/tests/platform/store_logic_test.cpp
+++ b/tests/platform/store_logic_test.cpp
@@ -80,7 +80,7 @@
 
 void check_seed(std::uint64_t seed)
 {
-    STRCMP_EQUAL("", torture::world{seed}.run().violation.c_str());
+    STRCMP_EQUAL("", revision_torture::world{seed}.run().violation.c_str());
 }
 
 } // namespace
