--- a/bench/revision_torture/world.hpp
+++ b/bench/revision_torture/world.hpp
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace galenabay::torture
+namespace galenabay::revision_torture
 {
 
 /// What one seed did.
@@ -75,6 +75,7 @@
     void heartbeat(host& sending);
     void operate();
     void apply(bool informed);
+    void change(config::service_set& set);
     void judge(const base::result<platform::stored_revision>& outcome, const config::accepted_revision& next,
                std::size_t restores);
     void disturb();
@@ -101,4 +102,4 @@
     outcome outcome_;
 };
 
-} // namespace galenabay::torture
+} // namespace galenabay::revision_torture
