--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -37,7 +37,9 @@
 note() { echo "$(now) $*" >>"$work/events.txt"; }
 violation() {
   violations=$((violations + 1))
-  echo "violation seed=$seed time=$(($(now) - started_at))s promise=$1 $2"
+  local time_ms=${2##*time_ms=}
+  [ "$time_ms" = "$2" ] && time_ms=$(date +%s%3N)
+  echo "violation seed=$seed time=$((${time_ms%% *} - started_at * 1000))ms promise=$1 $2"
 }
 # later SECONDS COMMAND: run by the main loop when due.
 later() { pending+=("$(($(now) + $1))|$2"); }
@@ -159,8 +161,8 @@
 upstream_fault() {
   local number=$((1 + RANDOM % 14)) deployment=$((RANDOM % 2))
   local port=$((7901 + deployment)) third=$((2 + 2 * deployment)) service_port=$((5683 + 2 * deployment))
-  [ "$1" = kill ] && echo "$net.$third.$number:$service_port" >>"$work/excused"
-  note "upstream $1 $net.$third.$number:$service_port"
+  [ "${1%% *}" = kill ] && echo "$net.$third.$number:$service_port" >>"$work/excused"
+  note "upstream ${1/NUMBER/$net.$third.$number:$service_port}"
   stub_command "${1/NUMBER/$number}" "$port"
   later "$3" "stub_command '${2/NUMBER/$number}' $port"
 }
@@ -293,7 +295,7 @@
   "$work/runs-parts.txt,$work/runs-queue.txt" >"$work/records.txt" 2>"$work/found.txt" ||
   report_found
 check_logs
-echo "work: $(cat "$work"/report-*.txt | grep -E '^(requests|ok|refused|unknown|lost|feeds_wanted|feeds_held|feeds_excused)=' |
+echo "work: $(cat "$work"/report-*.txt | grep -E '^(requests|ok|refused|unknown|lost|feeds_wanted|feeds_held|feeds_broken|feeds_excused)=' |
   awk -F= '{sum[$1] += $2} END {for (name in sum) printf "%s=%d ", name, sum[name]}')"
 echo "faults: $(for name in "${!fault_count[@]}"; do echo "$name=${fault_count[$name]}"; done | sort | tr '\n' ' ')"
 echo "violations: $violations (seed $seed)"
--- a/tools/caller_load/main.cpp
+++ b/tools/caller_load/main.cpp
@@ -72,7 +72,7 @@
         "duration", options::value<double>()->default_value(10), "seconds in which requests begin")(
         "ack-timeout-ms", options::value<double>()->default_value(500), "ACK_TIMEOUT of RFC 7252")(
         "max-retransmit", options::value<unsigned>()->default_value(4), "MAX_RETRANSMIT of RFC 7252")(
-        "answer-timeout-ms", options::value<double>()->default_value(15000), "time after which a request is lost")(
+        "answer-timeout-ms", options::value<double>()->default_value(25000), "time after which a request is lost")(
         "feed-keepalive-s", options::value<double>()->default_value(10), "time between renewals of a feed")(
         "feed-renewal-s", options::value<double>()->default_value(4), "silence after which a feed is renewed")(
         "feed-silence-s", options::value<double>()->default_value(20), "silence after which a feed is broken")(
--- a/tools/caller_load/settings.hpp
+++ b/tools/caller_load/settings.hpp
@@ -44,7 +44,7 @@
     base::duration ack_timeout{500'000};
     unsigned max_retransmit = 4;
     /// A request without an answer after this long is lost.
-    base::duration answer_timeout{15'000'000};
+    base::duration answer_timeout{25'000'000};
     base::duration feed_keepalive{10'000'000};
     /// A feed that is silent for this long is registered again.
     base::duration feed_renewal{4'000'000};
