Feeds of the stand-ins end as RFC 7252 says; a move counts once

Change: a feed ends when its notifications stay unacknowledged for 45 s (MAX_TRANSMIT_SPAN); a renewal counts as a sign of life; a registration that was left is counted as broken once, and what still comes of it is counted apart and does not keep the feed alive.

--- a/tools/caller_load/feed_clients.cpp
+++ b/tools/caller_load/feed_clients.cpp
@@ -109,6 +109,11 @@
         results_->violation("wrong", "what=feed_of_another_service " + describe(each.upstream, each.sequence, text));
         return;
     }
+    if (each.earlier_registrations.contains(std::string{field(text, "registration")}))
+    {
+        results_->add("feed_notifications_of_earlier_registrations");
+        return;
+    }
     results_->add("feed_notifications");
     results_->add_answer_from(each.service.name + "-feeds", std::string{field(text, "upstream")});
     each.last_seen = now;
@@ -132,6 +137,7 @@
     std::from_chars(digits.data(), digits.data() + digits.size(), sequence);
     if (field(text, "upstream") != each.upstream || field(text, "registration") != each.registration)
     {
+        each.earlier_registrations.insert(each.registration);
         const bool moved = field(text, "upstream") != each.upstream;
         broken(each, moved ? "feeds_moved" : "feeds_registered_anew", describe(each.upstream, each.sequence, text));
         each.upstream = field(text, "upstream");
--- a/tools/caller_load/feed_clients.hpp
+++ b/tools/caller_load/feed_clients.hpp
@@ -41,6 +41,8 @@
         bool silent = false;
         std::string upstream;
         std::string registration;
+        /// Registrations that were left; late notifications of theirs may still come.
+        std::set<std::string> earlier_registrations;
         std::uint64_t sequence = 0;
         base::time_point last_seen;
         base::time_point next_registration;
--- a/tools/upstream_stub/feed_table.cpp
+++ b/tools/upstream_stub/feed_table.cpp
@@ -24,6 +24,7 @@
     if (const auto known = feeds_.find(key); known != feeds_.end())
     {
         known->second.from = from;
+        known->second.unacknowledged_since = {};
         return &known->second;
     }
     if (feeds_.size() >= capacity_)
@@ -51,7 +52,7 @@
 
 void feed_table::on_acknowledgement(const base::endpoint& caller)
 {
-    for_each_of(feeds_, caller, [](const feed_key&, feed& each) { each.unacknowledged = 0; });
+    for_each_of(feeds_, caller, [](const feed_key&, feed& each) { each.unacknowledged_since = {}; });
 }
 
 void feed_table::on_reset(const base::endpoint& caller, std::uint16_t message_id)
--- a/tools/upstream_stub/feed_table.hpp
+++ b/tools/upstream_stub/feed_table.hpp
@@ -32,8 +32,9 @@
     std::uint64_t registration = 0;
     std::uint32_t sequence = 0;
     base::time_point due;
-    /// Confirmable notifications since the last acknowledgement.
-    std::uint32_t unacknowledged = 0;
+    /// First confirmable notification since the caller was last heard; the epoch
+    /// when none waits for an acknowledgement.
+    base::time_point unacknowledged_since;
     std::uint16_t last_message_id = 0;
 };
 
--- a/tools/upstream_stub/upstream_requests.cpp
+++ b/tools/upstream_stub/upstream_requests.cpp
@@ -18,7 +18,8 @@
 constexpr std::uint8_t code_post = 0x02;
 constexpr std::uint8_t code_put = 0x03;
 constexpr std::uint8_t code_method_not_allowed = 0x85;
-constexpr std::uint32_t unacknowledged_limit = 5;
+/// MAX_TRANSMIT_SPAN of RFC 7252.
+constexpr base::duration acknowledgement_limit{45'000'000};
 constexpr std::uint32_t observe_mask = 0xffffff;
 constexpr std::uint8_t largest_size_exponent = 6;
 
@@ -116,12 +117,17 @@
     {
         return;
     }
-    const bool confirmable = due->unacknowledged > 0 || random_.unit() * 100 < settings_.confirmable_percent;
-    if (confirmable && ++due->unacknowledged > unacknowledged_limit)
+    const bool unacknowledged = due->unacknowledged_since != base::time_point{};
+    if (unacknowledged && now - due->unacknowledged_since > acknowledgement_limit)
     {
         feeds_.remove(key);
         return;
     }
+    const bool confirmable = unacknowledged || random_.unit() * 100 < settings_.confirmable_percent;
+    if (confirmable && !unacknowledged)
+    {
+        due->unacknowledged_since = now;
+    }
     wire::coap_message message;
     message.type = confirmable ? wire::coap_type::confirmable : wire::coap_type::non_confirmable;
     message.code = wire::code_content;
