--- a/bench/revision_torture/fake_platform.cpp
+++ b/bench/revision_torture/fake_platform.cpp
@@ -40,7 +40,10 @@
 void fake_platform::take_time()
 {
     ++calls_;
-    queue_.run_for(std::chrono::microseconds{500 + random_.below(20'000)});
+    constexpr std::uint64_t usual_us = 20'000;
+    constexpr std::uint64_t slow_us = 1'000'000;
+    const auto longest = happens(rates_.slow) ? slow_us : usual_us;
+    queue_.run_for(std::chrono::microseconds{500 + random_.below(longest)});
 }
 
 base::error fake_platform::fail(error_code code, const char* step)
--- a/bench/revision_torture/fake_platform.hpp
+++ b/bench/revision_torture/fake_platform.hpp
@@ -26,6 +26,7 @@
     std::uint64_t lost_answer = 0;
     std::uint64_t late_write = 0;
     std::uint64_t rejected = 0;
+    std::uint64_t slow = 0;
 };
 
 /// What the platform accepted, to judge reports and hosts by.
--- a/bench/revision_torture/world.cpp
+++ b/bench/revision_torture/world.cpp
@@ -58,7 +58,7 @@
 
 outcome world::run()
 {
-    platform_.set_rates({5, 10, 5, 5});
+    platform_.set_rates({5, 10, 5, 5, 10});
     for (auto& each : hosts_)
     {
         start(each);
