Daemon: call budget, few watchers per data centre, changes instead of wholes

Cause: every host watched the platform and peers sent whole revisions, which does not carry to the target size. Change: the follower's watch times, a token bucket for each platform thread, the watcher choice and the log of changes are used; a planned stop no longer waits for a watch.

--- a/bench/bench_flow.cpp
+++ b/bench/bench_flow.cpp
@@ -55,7 +55,8 @@
     flow::decision send(std::size_t flow)
     {
         const auto number = static_cast<std::uint32_t>(flow);
-        const auto caller = base::endpoint::make_v4(0x0b000000 + number, static_cast<std::uint16_t>(1024 + flow % 50000));
+        const auto caller =
+            base::endpoint::make_v4(0x0b000000 + number, static_cast<std::uint16_t>(1024 + flow % 50000));
         return logic_.on_packet(caller, revisions_.draft()[0].address, 0, now_);
     }
 
--- a/daemons/galena_balancerd.cpp
+++ b/daemons/galena_balancerd.cpp
@@ -5,6 +5,7 @@
 #include <boost/program_options.hpp>
 
 #include <csignal>
+#include <cstdlib>
 
 #include <iostream>
 #include <string>
@@ -90,7 +91,9 @@
     log_event{log_level::info, "stopped"}
         .with("open_requests", summary.open_requests)
         .with("took_ms", summary.took.count() / 1000);
-    return exit_ok;
+    // A thread may still wait for an answer of the platform; the process does not.
+    std::cout.flush();
+    std::quick_exit(exit_ok);
 }
 
 int run(const options::variables_map& values)
--- a/include/galenabay/daemon/balancer.hpp
+++ b/include/galenabay/daemon/balancer.hpp
@@ -32,8 +32,9 @@
     /// Reads the test settings' files again.
     void reload();
 
-    /// Planned stop: announces leaving, finishes what is in flight, ends the
-    /// threads within `stop_timeout`.
+    /// Planned stop: announces leaving, finishes what is in flight, stops serving
+    /// within `stop_timeout`. Destroying the object afterwards may wait for a call
+    /// to the platform.
     stop_summary stop();
 
 private:
--- a/src/daemon/balancer.cpp
+++ b/src/daemon/balancer.cpp
@@ -34,6 +34,12 @@
 constexpr base::duration announce_time{1'500'000};
 constexpr std::chrono::milliseconds stop_poll_interval{20};
 
+/// Half of the host's budget for each of the two platform threads.
+std::uint32_t calls_per_thread(const config::host_settings& settings)
+{
+    return std::max<std::uint32_t>(1, settings.platform_calls_per_second / 2);
+}
+
 std::uint64_t process_seed()
 {
     std::random_device source;
@@ -58,9 +64,12 @@
                   state_,
                   upstream_socket_.descriptor(),
                   relay_socket_.descriptor()},
-          send_{links_, pool_, *metrics_, state_}, watcher_{settings.platform, *metrics_, state_},
-          caller_{settings.platform, *metrics_, state_}, control_{settings, seed + 1, links_, *metrics_,
-                                                                  state_,   watcher_, caller_}
+          send_{links_, pool_, *metrics_, state_}, watcher_{settings.platform, calls_per_thread(settings), *metrics_,
+                                                            state_},
+          caller_{settings.platform, calls_per_thread(settings), *metrics_, state_}, control_{settings, seed + 1,
+                                                                                              links_,   *metrics_,
+                                                                                              state_,   watcher_,
+                                                                                              caller_}
     {
     }
     threads(const threads&) = delete;
@@ -76,8 +85,8 @@
         running_.emplace_back([this] { receive_.run(); });
         running_.emplace_back([this] { decide_.run(); });
         running_.emplace_back([this] { send_.run(); });
-        running_.emplace_back([this] { watcher_.run(); });
-        running_.emplace_back([this] { caller_.run(); });
+        platform_running_.emplace_back([this] { watcher_.run(); });
+        platform_running_.emplace_back([this] { caller_.run(); });
         running_.emplace_back([this] { control_.run(); });
         return base::outcome::success();
     }
@@ -97,22 +106,33 @@
             }
         }
         const stop_summary summary{state_.open_requests.load(), steady_now() - began};
-        end();
+        end_serving();
         return summary;
     }
 
 private:
-    void end()
+    static void join(std::vector<std::thread>& threads)
     {
-        state_.stop.store(true);
-        for (auto& thread : running_)
+        for (auto& thread : threads)
         {
             thread.join();
         }
-        running_.clear();
+        threads.clear();
+    }
+
+    void end_serving()
+    {
+        state_.stop.store(true);
+        join(running_);
         http_.reset();
     }
 
+    void end()
+    {
+        end_serving();
+        join(platform_running_);
+    }
+
     config::host_settings settings_;
     thread_state state_;
     channels links_;
@@ -128,6 +148,8 @@
     control_duty control_;
     std::unique_ptr<metrics_duty> http_;
     std::vector<std::thread> running_;
+    /// These may wait for the platform for the length of a watch.
+    std::vector<std::thread> platform_running_;
 };
 
 base::result<balancer> balancer::start(const config::host_settings& settings)
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -4,6 +4,7 @@
 
 #include <galenabay/base/log.hpp>
 #include <galenabay/config/codec.hpp>
+#include <galenabay/revision/watcher.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -121,6 +122,7 @@
     {
         found->second.due = now + settings_.heartbeat_interval;
     }
+    follower_.on_peer_reachability(report.name, report.platform_reachable, now);
     carry_out(follower_.on_peer_number(report.name, report.revision, now), now);
 }
 
@@ -135,7 +137,7 @@
     {
         if (const auto* platform = std::get_if<revision::fetch_from_platform>(&each))
         {
-            watcher_.submit(watch_request{platform->after});
+            watcher_.submit(watch_request{platform->after, platform->wait});
         }
         else if (const auto* peer = std::get_if<revision::fetch_from_peer>(&each))
         {
@@ -159,7 +161,8 @@
 void control_duty::adopt(base::time_point now)
 {
     const auto* current = follower_.current();
-    encoded_revision_ = config::encode_revision(*current);
+    log_.add(log_.latest() == nullptr ? nullptr : &previous_, *current);
+    previous_ = *current;
     links_.control_to_decide.push(revision_event{std::make_shared<const config::accepted_revision>(*current)});
     links_.decide_waker.notify();
     self_.revision = current->number;
@@ -186,7 +189,7 @@
         [this, host](std::vector<std::byte> bytes)
         {
             const auto now = steady_now();
-            const auto offered = config::decode_revision(bytes);
+            const auto offered = config::decode_update(follower_.current(), bytes);
             if (offered)
             {
                 carry_out(follower_.on_peer_revision(host, offered.value(), now), now);
@@ -388,10 +391,24 @@
     }
     base::log_event{base::log_level::info, "hosts_changed"}.with("count", hosts.size()).with("hosts", names);
     published_hosts_ = hosts;
+    choose_watching(hosts);
     links_.control_to_decide.push(hosts_event{std::move(hosts)});
     links_.decide_waker.notify();
 }
 
+void control_duty::choose_watching(const std::vector<membership::live_host>& hosts)
+{
+    std::vector<std::string> neighbours;
+    for (const auto& host : hosts)
+    {
+        if (host.data_centre == settings_.data_centre)
+        {
+            neighbours.push_back(host.name);
+        }
+    }
+    follower_.set_watching(revision::is_watcher(neighbours, settings_.name));
+}
+
 void control_duty::publish_listed_hosts(base::time_point now)
 {
     auto hosts = members_.contacts(now);
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -12,6 +12,7 @@
 #include <galenabay/base/random.hpp>
 #include <galenabay/base/time.hpp>
 #include <galenabay/config/host_settings.hpp>
+#include <galenabay/config/revision_log.hpp>
 #include <galenabay/membership/member_view.hpp>
 #include <galenabay/revision/follower.hpp>
 
@@ -60,7 +61,7 @@
     membership::host_report own_report() override;
     std::vector<flow::flow_record> take_records(const std::string& host) override;
     const membership::host_report* last_report(const std::string& name) const override;
-    const std::vector<std::byte>& encoded_revision() const override { return encoded_revision_; }
+    std::vector<std::byte> update_since(std::uint64_t after) const override { return log_.update_since(after); }
     std::uint64_t revision_number() const override;
     std::vector<membership::host_report> known_reports() const override;
 
@@ -84,6 +85,7 @@
 
     void update_self(base::time_point now);
     void publish_hosts(base::time_point now);
+    void choose_watching(const std::vector<membership::live_host>& hosts);
     void publish_listed_hosts(base::time_point now);
     void watch_pauses(base::time_point now);
     void apply_cuts(base::time_point now);
@@ -101,7 +103,9 @@
     revision::follower follower_;
     status_reporter status_;
     membership::host_report self_;
-    std::vector<std::byte> encoded_revision_;
+    config::revision_log log_;
+    /// Revision that was added to the log last.
+    config::accepted_revision previous_;
     std::vector<membership::live_host> published_hosts_;
     std::vector<membership::listed_host> published_list_;
     std::map<std::string, contact> contacts_;
--- a/src/daemon/peer_server.cpp
+++ b/src/daemon/peer_server.cpp
@@ -29,7 +29,7 @@
     const auto number = handler_.revision_number();
     if (number > context.getParams().getAfter())
     {
-        const auto& bytes = handler_.encoded_revision();
+        const auto bytes = handler_.update_since(context.getParams().getAfter());
         context.getResults().setNumber(number);
         context.getResults().setRevision(
             capnp::Data::Reader{reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()});
--- a/src/daemon/peer_server.hpp
+++ b/src/daemon/peer_server.hpp
@@ -28,8 +28,8 @@
     virtual std::vector<flow::flow_record> take_records(const std::string& host) = 0;
     /// Last report of a host; null when never heard.
     virtual const membership::host_report* last_report(const std::string& name) const = 0;
-    /// Encoded revision in force; empty when none.
-    virtual const std::vector<std::byte>& encoded_revision() const = 0;
+    /// What a host with revision `after` misses, encoded; empty when nothing.
+    virtual std::vector<std::byte> update_since(std::uint64_t after) const = 0;
     virtual std::uint64_t revision_number() const = 0;
     virtual std::vector<membership::host_report> known_reports() const = 0;
 };
--- a/src/daemon/platform_duty.cpp
+++ b/src/daemon/platform_duty.cpp
@@ -1,9 +1,9 @@
 #include "platform_duty.hpp"
 
 #include <galenabay/platform/object_client.hpp>
-#include <galenabay/platform/revision_store.hpp>
 
 #include <chrono>
+#include <thread>
 #include <utility>
 
 namespace galenabay::daemon
@@ -14,8 +14,6 @@
 
 constexpr std::size_t queue_size = 64;
 constexpr std::chrono::milliseconds call_timeout{3'000};
-/// Time that one watch call waits at the platform.
-constexpr std::chrono::milliseconds watch_wait{5'000};
 constexpr std::chrono::milliseconds idle_wait{100};
 
 base::error cut_off(const base::endpoint& platform)
@@ -26,11 +24,23 @@
 
 } // namespace
 
-platform_duty::platform_duty(const base::endpoint& platform, metric_board& metrics, const thread_state& state)
-    : platform_{platform}, metrics_{metrics}, state_{state}, requests_{queue_size}, events_{queue_size}
+platform_duty::platform_duty(const base::endpoint& platform, std::uint32_t calls_per_second, metric_board& metrics,
+                             const thread_state& state)
+    : platform_{platform}, metrics_{metrics}, state_{state}, store_{platform::object_client::make(platform,
+                                                                                                  call_timeout)},
+      budget_{calls_per_second, calls_per_second}, requests_{queue_size}, events_{queue_size}
 {
 }
 
+void platform_duty::wait_for_budget()
+{
+    while (!budget_.take(steady_now()) && !state_.stop.load(std::memory_order_relaxed))
+    {
+        metrics_.add(metric::platform_throttled);
+        std::this_thread::sleep_for(budget_.wait(steady_now()));
+    }
+}
+
 bool platform_duty::submit(platform_request request)
 {
     const bool queued = requests_.push(std::move(request));
@@ -49,13 +59,8 @@
 
 void platform_duty::watch(const watch_request& request)
 {
-    const auto client = platform::object_client::make(platform_, call_timeout + watch_wait);
-    const platform::revision_store store{client};
-    if (request.after == 0)
-    {
-        manifest_version_ = 0;
-    }
-    auto found = manifest_version_ == 0 ? store.read() : store.watch(manifest_version_, watch_wait);
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(request.wait);
+    auto found = store_.fetch(request.after, wait);
     count(found.has_value());
     if (!found)
     {
@@ -68,7 +73,6 @@
         return;
     }
     auto& stored = *found.value();
-    manifest_version_ = stored.manifest_version;
     events_.push(revision_read{std::make_shared<const config::accepted_revision>(std::move(stored.revision))});
 }
 
@@ -176,6 +180,7 @@
     {
         return;
     }
+    wait_for_budget();
     if (const auto* watched = std::get_if<watch_request>(&request))
     {
         watch(*watched);
--- a/src/daemon/platform_duty.hpp
+++ b/src/daemon/platform_duty.hpp
@@ -7,8 +7,11 @@
 #include <galenabay/base/endpoint.hpp>
 #include <galenabay/base/error.hpp>
 #include <galenabay/base/ring.hpp>
+#include <galenabay/base/time.hpp>
 #include <galenabay/config/accepted_revision.hpp>
 #include <galenabay/membership/host.hpp>
+#include <galenabay/platform/revision_store.hpp>
+#include <galenabay/revision/call_budget.hpp>
 
 #include <atomic>
 #include <cstdint>
@@ -27,6 +30,8 @@
 {
     /// Number of the revision in force; news are reported only when different.
     std::uint64_t after = 0;
+    /// Longest time to wait for news.
+    base::duration wait{0};
 };
 struct write_request
 {
@@ -99,7 +104,9 @@
 class platform_duty
 {
 public:
-    platform_duty(const base::endpoint& platform, metric_board& metrics, const thread_state& state);
+    /// `calls_per_second`: budget of this thread.
+    platform_duty(const base::endpoint& platform, std::uint32_t calls_per_second, metric_board& metrics,
+                  const thread_state& state);
 
     /// Runs until the process stops.
     void run();
@@ -122,13 +129,14 @@
     void read(const read_request& request);
     bool refuse_when_cut(const platform_request& request);
     void count(bool succeeded);
+    void wait_for_budget();
 
     base::endpoint platform_;
     metric_board& metrics_;
     const thread_state& state_;
     std::atomic<bool> cut_{false};
-    /// Version of the manifest read last; 0: none.
-    std::uint64_t manifest_version_ = 0;
+    platform::revision_store store_;
+    revision::call_budget budget_;
     base::ring<platform_request> requests_;
     base::ring<platform_event> events_;
     waker waker_;
