Remember reports of forgotten peers; membership tests and torture

Cause: a peer that was unlisted and silent was erased together with its incarnation and sequence, so a delayed report of its earlier process revived it. member_view now keeps them for ten minutes (member_settings::forget_after, new).

--- a/bench/bench_flow.cpp
+++ b/bench/bench_flow.cpp
@@ -55,7 +55,8 @@
     flow::decision send(std::size_t flow)
     {
         const auto number = static_cast<std::uint32_t>(flow);
-        const auto caller = base::endpoint::make_v4(0x0b000000 + number, static_cast<std::uint16_t>(1024 + flow % 50000));
+        const auto caller =
+            base::endpoint::make_v4(0x0b000000 + number, static_cast<std::uint16_t>(1024 + flow % 50000));
         return logic_.on_packet(caller, revisions_.draft()[0].address, 0, now_);
     }
 
@@ -195,12 +196,14 @@
     void run()
     {
         advance(70);
+        replace_host("host_replaced", 7);
         auto& upstreams = revisions_.draft()[0].upstreams;
         change("add", [&] { upstreams.push_back(make_upstream(50)); });
         change("drain", [&] { upstreams[3].draining = true; });
         change("weight", [&] { upstreams[5].weight = 150; });
         change("remove", [&] { upstreams.erase(upstreams.begin() + 3); });
-        replace_host();
+        // 30 s after the fourth change not all records have been sent yet.
+        replace_host("host_replaced_after_changes", 4);
         print("flow_broken_per_planned_change", static_cast<double>(most_broken_), 0);
         print("flow_control_bytes_per_second_per_host", peak_bytes_, 3072);
         print("flow_relayed_share", static_cast<double>(relayed_) / static_cast<double>(packets_));
@@ -223,18 +226,25 @@
         observe(name);
     }
 
-    void replace_host()
+    void replace_host(const char* name, std::size_t host)
     {
-        fleet_.leave(4);
+        const auto before = broken_;
+        fleet_.leave(host);
         advance(6);
-        fleet_.start(4);
-        observe("host_replaced");
+        fleet_.start(host);
+        advance(24);
+        report(name, before);
     }
 
     void observe(const char* name)
     {
         const auto before = broken_;
         advance(30);
+        report(name, before);
+    }
+
+    void report(const char* name, std::uint64_t before)
+    {
         most_broken_ = std::max(most_broken_, broken_ - before);
         print((std::string{"flow_broken_"} + name).c_str(), static_cast<double>(broken_ - before), 0);
     }
--- a/bench/flow_workload.hpp
+++ b/bench/flow_workload.hpp
@@ -41,8 +41,7 @@
 public:
     static constexpr base::duration step{100'000};
 
-    explicit flow_workload(workload_settings settings)
-        : settings_{settings}, random_{settings.seed}, calendar_(slots)
+    explicit flow_workload(workload_settings settings) : settings_{settings}, random_{settings.seed}, calendar_(slots)
     {
         for (std::size_t i = 0; i < settings_.idle_flows + settings_.busy_flows; ++i)
         {
@@ -54,7 +53,8 @@
 
     static base::endpoint caller_of(const workload_flow& flow)
     {
-        return base::endpoint::make_v4(0x0b000000 + flow.number, static_cast<std::uint16_t>(1024 + flow.number % 60000));
+        return base::endpoint::make_v4(0x0b000000 + flow.number,
+                                       static_cast<std::uint16_t>(1024 + flow.number % 60000));
     }
 
     std::vector<workload_flow>& flows() noexcept { return flows_; }
--- /dev/null
+++ b/bench/torture_membership.cpp
@@ -0,0 +1,272 @@
+// Member views that exchange reports over a faulty network in virtual time, with
+// restarts, pauses and a lagging list. Usage: torture_membership [--seeds N] [--first S]
+
+#include "seed_arguments.hpp"
+
+#include <galenabay/base/random.hpp>
+#include <galenabay/membership/member_view.hpp>
+
+#include <cstdio>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace galenabay::bench
+{
+
+namespace
+{
+
+constexpr std::size_t host_count = 6;
+constexpr std::int64_t step_ms = 100;
+constexpr std::int64_t run_ms = 120'000;
+constexpr std::int64_t quiet_ms = 12'000;
+constexpr std::int64_t longest_delay_ms = 20'000;
+constexpr std::int64_t peer_timeout_ms = 3'000;
+
+struct counts
+{
+    std::uint64_t reports = 0;
+    std::uint64_t faults = 0;
+    std::uint64_t violations = 0;
+};
+
+struct host
+{
+    membership::member_view view;
+    std::uint64_t incarnation = 1;
+    std::uint64_t sequence = 0;
+    bool up = true;
+    std::int64_t paused_until = 0;
+    std::int64_t down_since = 0;
+    /// Largest incarnation of each peer that this process was told of.
+    std::vector<std::uint64_t> heard = std::vector<std::uint64_t>(host_count, 0);
+};
+
+struct message
+{
+    std::int64_t arrives = 0;
+    std::size_t to = 0;
+    std::size_t from = 0;
+    membership::host_report report;
+};
+
+class membership_run
+{
+public:
+    membership_run(std::uint64_t seed, counts& total) : seed_{seed}, total_{total}, random_{seed}
+    {
+        for (std::size_t i = 0; i < host_count; ++i)
+        {
+            hosts_.push_back(host{make_view(i)});
+        }
+    }
+
+    void run()
+    {
+        for (; now_ < run_ms; now_ += step_ms)
+        {
+            if (now_ < run_ms - quiet_ms - longest_delay_ms && random_.below(30) == 0)
+            {
+                disturb();
+            }
+            deliver();
+            for (std::size_t i = 0; i < host_count; ++i)
+            {
+                step(i);
+            }
+        }
+        check_agreement();
+    }
+
+private:
+    static std::string name_of(std::size_t index) { return "host-" + std::to_string(index); }
+    base::time_point time() const { return base::time_point{base::duration{1'000'000'000 + now_ * 1000}}; }
+
+    static membership::member_view make_view(std::size_t index)
+    {
+        membership::member_settings settings;
+        settings.self = name_of(index);
+        settings.peer_timeout = base::duration{peer_timeout_ms * 1000};
+        return membership::member_view{settings};
+    }
+
+    bool runs(std::size_t index) const { return hosts_[index].up && now_ >= hosts_[index].paused_until; }
+
+    void step(std::size_t index)
+    {
+        auto& self = hosts_[index];
+        if (!runs(index))
+        {
+            return;
+        }
+        const bool paused = self.view.on_tick(time());
+        if (paused && self.view.deciding_hosts(time()).size() > 1)
+        {
+            violation("a resumed host believes peers that it has not heard", index, index);
+        }
+        if (now_ % 500 == 0)
+        {
+            send(index);
+            self.view.on_platform_list(lagging_list(), time());
+        }
+        check_dead(index);
+    }
+
+    void send(std::size_t index)
+    {
+        auto& self = hosts_[index];
+        membership::host_report report;
+        report.name = name_of(index);
+        report.incarnation = self.incarnation;
+        report.sequence = ++self.sequence;
+        report.state = membership::host_state::ready;
+        self.view.set_self(report);
+        for (std::size_t to = 0; to < host_count; ++to)
+        {
+            const bool quiet = now_ > run_ms - quiet_ms;
+            if (to == index || (!quiet && random_.below(100) < 5))
+            {
+                continue;
+            }
+            ++total_.reports;
+            const bool late = !quiet && random_.below(100) < 5;
+            const auto delay = late ? static_cast<std::int64_t>(random_.below(longest_delay_ms)) : step_ms;
+            messages_.push_back({now_ + delay, to, index, report});
+            if (random_.below(100) < 5)
+            {
+                messages_.push_back(messages_.back());
+            }
+        }
+    }
+
+    void deliver()
+    {
+        std::vector<message> kept;
+        for (auto& one : messages_)
+        {
+            if (one.arrives > now_)
+            {
+                kept.push_back(std::move(one));
+            }
+            else if (runs(one.to))
+            {
+                accept(one);
+            }
+        }
+        messages_ = std::move(kept);
+    }
+
+    void accept(const message& one)
+    {
+        auto& to = hosts_[one.to];
+        const bool taken = to.view.on_report(one.report, time());
+        if (taken && one.report.incarnation < to.heard[one.from])
+        {
+            violation("a report of an earlier process was believed", one.to, one.from);
+        }
+        to.heard[one.from] = std::max(to.heard[one.from], one.report.incarnation);
+    }
+
+    /// A host that ended longer ago than all delays and the timeout decides nowhere.
+    void check_dead(std::size_t index)
+    {
+        for (const auto& peer : hosts_[index].view.deciding_hosts(time()))
+        {
+            for (std::size_t i = 0; i < host_count; ++i)
+            {
+                const bool long_dead =
+                    !hosts_[i].up && now_ - hosts_[i].down_since > longest_delay_ms + peer_timeout_ms + step_ms;
+                if (long_dead && peer.name == name_of(i))
+                {
+                    violation("a dead host decides", index, i);
+                }
+            }
+        }
+    }
+
+    void check_agreement()
+    {
+        for (std::size_t i = 0; i < host_count; ++i)
+        {
+            for (std::size_t other = 0; other < host_count; ++other)
+            {
+                if (runs(i) && runs(other) &&
+                    hosts_[i].view.deciding_hosts(time()) != hosts_[other].view.deciding_hosts(time()))
+                {
+                    violation("two hosts that hear the same peers disagree", i, other);
+                }
+            }
+        }
+    }
+
+    std::vector<membership::listed_host> lagging_list()
+    {
+        std::vector<membership::listed_host> rows;
+        for (std::size_t i = 0; i < host_count; ++i)
+        {
+            if (random_.below(4) != 0)
+            {
+                membership::listed_host row;
+                row.name = name_of(i);
+                rows.push_back(row);
+            }
+        }
+        return rows;
+    }
+
+    void disturb()
+    {
+        ++total_.faults;
+        const auto index = random_.below(host_count);
+        auto& chosen = hosts_[index];
+        if (!chosen.up)
+        {
+            const auto incarnation = chosen.incarnation + 1;
+            chosen = host{make_view(index)};
+            chosen.incarnation = incarnation;
+        }
+        else if (random_.below(2) == 0)
+        {
+            chosen.up = false;
+            chosen.down_since = now_;
+        }
+        else
+        {
+            chosen.paused_until = now_ + 2'500 + static_cast<std::int64_t>(random_.below(30'000));
+        }
+    }
+
+    void violation(const char* promise, std::size_t at, std::size_t about)
+    {
+        ++total_.violations;
+        std::printf("violation seed=%llu at_ms=%lld promise=\"%s\" hosts=%zu,%zu\n",
+                    static_cast<unsigned long long>(seed_), static_cast<long long>(now_), promise, at, about);
+    }
+
+    std::uint64_t seed_;
+    counts& total_;
+    base::random_source random_;
+    std::int64_t now_ = 0;
+    std::vector<host> hosts_;
+    std::vector<message> messages_;
+};
+
+} // namespace
+
+} // namespace galenabay::bench
+
+int main(int argc, char** argv)
+{
+    using namespace galenabay::bench;
+    const auto seeds = parse_seeds(argc, argv);
+    counts total;
+    for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed)
+    {
+        membership_run{seed, total}.run();
+    }
+    std::printf("torture_membership seeds=%llu reports=%llu faults=%llu violations=%llu\n",
+                static_cast<unsigned long long>(seeds.count), static_cast<unsigned long long>(total.reports),
+                static_cast<unsigned long long>(total.faults), static_cast<unsigned long long>(total.violations));
+    return total.violations == 0 ? 0 : 1;
+}
--- a/include/galenabay/membership/member_view.hpp
+++ b/include/galenabay/membership/member_view.hpp
@@ -21,6 +21,9 @@
     /// A gap between two ticks that is longer than this means that the process
     /// was paused.
     base::duration pause_limit{2'000'000};
+    /// Reports of a peer that is neither listed nor heard are remembered for
+    /// this long, so that late ones are recognised.
+    base::duration forget_after{600'000'000};
 };
 
 /// Which hosts take part, as this host sees it.
@@ -74,6 +77,7 @@
     };
 
     bool is_live(const member& peer, base::time_point now) const;
+    bool may_forget(const member& peer, base::time_point now) const;
 
     member_settings settings_;
     host_report self_;
--- a/src/membership/member_view.cpp
+++ b/src/membership/member_view.cpp
@@ -58,7 +58,7 @@
             peer.row = row;
         }
     }
-    std::erase_if(members_, [&](const auto& entry) { return !entry.second.listed && !is_live(entry.second, now); });
+    std::erase_if(members_, [&](const auto& entry) { return may_forget(entry.second, now); });
 }
 
 bool member_view::on_tick(base::time_point now)
@@ -87,6 +87,12 @@
     return peer.heard_at_all && now - peer.heard < settings_.peer_timeout;
 }
 
+bool member_view::may_forget(const member& peer, base::time_point now) const
+{
+    // A late report of a peer forgotten too early would bring it back.
+    return !peer.listed && (!peer.heard_at_all || now - peer.heard >= settings_.forget_after);
+}
+
 std::vector<live_host> member_view::deciding_hosts(base::time_point now) const
 {
     std::vector<live_host> hosts;
