--- a/bench/torture_flow.cpp
+++ b/bench/torture_flow.cpp
@@ -69,7 +69,7 @@
     pause_host,
     fail_upstream,
     flap_upstream,
-    partition,
+    move_address,
 };
 
 class torture_run
@@ -166,6 +166,7 @@
         flow.gap_ms =
             random_.below(2) == 0 ? 500 + random_.below(2'000) : 5'000 + random_.below(longest_gap_ms - 5'000);
         flow.next = fleet_.now() + base::duration{static_cast<std::int64_t>(random_.below(2'000'000))};
+        flow.next = std::max(flow.next, address_known_at_);
         return flow;
     }
 
@@ -279,7 +280,7 @@
     {
         constexpr std::array<event, 10> kinds{
             event::change,       event::change,     event::change,        event::two_changes,   event::kill_host,
-            event::replace_host, event::pause_host, event::fail_upstream, event::flap_upstream, event::partition};
+            event::replace_host, event::pause_host, event::fail_upstream, event::flap_upstream, event::move_address};
         const auto kind = kinds[random_.below(kinds.size())];
         if (((arguments_.kinds >> static_cast<unsigned>(kind)) & 1) == 0)
         {
@@ -302,8 +303,8 @@
             return fail_upstream();
         case event::flap_upstream:
             return flap_upstream();
-        case event::partition:
-            return;
+        case event::move_address:
+            return move_address();
         }
     }
 
@@ -350,6 +351,24 @@
         }
     }
 
+    /// One service gets a new address; the other one may take over its old one.
+    void move_address()
+    {
+        ++total_.changes;
+        auto& services = revisions_.draft();
+        const auto moving = random_.below(2);
+        const auto old_address = services[moving].address;
+        services[moving].address = old_address.with_port(static_cast<std::uint16_t>(6000 + ++last_port_));
+        if (random_.below(2) == 0)
+        {
+            services[1 - moving].address = old_address;
+        }
+        // Callers learn of an address when the change is in force everywhere.
+        address_known_at_ = fleet_.now() + longest_skew + 2 * second;
+        publish();
+        trace("addresses: %s %s", services[0].address.to_string().c_str(), services[1].address.to_string().c_str());
+    }
+
     void drain(const config::service& service, config::upstream& chosen)
     {
         const auto open = std::count_if(service.upstreams.begin(), service.upstreams.end(),
@@ -514,6 +533,8 @@
     base::time_point next_event_{};
     std::uint32_t last_caller_ = 0;
     std::uint32_t last_upstream_ = 0;
+    std::uint32_t last_port_ = 0;
+    base::time_point address_known_at_{};
 };
 
 } // namespace
--- a/src/flow/packet_decision.cpp
+++ b/src/flow/packet_decision.cpp
@@ -118,26 +118,31 @@
     {
         of.service = owners->former.front().service;
     }
-    if (auto* entry = find_known(of); entry != nullptr)
+    if (auto* entry = find_known(of, address); entry != nullptr)
     {
         return decide_known(of, *entry);
     }
     return decide_unknown(of);
 }
 
-flow_entry* steering::state::find_known(const packet& of)
+flow_entry* steering::state::find_known(const packet& of, const base::endpoint& address)
 {
     auto* entry = table_.find(of.key);
     if (entry == nullptr)
     {
         return nullptr;
     }
-    if (is_expired(*entry) || !service_index::owns(*of.owners, index_.upstream(entry->upstream).service))
+    if (is_expired(*entry))
     {
         table_.erase(of.key);
         table_.count_idle_eviction();
         return nullptr;
     }
+    // The lineage may have forgotten an owner whose flows still live.
+    if (const auto service = index_.upstream(entry->upstream).service; !service_index::owns(*of.owners, service))
+    {
+        index_.lose_address(address, service, now_);
+    }
     return entry;
 }
 
@@ -155,8 +160,14 @@
 
 decision steering::state::decide_known(const packet& of, flow_entry& entry)
 {
-    if (!index_.upstream(entry.upstream).reachable())
+    if (const auto& slot = index_.upstream(entry.upstream); !slot.reachable())
     {
+        // A flow of a former owner must not turn into a flow of the present one.
+        if (slot.service != of.owners->current)
+        {
+            table_.touch(of.key, entry, now_);
+            return drop(drop_reason::upstream_gone);
+        }
         table_.erase(of.key);
         return drop(drop_reason::upstream_gone);
     }
@@ -378,8 +389,9 @@
         return result;
     }
     placement result{choose_open(of.service, of.key), false};
-    result.certain = agree && !slot.history_full && informed && result.upstream == candidates[0] &&
-                     result.upstream != no_upstream_index && !recently_unhealthy(result.upstream);
+    result.certain = agree && !slot.history_full && !slot.address_uncertain && informed &&
+                     result.upstream == candidates[0] && result.upstream != no_upstream_index &&
+                     !recently_unhealthy(result.upstream);
     return result;
 }
 
--- a/src/flow/record_handling.cpp
+++ b/src/flow/record_handling.cpp
@@ -252,10 +252,6 @@
         unresolved_ = true;
         return;
     }
-    if (!index_.upstream(upstream).reachable())
-    {
-        return;
-    }
     const auto told = decode_silence(record.key, index_.service(index_.upstream(upstream).service).idle_timeout);
     const auto key = record.key & key_mask;
     auto* entry = table_.find(key);
--- a/src/flow/service_index.cpp
+++ b/src/flow/service_index.cpp
@@ -170,34 +170,28 @@
     std::erase_if(owners.former, [&](const former_owner& one) { return one.service == index; });
 }
 
-void service_index::lose_address(const base::endpoint& address, std::uint32_t index, base::time_point now)
+void service_index::lose_address(const base::endpoint& address, std::uint32_t service, base::time_point now)
 {
     auto& owners = by_address_[address];
-    if (owners.current == index)
+    if (owners.current == service)
     {
         return;
     }
-    const auto known = std::find_if(owners.former.begin(), owners.former.end(),
-                                    [&](const former_owner& one) { return one.service == index; });
-    if (known == owners.former.end())
+    const bool known = std::any_of(owners.former.begin(), owners.former.end(),
+                                   [&](const former_owner& one) { return one.service == service; });
+    if (!known)
     {
-        owners.former.push_back({index, now, true});
-        return;
+        owners.former.push_back({service, now});
     }
-    known->in_lineage = true;
 }
 
 void service_index::release_addresses(base::time_point now)
 {
     for (auto& [address, owners] : by_address_)
     {
-        for (auto& former : owners.former)
-        {
-            former.in_lineage = false;
-        }
         if (owners.current != address_owners::none)
         {
-            owners.former.push_back({owners.current, now, true});
+            owners.former.push_back({owners.current, now});
             owners.current = address_owners::none;
         }
     }
@@ -215,8 +209,9 @@
     for (auto entry = by_address_.begin(); entry != by_address_.end();)
     {
         auto& owners = entry->second;
-        std::erase_if(owners.former,
-                      [&](const former_owner& one) { return !one.in_lineage && !in_transition(one, now); });
+        // Flows may outlive the lineage, so an owner that is still named stays.
+        std::erase_if(owners.former, [&](const former_owner& one)
+                      { return !services_[one.service].named && !in_transition(one, now); });
         for (const auto& former : owners.former)
         {
             services_[former.service].moved = true;
@@ -271,11 +266,26 @@
             lose_address(earlier.address, index, now);
         }
     }
+    mark_uncertain_addresses(revision);
     drop_unnamed(now);
     mark_taken_over();
     return changed;
 }
 
+void service_index::mark_uncertain_addresses(const config::accepted_revision& revision)
+{
+    const bool some_full = std::any_of(services_.begin(), services_.end(),
+                                       [](const service_slot& slot) { return slot.named && slot.history_full; });
+    for (const auto& [name, lineage] : revision.lineage)
+    {
+        auto& slot = services_[slot_of(base::hash_text(name))];
+        const bool moved_here =
+            std::any_of(lineage.begin(), lineage.end(),
+                        [&](const config::generation& earlier) { return earlier.address != slot.address; });
+        slot.address_uncertain = some_full && (moved_here || slot.history_full);
+    }
+}
+
 void service_index::mark_taken_over()
 {
     std::unordered_map<base::endpoint, std::uint32_t, endpoint_hash> users;
--- a/src/flow/service_index.hpp
+++ b/src/flow/service_index.hpp
@@ -64,6 +64,8 @@
     /// Hash of the upstreams, weights and first revision of each version; 0 is
     /// in force.
     std::vector<std::uint64_t> version_tags;
+    /// The lineage is too short to tell whether another service had the address.
+    bool address_uncertain = false;
     /// Versions before these have been forgotten.
     bool history_full = false;
     /// The newest version since which this host knows every flow whose upstream
@@ -95,8 +97,6 @@
     std::uint32_t service = 0;
     /// When this host learned that the service had lost the address.
     base::time_point since{};
-    /// The lineage of the revision in force names it.
-    bool in_lineage = true;
 };
 
 /// The services of an address.
@@ -116,6 +116,9 @@
     /// Returns the services whose versions changed.
     std::vector<std::uint32_t> take_in(const config::accepted_revision& revision, base::time_point now);
 
+    /// Notes that a service owned an address that it does not own now.
+    void lose_address(const base::endpoint& address, std::uint32_t service, base::time_point now);
+
     /// nullptr when no service has or had the address.
     const address_owners* find_address(const base::endpoint& address) const;
     /// `address_owners::none` when unknown.
@@ -156,7 +159,7 @@
     void note_change(std::uint32_t index, std::uint64_t revision, base::time_point now);
     void drop_unnamed(base::time_point now);
     void clear(service_slot& slot);
-    void lose_address(const base::endpoint& address, std::uint32_t index, base::time_point now);
+    void mark_uncertain_addresses(const config::accepted_revision& revision);
     void mark_taken_over();
 
     std::vector<service_slot> services_;
--- a/src/flow/steering_state.hpp
+++ b/src/flow/steering_state.hpp
@@ -67,7 +67,7 @@
     decision relay(std::size_t host);
 
     // Decisions on packets.
-    flow_entry* find_known(const packet& of);
+    flow_entry* find_known(const packet& of, const base::endpoint& address);
     decision decide_known(const packet& of, flow_entry& entry);
     decision decide_unknown(const packet& of);
     decision decide_here(const packet& of);
