--- a/src/flow/packet_decision.cpp
+++ b/src/flow/packet_decision.cpp
@@ -4,13 +4,6 @@
 #include <galenabay/base/invariant.hpp>
 
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
-static unsigned long long dbg()
-{
-    static auto v = getenv("DK") ? strtoull(getenv("DK"), 0, 16) : 0;
-    return v;
-}
 
 namespace galenabay::flow
 {
@@ -278,18 +271,6 @@
 decision steering::state::decide_here(const packet& of)
 {
     const auto& slot = index_.service(of.service);
-    if (of.key == dbg() || dbg() == 1)
-    {
-        auto w = plan(of);
-        printf("   decide %lx at %s t %ld rev %lu hops %d plan up %s certain %d auth %d keeper %d await %d byp %d "
-               "settled %zu/%zu complete_rev %lu changed_in %lu pos %zu/%zu peers %zu\n",
-               of.key, settings_.self.c_str(), now_.time_since_epoch().count() / 1000, revision_, of.hops,
-               w.upstream == no_upstream_index ? "-" : index_.upstream(w.upstream).endpoint.to_string().c_str(),
-               w.certain, is_authoritative(of.service, of.key), is_keeper(of.service, of.key), awaits_version(slot),
-               slot.bypassed, index_.version_of(of.service, slot.settled_tag), slot.choice.versions(),
-               exchange_.complete_revision(), slot.changed_in, ranking_.position(slot.id, of.key),
-               ranking_.hosts().size(), ranking_.peer_count());
-    }
     const bool refused = in_transition(of) || !slot.present || slot.draining;
     const auto where = refused ? placement{} : plan(of);
     const bool authoritative = is_authoritative(of.service, of.key) && !awaits_version(slot);
--- a/src/flow/record_handling.cpp
+++ b/src/flow/record_handling.cpp
@@ -2,13 +2,6 @@
 #include "steering_state.hpp"
 
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
-static unsigned long long dbg()
-{
-    static auto v = getenv("DK") ? strtoull(getenv("DK"), 0, 16) : 0;
-    return v;
-}
 
 namespace galenabay::flow
 {
@@ -118,24 +111,12 @@
             return true;
         }
         const auto& slot = index_.service(index_.upstream(entry.upstream).service);
-        entry.registered |= ranking_.self_keeps_records(slot.id, key) ? 1 : 0;
         if (ranking_.self_keeps_records(slot.id, key))
         {
             entry.registered = 1;
         }
-        if (key == dbg())
-        {
-            printf("   scan at %s t %ld rev %lu known up %s silence %ld\n", settings_.self.c_str(),
-                   now_.time_since_epoch().count() / 1000, revision_,
-                   index_.upstream(entry.upstream).endpoint.to_string().c_str(),
-                   coarse_time::of(now_).since(entry.last_seen).count());
-        }
         for (const auto& to : targets)
         {
-            if (key == dbg())
-                printf("     target %s keeps %d sent %d covered %lu\n", ranking_.hosts()[to.host].name.c_str(),
-                       ranking_.keeps_records(to.host, slot.id, key), was_sent(to, slot, key),
-                       to.request.covered_revision);
             if (ranking_.keeps_records(to.host, slot.id, key) && !was_sent(to, slot, key))
             {
                 exchange_.queue_bulk(to.request.host, {key, coarse_time::of(now_).since(entry.last_seen)});
@@ -166,8 +147,6 @@
     record.service = static_cast<std::uint32_t>(index_.service(slot.service).id);
     record.upstream = static_cast<std::uint32_t>(slot.id);
     ++counters_.records_sent;
-    if (key == dbg())
-        printf("   record made at %s t %ld\n", settings_.self.c_str(), now_.time_since_epoch().count() / 1000);
     return true;
 }
 
@@ -243,9 +222,6 @@
 void steering::state::on_flow_record(const flow_record& record)
 {
     ++counters_.records_received;
-    if ((record.key & key_mask) == dbg())
-        printf("   record at %s t %ld up %u\n", settings_.self.c_str(), now_.time_since_epoch().count() / 1000,
-               index_.find_upstream(record.service, record.upstream));
     const auto upstream = index_.find_upstream(record.service, record.upstream);
     if (upstream == no_upstream_index)
     {
