--- a/src/flow/packet_decision.cpp
+++ b/src/flow/packet_decision.cpp
@@ -4,13 +4,6 @@
 #include <galenabay/base/invariant.hpp>
 
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
-static unsigned long long dbg()
-{
-    static auto v = getenv("DK") ? strtoull(getenv("DK"), 0, 16) : 0;
-    return v;
-}
 
 namespace galenabay::flow
 {
@@ -118,26 +111,31 @@
     {
         of.service = owners->former.front().service;
     }
-    if (auto* entry = find_known(of); entry != nullptr)
+    if (auto* entry = find_known(of, address); entry != nullptr)
     {
         return decide_known(of, *entry);
     }
     return decide_unknown(of);
 }
 
-flow_entry* steering::state::find_known(const packet& of)
+flow_entry* steering::state::find_known(const packet& of, const base::endpoint& address)
 {
     auto* entry = table_.find(of.key);
     if (entry == nullptr)
     {
         return nullptr;
     }
-    if (is_expired(*entry) || !service_index::owns(*of.owners, index_.upstream(entry->upstream).service))
+    if (is_expired(*entry))
     {
         table_.erase(of.key);
         table_.count_idle_eviction();
         return nullptr;
     }
+    // The lineage may have forgotten an owner whose flows still live.
+    if (const auto service = index_.upstream(entry->upstream).service; !service_index::owns(*of.owners, service))
+    {
+        index_.lose_address(address, service, now_);
+    }
     return entry;
 }
 
@@ -155,8 +153,14 @@
 
 decision steering::state::decide_known(const packet& of, flow_entry& entry)
 {
-    if (!index_.upstream(entry.upstream).reachable())
+    if (const auto& slot = index_.upstream(entry.upstream); !slot.reachable())
     {
+        // A flow of a former owner must not turn into a flow of the present one.
+        if (slot.service != of.owners->current)
+        {
+            table_.touch(of.key, entry, now_);
+            return drop(drop_reason::upstream_gone);
+        }
         table_.erase(of.key);
         return drop(drop_reason::upstream_gone);
     }
@@ -267,18 +271,6 @@
 decision steering::state::decide_here(const packet& of)
 {
     const auto& slot = index_.service(of.service);
-    if (of.key == dbg() || dbg() == 1)
-    {
-        auto w = plan(of);
-        printf("   decide %lx at %s t %ld rev %lu hops %d plan up %s certain %d auth %d keeper %d await %d byp %d "
-               "settled %zu/%zu complete_rev %lu changed_in %lu pos %zu/%zu peers %zu\n",
-               of.key, settings_.self.c_str(), now_.time_since_epoch().count() / 1000, revision_, of.hops,
-               w.upstream == no_upstream_index ? "-" : index_.upstream(w.upstream).endpoint.to_string().c_str(),
-               w.certain, is_authoritative(of.service, of.key), is_keeper(of.service, of.key), awaits_version(slot),
-               slot.bypassed, index_.version_of(of.service, slot.settled_tag), slot.choice.versions(),
-               exchange_.complete_revision(), slot.changed_in, ranking_.position(slot.id, of.key),
-               ranking_.hosts().size(), ranking_.peer_count());
-    }
     const bool refused = in_transition(of) || !slot.present || slot.draining;
     const auto where = refused ? placement{} : plan(of);
     const bool authoritative = is_authoritative(of.service, of.key) && !awaits_version(slot);
@@ -378,8 +370,9 @@
         return result;
     }
     placement result{choose_open(of.service, of.key), false};
-    result.certain = agree && !slot.history_full && informed && result.upstream == candidates[0] &&
-                     result.upstream != no_upstream_index && !recently_unhealthy(result.upstream);
+    result.certain = agree && !slot.history_full && !slot.address_uncertain && informed &&
+                     result.upstream == candidates[0] && result.upstream != no_upstream_index &&
+                     !recently_unhealthy(result.upstream);
     return result;
 }
 
