--- a/bench/dispatch_torture.hpp
+++ b/bench/dispatch_torture.hpp
@@ -42,6 +42,7 @@
 constexpr base::duration load_time = 20s;
 constexpr base::duration quiet_time = 20s;
 constexpr base::duration warm_up = 13s;
+constexpr std::uint32_t last_block = 3;
 constexpr std::uint8_t code_unavailable = 0xa3;
 
 struct totals
--- a/bench/dispatch_torture_upstreams.cpp
+++ b/bench/dispatch_torture_upstreams.cpp
@@ -67,6 +67,7 @@
     value.piggybacked = chance(0.5);
     value.message_id = value.piggybacked ? asked.message_id : next_upstream_message_++;
     value.code = code;
+    value.more_blocks = requests_.at(asked.key).transfer != 0 && asked.block < last_block;
     const answer_content content{asked.key, upstream + 1};
     std::vector<std::byte> bytes(sizeof content);
     std::memcpy(bytes.data(), &content, sizeof content);
@@ -138,7 +139,6 @@
 
 void world::on_block(const caller_request& asked, std::uint64_t upstream)
 {
-    constexpr std::uint32_t last_block = 3;
     if (asked.wire.block == 0)
     {
         first_blocks_[asked.transfer] = upstream;
--- a/include/galenabay/dispatch/request.hpp
+++ b/include/galenabay/dispatch/request.hpp
@@ -77,6 +77,8 @@
     std::uint8_t code = 0;
     /// True when the answer is an acknowledgement that carries `message_id`.
     bool piggybacked = false;
+    /// True when a Block2 option (RFC 7959) says that more blocks follow.
+    bool more_blocks = false;
     dispatch::datagram bytes;
 };
 
--- a/src/dispatch/dispatcher_requests.cpp
+++ b/src/dispatch/dispatcher_requests.cpp
@@ -202,15 +202,6 @@
     deciders_changed_ = now;
 }
 
-void dispatcher::state::remember_block(const service_state& service, const request& arrived,
-                                       config::upstream_id upstream, base::time_point now)
-{
-    if (may_have_blocks(arrived.method) && may_serve_blocks(service, arrived, now))
-    {
-        affinity_.remember(routing_of(arrived), upstream, now);
-    }
-}
-
 void dispatcher::state::enqueue(service_state& service, open_request& open, base::time_point now)
 {
     if (open.runs.empty() && needs_pinning(open.arrived, now))
--- a/src/dispatch/dispatcher_runs.cpp
+++ b/src/dispatch/dispatcher_runs.cpp
@@ -211,20 +211,37 @@
     }
     else
     {
+        const config::upstream_id run_upstream = run->upstream;
         const bool has_failed = arrived.code >= first_server_error;
         if (!has_failed)
         {
             service.times.on_finished(open.arrived.method, open.arrived.path, now - run->sent);
-            remember_block(service, open.arrived, run->upstream, now);
         }
         run->state = run_state::abandoned;
         end_run(service, open, *run, has_failed ? run_outcome::failed : run_outcome::succeeded, now);
-        end_delivered(open, arrived, now);
+        pass_on(service, open, arrived, run_upstream, now);
     }
     pump(service, now);
     return take_actions();
 }
 
+void dispatcher::state::pass_on(service_state& service, open_request& open, const answer& arrived,
+                                config::upstream_id upstream, base::time_point now)
+{
+    const bool starts_transfer = arrived.more_blocks && may_have_blocks(open.arrived.method);
+    if (starts_transfer && open.arrived.block == 0 && !may_serve_blocks(service, open.arrived, now))
+    {
+        // The rest could come from another upstream: nothing rather than a part.
+        end_refused(open, false, refusal::not_deciding, now);
+        return;
+    }
+    if (starts_transfer)
+    {
+        affinity_.remember(routing_of(open.arrived), upstream, now);
+    }
+    end_delivered(open, arrived, now);
+}
+
 bool dispatcher::state::expects(const answer& arrived) const
 {
     return exchanges_.contains(exchange_table::id_of(arrived));
--- a/src/dispatch/dispatcher_state.hpp
+++ b/src/dispatch/dispatcher_state.hpp
@@ -80,8 +80,6 @@
     bool needs_pinning(const request& arrived, base::time_point now) const;
     bool may_serve_blocks(const service_state& service, const request& arrived, base::time_point now) const;
     void forget_blocks(base::time_point now);
-    void remember_block(const service_state& service, const request& arrived, config::upstream_id upstream,
-                        base::time_point now);
     void leave_queue(service_state& service, open_request& open);
     void relay(const request& arrived, const std::string& host);
 
@@ -93,6 +91,8 @@
     const config::upstream* choose_upstream(service_state& service, const open_request& open, base::time_point now);
     void send(service_state& service, open_request& open, const config::upstream& target, base::time_point now);
     void on_refused_by_upstream(service_state& service, open_request& open, base::time_point now);
+    void pass_on(service_state& service, open_request& open, const answer& arrived, config::upstream_id upstream,
+                 base::time_point now);
     void end_run(service_state& service, const open_request& open, upstream_run& run, run_outcome outcome,
                  base::time_point now);
     void abandon_runs(service_state& service, open_request& open, base::time_point now);
