--- a/bench/dispatch_simulation.hpp
+++ b/bench/dispatch_simulation.hpp
@@ -91,6 +91,9 @@
     /// Share of runs that take `straggler_factor` times as long.
     double stragglers = 0;
     double straggler_factor = 100;
+    /// Share of requests for a path whose work takes `long_factor` times as long.
+    double long_share = 0;
+    double long_factor = 20;
     std::size_t callers = 2000;
     /// Offered work of one flooding caller over slot capacity.
     double flood = 0;
@@ -107,6 +110,7 @@
     bool is_flood = false;
     dispatch::method kind = dispatch::method::get;
     std::uint64_t path = 0;
+    bool is_long = false;
     base::duration work{0};
     base::time_point arrived{};
 };
@@ -127,7 +131,7 @@
     double good_busy_us = 0;
     std::vector<double> busy_us;
     /// Response times of answered short requests, in microseconds: those of
-    /// which no run was a straggler.
+    /// which no run was a straggler and whose path isn't the long one.
     std::vector<double> times;
 
     double percentile(double share)
@@ -309,10 +313,18 @@
         value.path = random_.below(16);
         const auto spread = static_cast<std::uint64_t>((most_short_time - least_short_time).count());
         value.work = least_short_time + base::duration{static_cast<base::duration::rep>(random_.below(spread))};
+        value.is_long = offered_.long_share > 0 && random_.unit() < offered_.long_share;
+        if (value.is_long)
+        {
+            value.path = long_path;
+            value.work *= static_cast<base::duration::rep>(offered_.long_factor);
+        }
         value.arrived = loop_.now();
         return value;
     }
 
+    static constexpr std::uint64_t long_path = 99;
+
     event_loop& loop_;
     const shape& plan_;
     const load& offered_;
--- a/include/galenabay/dispatch/action.hpp
+++ b/include/galenabay/dispatch/action.hpp
@@ -70,6 +70,10 @@
     base::endpoint service_address;
     base::endpoint caller;
     datagram bytes;
+    /// The upstream that answered.
+    config::upstream_id upstream = 0;
+    /// True for the first of several blocks (RFC 7959).
+    bool starts_transfer = false;
 };
 
 /// Answer the caller with 5.03 (`run_excluded`) or 5.04.
--- a/src/dispatch/dispatcher_claims.cpp
+++ b/src/dispatch/dispatcher_claims.cpp
@@ -202,7 +202,8 @@
 {
     if (open.phase == request_phase::closing)
     {
-        end_refused(open, true, open.closing_reason, now);
+        // A host may have been lost since the question was asked.
+        end_refused(open, may_vouch(service, open.arrived, now), open.closing_reason, now);
         return;
     }
     if (leaving_)
@@ -299,7 +300,8 @@
     if (finished_.contains(key))
     {
         const auto reply = finished_.reply(key);
-        if (const auto* answered = reply ? std::get_if<deliver>(&*reply) : nullptr; answered != nullptr)
+        if (const auto* answered = reply ? std::get_if<deliver>(&*reply) : nullptr;
+            answered != nullptr && !answered->starts_transfer)
         {
             out_.emplace_back(*answered);
         }
--- a/src/dispatch/dispatcher_endings.cpp
+++ b/src/dispatch/dispatcher_endings.cpp
@@ -38,10 +38,13 @@
     finish(open, reply, now);
 }
 
-void dispatcher::state::end_delivered(open_request& open, const answer& arrived, base::time_point now)
+void dispatcher::state::end_delivered(open_request& open, const answer& arrived, config::upstream_id upstream,
+                                      base::time_point now)
 {
     ++counters_.delivered;
-    const deliver reply{open.arrived.key, arrived.service_address, arrived.caller, arrived.bytes};
+    const bool starts_transfer = arrived.more_blocks && may_have_blocks(open.arrived.method) && open.arrived.block == 0;
+    const deliver reply{open.arrived.key, arrived.service_address, arrived.caller, arrived.bytes,
+                        upstream,         starts_transfer};
     out_.emplace_back(reply);
     finish(open, reply, now);
 }
--- a/src/dispatch/dispatcher_requests.cpp
+++ b/src/dispatch/dispatcher_requests.cpp
@@ -59,13 +59,7 @@
 {
     ++counters_.retransmissions;
     const auto reply = finished_.reply(arrived.key);
-    // What was true when it was said may have changed for a request that needs
-    // no claim to run elsewhere.
-    const auto* refused = reply ? std::get_if<refuse>(&*reply) : nullptr;
-    const bool was_excluded = refused != nullptr && refused->run_excluded && is_idempotent(arrived.method);
-    const service_state* service = find_service(arrived.service);
-    const bool is_outdated = was_excluded && (service == nullptr || !may_vouch(*service, arrived, now));
-    if (!reply || is_outdated)
+    if (!reply || !may_repeat(*reply, arrived, now))
     {
         reply_unknown(arrived, refusal::outcome_unknown);
         return;
@@ -73,6 +67,26 @@
     std::visit([this](const auto& value) { out_.emplace_back(value); }, *reply);
 }
 
+bool dispatcher::state::may_repeat(const final_reply& reply, const request& arrived, base::time_point now)
+{
+    const service_state* service = find_service(arrived.service);
+    if (service == nullptr)
+    {
+        return false;
+    }
+    if (const auto* refused = std::get_if<refuse>(&reply))
+    {
+        // What was true when it was said may have changed for a request that
+        // needs no claim to run elsewhere.
+        const bool needs_check = refused->run_excluded && is_idempotent(arrived.method);
+        return !needs_check || may_vouch(*service, arrived, now);
+    }
+    // The first block counts only while the others come from the same upstream.
+    const auto& answered = std::get<deliver>(reply);
+    return !answered.starts_transfer ||
+           (may_serve_blocks(*service, arrived, now) && affinity_.find(routing_of(arrived)) == answered.upstream);
+}
+
 void dispatcher::state::on_claimed_elsewhere(foreign_claim& held, const request& arrived, base::time_point now)
 {
     ++counters_.retransmissions;
--- a/src/dispatch/dispatcher_runs.cpp
+++ b/src/dispatch/dispatcher_runs.cpp
@@ -239,7 +239,7 @@
     {
         affinity_.remember(routing_of(open.arrived), upstream, now);
     }
-    end_delivered(open, arrived, now);
+    end_delivered(open, arrived, upstream, now);
 }
 
 bool dispatcher::state::expects(const answer& arrived) const
--- a/src/dispatch/dispatcher_state.hpp
+++ b/src/dispatch/dispatcher_state.hpp
@@ -104,7 +104,8 @@
     // dispatcher_endings.cpp
     void begin_refusal(service_state& service, open_request& open, refusal reason, base::time_point now);
     void end_refused(open_request& open, bool run_excluded, refusal reason, base::time_point now);
-    void end_delivered(open_request& open, const answer& arrived, base::time_point now);
+    void end_delivered(open_request& open, const answer& arrived, config::upstream_id upstream, base::time_point now);
+    bool may_repeat(const final_reply& reply, const request& arrived, base::time_point now);
     void finish(open_request& open, const final_reply& reply, base::time_point now);
     refuse make_refusal(const request& arrived, bool run_excluded, refusal reason);
     void reply_unknown(const request& arrived, refusal reason);
