--- a/src/dispatch/dispatcher_claims.cpp
+++ b/src/dispatch/dispatcher_claims.cpp
@@ -38,8 +38,10 @@
 bool dispatcher::state::needs_claim(const service_state& service, const request& arrived, base::time_point now) const
 {
     // Before it has heard the others, a host may wrongly believe that it
-    // decides; and hosts on another revision may believe that others do.
-    return !is_idempotent(arrived.method) || !has_settled(now) || has_other_home(service, arrived);
+    // decides; before they have heard it, they may vouch for what they haven't
+    // seen; and hosts on another revision may believe that others decide.
+    const bool is_known = has_settled(now) && deciding_since_ && now - *deciding_since_ >= settings_.settle_time;
+    return !is_idempotent(arrived.method) || !is_known || has_other_home(service, arrived);
 }
 
 std::vector<std::string> dispatcher::state::other_homes(const service_state& service, const request& arrived) const
--- a/src/dispatch/dispatcher_membership.cpp
+++ b/src/dispatch/dispatcher_membership.cpp
@@ -116,6 +116,14 @@
 {
     enter(now);
     hosts_.replace(hosts, now);
+    if (!hosts_.is_live(settings_.self))
+    {
+        deciding_since_.reset();
+    }
+    else if (!deciding_since_)
+    {
+        deciding_since_ = now;
+    }
     refresh_services(now);
     for (auto& [key, open] : open_)
     {
--- a/src/dispatch/dispatcher_state.hpp
+++ b/src/dispatch/dispatcher_state.hpp
@@ -172,6 +172,8 @@
     base::time_point fresh_since_{};
     bool adopted_ = false;
     bool leaving_ = false;
+    /// Since when this host has been among those that decide.
+    std::optional<base::time_point> deciding_since_;
 };
 
 } // namespace galenabay::dispatch
