--- a/src/dispatch/dispatcher_claims.cpp
+++ b/src/dispatch/dispatcher_claims.cpp
@@ -38,8 +38,10 @@
 bool dispatcher::state::needs_claim(const service_state& service, const request& arrived, base::time_point now) const
 {
     // Before it has heard the others, a host may wrongly believe that it
-    // decides; and hosts on another revision may believe that others do.
-    return !is_idempotent(arrived.method) || !has_settled(now) || has_other_home(service, arrived);
+    // decides; before they have heard it, they may vouch for what they haven't
+    // seen; and hosts on another revision may believe that others decide.
+    const bool is_known = has_settled(now) && deciding_since_ && now - *deciding_since_ >= settings_.settle_time;
+    return !is_idempotent(arrived.method) || !is_known || has_other_home(service, arrived);
 }
 
 std::vector<std::string> dispatcher::state::other_homes(const service_state& service, const request& arrived) const
@@ -202,7 +204,8 @@
 {
     if (open.phase == request_phase::closing)
     {
-        end_refused(open, true, open.closing_reason, now);
+        // A host may have been lost since the question was asked.
+        end_refused(open, may_vouch(service, open.arrived, now), open.closing_reason, now);
         return;
     }
     if (leaving_)
@@ -299,7 +302,8 @@
     if (finished_.contains(key))
     {
         const auto reply = finished_.reply(key);
-        if (const auto* answered = reply ? std::get_if<deliver>(&*reply) : nullptr; answered != nullptr)
+        if (const auto* answered = reply ? std::get_if<deliver>(&*reply) : nullptr;
+            answered != nullptr && !answered->starts_transfer)
         {
             out_.emplace_back(*answered);
         }
