--- a/bench/bench_revision.cpp
+++ b/bench/bench_revision.cpp
@@ -198,7 +198,7 @@
     for (std::size_t i = 0; i < hosts_at_target / data_centres_at_target; ++i)
     {
         document.hosts.push_back(
-            {"host-" + std::to_string(10'000 + i), membership::host_state::ready, 123'456 + i % 2, true, 0});
+            {"host-" + std::to_string(10'000 + i), "", membership::host_state::ready, 123'456 + i % 2, true, 0});
     }
     return static_cast<double>(platform::encode_status(document).size());
 }
--- a/include/galenabay/platform/revision_store.hpp
+++ b/include/galenabay/platform/revision_store.hpp
@@ -59,7 +59,8 @@
     base::result<std::optional<stored_revision>> read() const;
 
     /// Waits until the manifest's version differs from `after`; nullopt when
-    /// nothing changed in time.
+    /// nothing changed in time. A revision with number 0 means that the platform
+    /// has lost the manifest that it had.
     base::result<std::optional<stored_revision>> watch(std::uint64_t after, std::chrono::milliseconds wait) const;
 
     /// Waits until the platform holds another revision than number `after`, which
--- a/include/galenabay/platform/status_codec.hpp
+++ b/include/galenabay/platform/status_codec.hpp
@@ -9,7 +9,7 @@
 {
 
 /// JSON form of a status document. Hosts in the same state are written as one
-/// list of names:
+/// list of names; a group of another data centre names it as "data_centre":
 ///
 ///     {"data_centre","writer","incarnation","written_at",
 ///      "groups":[{"state","revision","platform_reachable","silent_s","hosts":[NAME…]}]}
--- a/include/galenabay/revision/status_aggregator.hpp
+++ b/include/galenabay/revision/status_aggregator.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <variant>
@@ -92,8 +93,9 @@
 /// The holder is the first host in rendezvous order among the hosts of the data
 /// centre that are live and reach the platform. Each write is conditional on the
 /// version that the holder read or wrote last: a holder that was paused while
-/// another took over gets a conflict and cannot overwrite. Pure decision logic,
-/// owned by one thread.
+/// another took over gets a conflict and cannot overwrite. A data centre of which
+/// no host reaches the platform is spoken for by another one, again in rendezvous
+/// order. Pure decision logic, owned by one thread.
 class status_aggregator
 {
 public:
@@ -129,6 +131,10 @@
     };
 
     std::string key() const;
+    void find_reach(std::span<const observed_host> hosts);
+    std::string find_holder(std::span<const observed_host> hosts) const;
+    /// Whether this data centre's document names the hosts of `data_centre`.
+    bool speaks_for(const std::string& data_centre) const;
     std::vector<host_status> document_hosts(base::time_point now);
     void add_write(base::time_point now, status_actions& out);
     base::duration jittered(base::duration longest);
@@ -137,6 +143,8 @@
     base::random_source random_;
     std::map<std::string, known_host> known_;
     std::map<std::string, std::size_t> live_per_data_centre_;
+    /// Data centres with a live host that reaches the platform.
+    std::set<std::string> reaching_;
     std::string holder_;
     /// Version to write on; unknown until the object was read as holder.
     std::optional<std::uint64_t> version_;
--- a/include/galenabay/revision/status_document.hpp
+++ b/include/galenabay/revision/status_document.hpp
@@ -15,6 +15,9 @@
 struct host_status
 {
     std::string name;
+    /// Empty: the data centre of the document. Another one when none of its hosts
+    /// reaches the platform and this document speaks for it.
+    std::string data_centre;
     membership::host_state state = membership::host_state::starting;
     /// Number of the revision in force; 0: none.
     std::uint64_t revision = 0;
--- a/src/control/fleet_status.cpp
+++ b/src/control/fleet_status.cpp
@@ -15,6 +15,9 @@
 base::result<std::vector<revision::status_document>> read_documents(const platform::object_client& client)
 {
     BOOST_OUTCOME_TRY(objects, client.list(revision::status_prefix));
+    // What was written last is read last and wins.
+    std::sort(objects.begin(), objects.end(),
+              [](const platform::object& a, const platform::object& b) { return a.version < b.version; });
     std::vector<revision::status_document> documents;
     for (const auto& row : objects)
     {
@@ -78,7 +81,7 @@
         fleet.data_centres.push_back({document.data_centre, document.writer, document.written_at});
         for (const auto& status : document.hosts)
         {
-            add_report(hosts, document.data_centre, status);
+            add_report(hosts, status.data_centre.empty() ? document.data_centre : status.data_centre, status);
         }
     }
     for (auto& [name, line] : hosts)
--- a/src/platform/status_codec.cpp
+++ b/src/platform/status_codec.cpp
@@ -38,6 +38,10 @@
         hosts.add(name);
     }
     Poco::JSON::Object json;
+    if (!common.data_centre.empty())
+    {
+        json.set("data_centre", common.data_centre);
+    }
     json.set("state", name_of(common.state));
     json.set("revision", common.revision);
     json.set("platform_reachable", common.platform_reachable);
@@ -61,6 +65,7 @@
 void read_group(const Poco::JSON::Object& json, std::vector<host_status>& hosts)
 {
     host_status status;
+    status.data_centre = json.optValue<std::string>("data_centre", "");
     status.state = state_of(json.getValue<std::string>("state"));
     status.revision = json.getValue<Poco::UInt64>("revision");
     status.platform_reachable = json.getValue<bool>("platform_reachable");
--- a/src/platform/store_logic.hpp
+++ b/src/platform/store_logic.hpp
@@ -67,7 +67,7 @@
         BOOST_OUTCOME_TRY(found, client_.watch(manifest_key, after, wait));
         if (found.version == 0)
         {
-            return std::optional<stored_revision>{};
+            return after == 0 ? std::optional<stored_revision>{} : check_presence();
         }
         BOOST_OUTCOME_TRY(content, parse_manifest(found.value));
         return load(stored_manifest{found.version, std::move(content)});
@@ -148,6 +148,14 @@
     }
 
 private:
+    /// After a watch without news: a platform that lost the manifest altogether
+    /// stays silent, too. Number 0 stands for "nothing was ever accepted".
+    base::result<std::optional<stored_revision>> check_presence()
+    {
+        BOOST_OUTCOME_TRY(present, read_manifest());
+        return present.version != 0 ? std::nullopt : std::optional{stored_revision{}};
+    }
+
     base::result<stored_manifest> read_manifest() const
     {
         const auto found = client_.get(manifest_key);
--- a/src/revision/status_aggregator.cpp
+++ b/src/revision/status_aggregator.cpp
@@ -17,9 +17,10 @@
     return base::mix(base::hash_text(host), base::hash_text(key));
 }
 
-host_status to_status(const membership::host_report& report)
+host_status to_status(const membership::host_report& report, const std::string& own_data_centre)
 {
-    return host_status{report.name, report.state, report.revision, report.platform_reachable, 0};
+    const auto data_centre = report.data_centre == own_data_centre ? std::string{} : report.data_centre;
+    return host_status{report.name, data_centre, report.state, report.revision, report.platform_reachable, 0};
 }
 
 std::uint64_t whole_seconds(base::duration time)
@@ -52,32 +53,76 @@
 void status_aggregator::on_hosts(std::span<const observed_host> hosts, base::time_point now)
 {
     const bool held = is_holder();
-    holder_.clear();
+    find_reach(hosts);
+    holder_ = find_holder(hosts);
+    for (const auto& [report, silence] : hosts)
+    {
+        if (speaks_for(report.data_centre))
+        {
+            auto& known = known_[report.name];
+            known.status = to_status(report, settings_.data_centre);
+            known.heard = std::max(known.heard, now - silence);
+        }
+    }
+    std::erase_if(known_,
+                  [&](const auto& entry)
+                  {
+                      const auto& data_centre = entry.second.status.data_centre;
+                      return !data_centre.empty() && !speaks_for(data_centre);
+                  });
+    if (!held && is_holder())
+    {
+        // Whoever held before may have written since: read before writing.
+        version_.reset();
+    }
+}
+
+void status_aggregator::find_reach(std::span<const observed_host> hosts)
+{
     live_per_data_centre_.clear();
-    std::uint64_t best = 0;
+    reaching_.clear();
     for (const auto& [report, silence] : hosts)
     {
         const bool is_live = silence < settings_.silent_after;
         live_per_data_centre_[report.data_centre] += is_live ? 1U : 0U;
-        if (report.data_centre != settings_.data_centre)
+        if (is_live && report.platform_reachable)
         {
-            continue;
+            reaching_.insert(report.data_centre);
         }
-        auto& known = known_[report.name];
-        known.status = to_status(report);
-        known.heard = std::max(known.heard, now - silence);
+    }
+}
+
+std::string status_aggregator::find_holder(std::span<const observed_host> hosts) const
+{
+    std::string holder;
+    std::uint64_t best = 0;
+    for (const auto& [report, silence] : hosts)
+    {
+        const bool may_hold = report.data_centre == settings_.data_centre && silence < settings_.silent_after &&
+                              report.platform_reachable;
         const auto weight = weight_of(report.name, key());
-        if (is_live && report.platform_reachable && (holder_.empty() || weight > best))
+        if (may_hold && (holder.empty() || weight > best))
         {
-            holder_ = report.name;
+            holder = report.name;
             best = weight;
         }
     }
-    if (!held && is_holder())
+    return holder;
+}
+
+bool status_aggregator::speaks_for(const std::string& data_centre) const
+{
+    if (data_centre == settings_.data_centre)
     {
-        // Whoever held before may have written since: read before writing.
-        version_.reset();
+        return true;
+    }
+    if (reaching_.contains(data_centre) || reaching_.empty())
+    {
+        return false;
     }
+    const auto lighter = [&](const std::string& a, const std::string& b)
+    { return weight_of(a, data_centre) < weight_of(b, data_centre); };
+    return *std::max_element(reaching_.begin(), reaching_.end(), lighter) == settings_.data_centre;
 }
 
 void status_aggregator::on_status_read(std::uint64_t version, const std::string& writer, base::time_point now)
--- a/tests/control/apply_test.cpp
+++ b/tests/control/apply_test.cpp
@@ -59,7 +59,7 @@
 
     static revision::host_status host(const char* name, std::uint64_t number, std::uint64_t silent_s = 0)
     {
-        return {name, membership::host_state::ready, number, true, silent_s};
+        return {name, "", membership::host_state::ready, number, true, silent_s};
     }
 };
 
@@ -145,6 +145,22 @@
                  control::describe(fleet, 2).c_str());
 }
 
+TEST(apply, document_that_was_written_last_wins)
+{
+    const auto write = [&](const char* data_centre, const revision::host_status& status)
+    {
+        const revision::status_document document{data_centre, "a", 1, 0, {status}};
+        server.objects().put(std::string{"status/"} + data_centre, platform::encode_status(document), {});
+    };
+    auto spoken_for = host("c", 2);
+    spoken_for.data_centre = "zenith";
+    write("zenith", host("c", 1));
+    write("east", spoken_for);
+    const auto fleet = control::read_fleet_status(client).value();
+    LONGS_EQUAL(2, fleet.hosts.at(0).status.revision);
+    STRCMP_EQUAL("zenith", fleet.hosts.at(0).data_centre.c_str());
+}
+
 TEST(apply, wait_ends_when_all_report_the_revision)
 {
     put_status({host("a", 2), host("b", 1)});
--- a/tests/platform/revision_store_test.cpp
+++ b/tests/platform/revision_store_test.cpp
@@ -253,3 +253,12 @@
     CHECK(server.objects().restore(first.manifest_version));
     CHECK(store().read().value()->revision == first.revision);
 }
+
+TEST(revision_store, platform_that_lost_the_manifest_says_so)
+{
+    const auto first = accept_all({1});
+    CHECK(server.objects().restore(0));
+    const auto seen = store().watch(first.manifest_version, 10ms).value();
+    CHECK(seen.has_value());
+    LONGS_EQUAL(0, seen->revision.number);
+}
--- a/tests/platform/status_codec_test.cpp
+++ b/tests/platform/status_codec_test.cpp
@@ -15,9 +15,10 @@
                                         "b",
                                         3,
                                         1234,
-                                        {{"a", host_state::ready, 7, true, 0},
-                                         {"b", host_state::ready, 7, true, 0},
-                                         {"c", host_state::leaving, 6, false, 12}}};
+                                        {{"a", "", host_state::ready, 7, true, 0},
+                                         {"b", "", host_state::ready, 7, true, 0},
+                                         {"c", "", host_state::leaving, 6, false, 12},
+                                         {"d", "east", host_state::ready, 7, false, 0}}};
 
 } // namespace
 
--- a/tests/platform/store_logic_test.cpp
+++ b/tests/platform/store_logic_test.cpp
@@ -24,11 +24,12 @@
     return base::error::make(code, "hooked_client", "", "");
 }
 
-/// Client of an object store in memory that runs a step before a write of a key.
+/// Client of an object store in memory that runs a step before a key is written or
+/// removed.
 struct hooked_client
 {
     stub::object_store* objects;
-    std::map<std::string, std::function<void()>>* before_put;
+    std::map<std::string, std::function<void()>>* before_change;
 
     base::result<platform::object> get(const std::string& key) const
     {
@@ -51,7 +52,7 @@
     base::result<std::vector<platform::object>> list_keys(const std::string& prefix) const { return list(prefix); }
     base::result<std::uint64_t> put(const std::string& key, const std::string& value, std::uint64_t expected) const
     {
-        if (auto node = before_put->extract(key))
+        if (auto node = before_change->extract(key))
         {
             node.mapped()();
         }
@@ -61,6 +62,10 @@
     }
     base::result<void> remove(const std::string& key, std::uint64_t expected) const
     {
+        if (auto node = before_change->extract(key))
+        {
+            node.mapped()();
+        }
         const auto outcome = objects->remove(key, expected);
         return outcome.status == stub::write_status::done ? base::result<void>{base::outcome::success()}
                                                           : failed(base::error_code::conflict);
@@ -91,7 +96,7 @@
     using logic = platform::store_logic<hooked_client, platform::steady_time>;
 
     stub::object_store objects;
-    std::map<std::string, std::function<void()>> before_put;
+    std::map<std::string, std::function<void()>> before_change;
     std::map<std::string, std::function<void()>> no_hooks;
 
     logic store()
@@ -100,7 +105,7 @@
     }
     logic hooked_store()
     {
-        return logic{hooked_client{&objects, &before_put}, 0ms};
+        return logic{hooked_client{&objects, &before_change}, 0ms};
     }
 };
 
@@ -113,7 +118,7 @@
     // Before the late operator looks for pieces without a user, the equal set is
     // accepted and the pieces of the next one are written.
     const auto key = std::string{platform::chunk_prefix} + platform::chunk_name(config::encode_pieces(equal).at(0));
-    before_put[key] = [&]
+    before_change[key] = [&]
     {
         second = store().accept(equal, first.manifest_version).value();
         third = config::succeed(&second.revision, with_weight(3), "cat", 3);
@@ -129,11 +134,31 @@
     CHECK(store().read().value()->revision == third);
 }
 
+TEST(store_logic, cleaner_spares_a_piece_that_came_into_use_since_it_looked)
+{
+    const auto first = store().accept(config::succeed(nullptr, with_weight(1), "ann", 1), 0).value();
+    const auto second = config::succeed(&first.revision, with_weight(2), "ben", 2);
+    const auto third = config::succeed(&second, with_weight(3), "cat", 3);
+    const auto piece = config::encode_pieces(third).at(0);
+    const auto key = std::string{platform::chunk_prefix} + platform::chunk_name(piece);
+    CHECK(objects.put(key, platform::to_base64(piece), 0).status == stub::write_status::done);
+    // The second operator has listed the left-over piece and committed; before it
+    // removes it, the third one needs it and commits.
+    before_change[key] = [&]
+    {
+        const auto version = store().read().value()->manifest_version;
+        CHECK(store().accept(third, version).has_value());
+    };
+    CHECK(hooked_store().accept(second, first.manifest_version).has_value());
+    CHECK(before_change.empty());
+    CHECK(store().read().value()->revision == third);
+}
+
 TEST(store_logic, pieces_that_a_restore_took_during_an_apply_are_written_again)
 {
     const auto first = store().accept(config::succeed(nullptr, with_weight(1), "ann", 1), 0).value();
     const auto next = config::succeed(&first.revision, with_weight(2), "ben", 2);
-    before_put["config/manifest"] = [&] { CHECK(objects.restore(first.manifest_version)); };
+    before_change["config/manifest"] = [&] { CHECK(objects.restore(first.manifest_version)); };
     CHECK(hooked_store().accept(next, first.manifest_version).has_value());
     CHECK(store().read().value()->revision == next);
 }
--- a/tests/revision/follower_test.cpp
+++ b/tests/revision/follower_test.cpp
@@ -107,6 +107,14 @@
     LONGS_EQUAL(8, first_of<revision::adopt>(decided).number);
 }
 
+TEST(follower, platform_that_lost_everything_raises_an_alarm)
+{
+    instance.on_platform_revision(make_revision(7), at(10ms));
+    instance.on_platform_revision({}, at(20ms));
+    LONGS_EQUAL(1, count_of<revision::raise_alarm>(instance.on_platform_unchanged(at(5s))));
+    LONGS_EQUAL(7, number());
+}
+
 TEST(follower, unchanged_after_an_older_answer_counts_as_another_one)
 {
     instance.on_platform_revision(make_revision(7), at(10ms));
--- a/tests/revision/status_aggregator_test.cpp
+++ b/tests/revision/status_aggregator_test.cpp
@@ -251,6 +251,20 @@
     }
 }
 
+TEST(status_aggregator, data_centre_without_the_platform_is_spoken_for)
+{
+    auto hosts = all(1);
+    auto cut_off = host("d", 1, false);
+    cut_off.report.data_centre = "east";
+    hosts.push_back(cut_off);
+    run_for(1s, hosts);
+    LONGS_EQUAL(4, object.document.hosts.size());
+    STRCMP_EQUAL("east", object.document.hosts.back().data_centre.c_str());
+    hosts.back().report.platform_reachable = true;
+    run_for(1s, hosts);
+    LONGS_EQUAL(3, object.document.hosts.size());
+}
+
 TEST(status_aggregator, two_holders_do_not_fight)
 {
     // Each hears itself only.
