--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -218,6 +218,7 @@
 # report_found: the first violations that a caller_load printed.
 report_found() {
   local line
+  [ -s "$work/found.txt" ] || echo "violation=check_failed" >"$work/found.txt"
   while read -r line; do violation "$(sed -E 's/^violation=([a-z_]+).*/\1/' <<<"$line")" "$line"; done < <(head -10 "$work/found.txt")
 }
 run_pending() {
@@ -288,7 +289,7 @@
 wait_for 15 in_force_everywhere || violation accepted_in_force "$(declare -p revisions)"
 for name in alliance tshwane; do
   wait "${caller_pid[$name]}" && continue
-  grep -a '^violation=' "$work/callers-$name.log" >"$work/found.txt" || echo "callers of $name ended with an error" >"$work/found.txt"
+  grep -a '^violation=' "$work/callers-$name.log" >"$work/found.txt"
   report_found
 done
 "$bin/caller_load" --check-records "$work/holds-alliance.txt,$work/holds-tshwane.txt" \
