--- a/bench/flow_fleet.hpp
+++ b/bench/flow_fleet.hpp
@@ -376,7 +376,7 @@
         }
     }
 
-    void post(std::size_t to, std::vector<flow::flow_record> records, node& from)
+    void post(std::size_t to, const std::vector<flow::flow_record>& records, node& from)
     {
         from.bytes += records.size() * flow::flow_record::wire_size;
         if (records.empty() || random_.below(100) < settings_.drop_percent)
--- a/src/flow/packet_decision.cpp
+++ b/src/flow/packet_decision.cpp
@@ -101,10 +101,10 @@
     {
         return drop(drop_reason::too_many_hops);
     }
-    const auto* owners = index_.find_address(address);
+    const auto* owners = find_owners(caller, address);
     if (owners == nullptr)
     {
-        return drop(drop_reason::unknown_service);
+        return decide_unowned(make_flow_key(caller, address), hops);
     }
     packet of{make_flow_key(caller, address), owners, owners->current, hops};
     if (of.service == address_owners::none)
@@ -118,6 +118,35 @@
     return decide_unknown(of);
 }
 
+const address_owners* steering::state::find_owners(const base::endpoint& caller, const base::endpoint& address)
+{
+    const auto* owners = index_.find_address(address);
+    if (owners != nullptr || !index_.history_incomplete())
+    {
+        return owners;
+    }
+    const auto* entry = table_.find(make_flow_key(caller, address));
+    if (entry == nullptr || is_expired(*entry))
+    {
+        return nullptr;
+    }
+    index_.lose_address(address, index_.upstream(entry->upstream).service, now_);
+    return index_.find_address(address);
+}
+
+decision steering::state::decide_unowned(std::uint64_t key, std::uint8_t hops)
+{
+    if (index_.history_incomplete() && hops <= ranking_.hosts().size())
+    {
+        const auto next = hops == 0 ? ranking_.first(0, key) : ranking_.next(0, key);
+        if (next || (hops == 0 && ranking_.next(0, key)))
+        {
+            return relay(next ? *next : *ranking_.next(0, key));
+        }
+    }
+    return drop(drop_reason::unknown_service);
+}
+
 flow_entry* steering::state::find_known(const packet& of, const base::endpoint& address)
 {
     auto* entry = table_.find(of.key);
--- a/src/flow/service_index.cpp
+++ b/src/flow/service_index.cpp
@@ -274,15 +274,15 @@
 
 void service_index::mark_uncertain_addresses(const config::accepted_revision& revision)
 {
-    const bool some_full = std::any_of(services_.begin(), services_.end(),
-                                       [](const service_slot& slot) { return slot.named && slot.history_full; });
+    history_incomplete_ = std::any_of(services_.begin(), services_.end(),
+                                      [](const service_slot& slot) { return slot.named && slot.history_full; });
     for (const auto& [name, lineage] : revision.lineage)
     {
         auto& slot = services_[slot_of(base::hash_text(name))];
         const bool moved_here =
             std::any_of(lineage.begin(), lineage.end(),
                         [&](const config::generation& earlier) { return earlier.address != slot.address; });
-        slot.address_uncertain = some_full && (moved_here || slot.history_full);
+        slot.address_uncertain = history_incomplete_ && (moved_here || slot.history_full);
     }
 }
 
--- a/src/flow/service_index.hpp
+++ b/src/flow/service_index.hpp
@@ -133,6 +133,8 @@
     upstream_slot& upstream(std::uint32_t index) { return upstreams_[index]; }
     const upstream_slot& upstream(std::uint32_t index) const { return upstreams_[index]; }
     std::size_t service_count() const noexcept { return services_.size(); }
+    /// Some lineage is full, so earlier states may have been forgotten.
+    bool history_incomplete() const noexcept { return history_incomplete_; }
     /// True when `owner` is a service that owns or owned the address.
     static bool owns(const address_owners& owners, std::uint32_t service) noexcept;
     /// The upstream for new flows of a version tag; its index among the versions,
@@ -163,6 +165,7 @@
     void mark_taken_over();
 
     std::vector<service_slot> services_;
+    bool history_incomplete_ = false;
     std::vector<upstream_slot> upstreams_;
     std::unordered_map<config::service_id, std::uint32_t> by_service_;
     std::unordered_map<config::upstream_id, std::uint32_t> by_upstream_;
--- a/src/flow/steering_state.hpp
+++ b/src/flow/steering_state.hpp
@@ -67,6 +67,10 @@
     decision relay(std::size_t host);
 
     // Decisions on packets.
+    /// Also recognises an address by a known flow of a former owner.
+    const address_owners* find_owners(const base::endpoint& caller, const base::endpoint& address);
+    /// A packet to an address that no service here has or had.
+    decision decide_unowned(std::uint64_t key, std::uint8_t hops);
     flow_entry* find_known(const packet& of, const base::endpoint& address);
     decision decide_known(const packet& of, flow_entry& entry);
     decision decide_unknown(const packet& of);
