--- a/src/flow/packet_decision.cpp
+++ b/src/flow/packet_decision.cpp
@@ -261,7 +261,7 @@
 {
     const auto& slot = index_.service(of.service);
     if (of.hops > 0 || !of.owners->former.empty() || !slot.present || slot.draining || slot.history_full ||
-        awaits_version(slot) || !exchange_.informed(revision_))
+        slot.address_uncertain || awaits_version(slot) || !exchange_.informed(revision_))
     {
         return false;
     }
