--- a/src/dispatch/dispatcher_membership.cpp
+++ b/src/dispatch/dispatcher_membership.cpp
@@ -108,7 +108,12 @@
         hosts_.ranked_elsewhere(settings_.data_centre, base::mix(service_id, base::hash_text(settings_.data_centre)));
     service.witnesses.insert(service.witnesses.end(), elsewhere.begin(), elsewhere.end());
     service.witnesses.resize(std::min(service.witnesses.size(), max_witnesses));
-    elsewhere.resize(std::min(elsewhere.size(), max_witnesses));
+    const bool has_neighbours = service.deciders[settings_.data_centre].size() > max_witnesses;
+    if (has_neighbours)
+    {
+        // With fewer, any host may have been a witness before a restart.
+        elsewhere.resize(std::min(elsewhere.size(), max_witnesses));
+    }
     service.remote_witnesses = std::move(elsewhere);
 }
 
--- a/src/dispatch/service_state.hpp
+++ b/src/dispatch/service_state.hpp
@@ -35,7 +35,8 @@
     std::map<std::string, std::vector<std::string>> deciders;
     /// Hosts that witness this host's claims.
     std::vector<std::string> witnesses;
-    /// Hosts of other data centres that come next.
+    /// Hosts of other data centres that a host asks too after its start: some,
+    /// or all when there are few neighbours.
     std::vector<std::string> remote_witnesses;
     upstream_pool pool;
     admission_queue queue;
