--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -27,10 +27,8 @@
 trap stop_fleet EXIT
 RANDOM=$seed
 declare -A fault_count=() frozen=() revisions=() caller_pid=()
-pending=()
-violations=0
-host_number=0
-apply_number=0
+pending=() violations=0
+host_number=0 apply_number=0
 started_at=$(date +%s)
 
 now() { date +%s; }
@@ -48,8 +46,7 @@
   picked=${list[RANDOM % ${#list[@]}]}
 }
 
-# --- fleet ---------------------------------------------------------------------
-
+# --- fleet
 new_host() {
   host_number=$((host_number + 1))
   local name=${centres[host_number % 3]}-$host_number
@@ -61,10 +58,8 @@
   [ -n "${host_address[$1]:-}" ] || return 0
   if is_ready "${host_address[$1]}"; then
     fabric_add "${host_address[$1]}"
-  elif [ "$2" -gt 0 ]; then
-    later 1 "admit_host $1 $(($2 - 1))"
   else
-    violation host_becomes_ready "host=$1"
+    [ "$2" -gt 0 ] && later 1 "admit_host $1 $(($2 - 1))" || violation host_becomes_ready "host=$1"
   fi
 }
 pick_host() {
@@ -98,8 +93,7 @@
   fleet_pids+=($!)
 }
 
-# --- faults: each changes one thing and may register its end ---------------------
-
+# --- faults: each changes one thing and may register its end
 fault_host_kill() {
   pick_host || return 1
   local name=$picked
@@ -119,8 +113,7 @@
 }
 thaw_host() {
   note "thaw $1"
-  kill -CONT "${host_pid[$1]}"
-  unset "frozen[$1]"
+  kill -CONT "${host_pid[$1]}" && unset "frozen[$1]"
   later 1 "admit_host $1 20"
 }
 fault_host_drain() {
@@ -191,8 +184,7 @@
   later 8 "cut_centre none"
 }
 
-# --- checks ----------------------------------------------------------------------
-
+# --- checks
 check_hosts() {
   local name number
   for name in "${!host_pid[@]}"; do
@@ -230,8 +222,7 @@
   for entry in "${due[@]}"; do eval "$entry"; done
 }
 
-# --- the run -----------------------------------------------------------------------
-
+# --- the run
 : >"$work/fabric"
 : >"$work/excused"
 start_platform --list-lag 1000
@@ -299,11 +290,10 @@
 echo "work: $(cat "$work"/report-*.txt | grep -E '^(requests|ok|refused|unknown|lost|feeds_wanted|feeds_held|feeds_broken|feeds_excused)=' |
   awk -F= '{sum[$1] += $2} END {for (name in sum) printf "%s=%d ", name, sum[name]}')"
 echo "faults: $(for name in "${!fault_count[@]}"; do echo "$name=${fault_count[$name]}"; done | sort | tr '\n' ' ')"
+echo "refusals and retries of the living hosts: $(sum_metrics 'galenabay_(refusals|retries|flow_drops)_total' "${host_address[@]}" |
+  sed -E 's/galenabay_([a-z_]+)_total\{reason="([a-z_]+)"\}/\1.\2/' | tr '\n' ' ')"
 echo "violations: $violations (seed $seed)"
 stop_fleet
 trap - EXIT
-if [ "$violations" -gt 0 ]; then
-  echo "logs: $work"
-  exit 1
-fi
+[ "$violations" -eq 0 ] || { echo "logs: $work" && exit 1; }
 rm -rf "$work"
