--- a/src/dispatch/dispatcher_spreading.cpp
+++ b/src/dispatch/dispatcher_spreading.cpp
@@ -43,7 +43,9 @@
             spreader_.add({host, key});
         }
     }
-    const auto is_orphan = [this](const std::string& holder) { return !hosts_.is_live(holder); };
+    // The holder of a claim may have started anew, so before this host leaves
+    // every claim counts.
+    const auto is_orphan = [this](const std::string& holder) { return leaving_ || !hosts_.is_live(holder); };
     for (const request_key key : claims_.recent(span, now, is_orphan))
     {
         spreader_.add({host, key});
