--- a/tools/platform_stub/server.cpp
+++ b/tools/platform_stub/server.cpp
@@ -355,6 +355,11 @@
 {
     objects_.stop();
     http_->stopAll(true);
+    // Handlers use the members; those that wait out a delay end soon.
+    while (http_->currentThreads() > 0)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
 }
 
 std::uint16_t server::port() const
