--- a/bench/torture_membership.cpp
+++ b/bench/torture_membership.cpp
@@ -6,6 +6,7 @@
 #include <galenabay/base/random.hpp>
 #include <galenabay/membership/member_view.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <string>
 #include <utility>
@@ -233,7 +234,9 @@
         }
         else
         {
-            chosen.paused_until = now_ + 2'500 + static_cast<std::int64_t>(random_.below(30'000));
+            // Ends before the quiet time, in which all hosts hear each other.
+            const auto length = 2'500 + static_cast<std::int64_t>(random_.below(30'000));
+            chosen.paused_until = std::min(now_ + length, run_ms - quiet_ms);
         }
     }
 
