Daemon: block option of answers, settle time, fresh upstream port, request keys

Cause: the dispatcher was not told that more blocks follow, hosts became ready before it decides, answers to a dead process could reach its successor, and request keys of small tokens could collide. Change: as the dispatcher's interface asks.

--- a/include/galenabay/config/host_settings.hpp
+++ b/include/galenabay/config/host_settings.hpp
@@ -34,7 +34,7 @@
     base::endpoint address;
     std::uint16_t control_port = 7100;
     std::uint16_t relay_port = 7101;
-    std::uint16_t upstream_port = 7102;
+    std::uint16_t upstream_port = 0;
     std::uint16_t metrics_port = 7103;
     bool bind_service_addresses = false;
     base::endpoint platform;
--- a/schema/config.capnp
+++ b/schema/config.capnp
@@ -25,8 +25,9 @@
   # TCP port for RPC from peers.
   relayPort @4 :UInt16 = 7101 $A.minimum(1);
   # UDP port for datagrams relayed between hosts.
-  upstreamPort @5 :UInt16 = 7102 $A.minimum(1);
-  # UDP port that faces the upstreams.
+  upstreamPort @5 :UInt16 = 0;
+  # UDP port that faces the upstreams; 0: a free one, another after each start,
+  # so that answers to an earlier process never reach this one.
   metricsPort @6 :UInt16 = 7103 $A.minimum(1);
   # TCP port of /metrics, /healthz and /readyz.
   bindServiceAddresses @7 :Bool = false;
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -4,6 +4,7 @@
 
 #include <galenabay/base/log.hpp>
 #include <galenabay/config/codec.hpp>
+#include <galenabay/dispatch/dispatcher.hpp>
 #include <galenabay/revision/watcher.hpp>
 
 #include <algorithm>
@@ -26,7 +27,7 @@
 /// ones are dropped.
 constexpr std::size_t max_waiting_records = 8192;
 /// A new host that hears no peer serves after this long.
-constexpr base::duration lonely_start_limit{3'000'000};
+constexpr base::duration lonely_start_limit{5'000'000};
 
 std::uint64_t incarnation_now()
 {
@@ -340,6 +341,12 @@
     std::erase_if(contacts_, [](const auto& entry) { return entry.second.link.get() == nullptr; });
 }
 
+bool control_duty::has_settled(base::time_point now) const
+{
+    // Before that the dispatcher would hold back what it is asked to decide.
+    return now - started_ >= dispatch::dispatcher_settings{}.settle_time && knows_peers(now);
+}
+
 bool control_duty::knows_peers(base::time_point now) const
 {
     if (now - started_ > lonely_start_limit)
@@ -364,7 +371,7 @@
     {
         self_.state = membership::host_state::leaving;
     }
-    else if (self_.state == membership::host_state::starting && state_.serving.load() && knows_peers(now))
+    else if (self_.state == membership::host_state::starting && state_.serving.load() && has_settled(now))
     {
         self_.state = membership::host_state::ready;
         base::log_event{base::log_level::info, "host_ready"}.with("revision", self_.revision);
--- a/src/daemon/control_duty.hpp
+++ b/src/daemon/control_duty.hpp
@@ -90,6 +90,7 @@
     void watch_pauses(base::time_point now);
     void apply_cuts(base::time_point now);
     void begin_leaving(base::time_point now);
+    bool has_settled(base::time_point now) const;
     bool knows_peers(base::time_point now) const;
 
     config::host_settings settings_;
--- a/src/daemon/decide_duty.cpp
+++ b/src/daemon/decide_duty.cpp
@@ -27,7 +27,8 @@
 } // namespace
 
 decide_duty::decide_duty(const config::host_settings& settings, std::uint64_t seed, channels& links, packet_pool& pool,
-                         metric_board& metrics, thread_state& state, int upstream_socket, int relay_socket)
+                         metric_board& metrics, thread_state& state, const udp_socket& upstream_socket,
+                         int relay_socket)
     : settings_{settings}, links_{links}, pool_{pool}, metrics_{metrics}, state_{state},
       path_{settings, seed, links, pool, metrics, upstream_socket, relay_socket}
 {
--- a/src/daemon/decide_duty.hpp
+++ b/src/daemon/decide_duty.hpp
@@ -5,6 +5,7 @@
 #include "packet_path.hpp"
 #include "packet_pool.hpp"
 #include "thread_state.hpp"
+#include "udp_socket.hpp"
 
 #include <galenabay/base/time.hpp>
 #include <galenabay/config/host_settings.hpp>
@@ -20,7 +21,7 @@
 {
 public:
     decide_duty(const config::host_settings& settings, std::uint64_t seed, channels& links, packet_pool& pool,
-                metric_board& metrics, thread_state& state, int upstream_socket, int relay_socket);
+                metric_board& metrics, thread_state& state, const udp_socket& upstream_socket, int relay_socket);
 
     /// Runs until the process stops.
     void run();
--- a/src/daemon/packet_path.cpp
+++ b/src/daemon/packet_path.cpp
@@ -2,6 +2,7 @@
 
 #include <galenabay/base/hash.hpp>
 
+#include <array>
 #include <span>
 #include <utility>
 
@@ -37,10 +38,13 @@
     return std::make_shared<const std::vector<std::byte>>(bytes.begin(), bytes.end());
 }
 
+/// A retransmission has the same key; different exchanges differ in at least one
+/// of the hashed parts.
 dispatch::request_key key_of(const base::endpoint& caller, config::service_id service, const wire::coap_view& view)
 {
-    const auto exchange = base::mix(view.token, (std::uint64_t{view.message_id} << 8U) | view.token_length);
-    return base::mix(base::hash_endpoint(caller, service), exchange);
+    const std::array<std::uint64_t, 3> exchange{view.token, (std::uint64_t{view.message_id} << 8U) | view.token_length,
+                                                base::hash_endpoint(caller)};
+    return base::hash_bytes(std::as_bytes(std::span{exchange}), service);
 }
 
 /// Feeds are steered like flows; every other request is dispatched.
@@ -58,10 +62,10 @@
 } // namespace
 
 packet_path::packet_path(const config::host_settings& settings, std::uint64_t seed, channels& links, packet_pool& pool,
-                         metric_board& metrics, int upstream_socket, int relay_socket)
-    : self_{settings.name}, upstream_address_{settings.address.with_port(settings.upstream_port)}, links_{links},
-      metrics_{metrics}, services_{settings, links}, outbox_{settings.name, links,           pool,
-                                                             metrics,       upstream_socket, relay_socket},
+                         metric_board& metrics, const udp_socket& upstream_socket, int relay_socket)
+    : self_{settings.name}, upstream_address_{upstream_socket.local()}, links_{links}, metrics_{metrics},
+      services_{settings, links}, outbox_{settings.name, links, pool, metrics, upstream_socket.descriptor(),
+                                          relay_socket},
       steering_{steering_settings_of(settings, seed)},
       dispatcher_{dispatcher_settings_of(settings, seed + 1)}, prober_{seed + 2}
 {
@@ -276,6 +280,7 @@
     arrived.message_id = view.message_id;
     arrived.code = view.code;
     arrived.piggybacked = view.type == wire::coap_type::acknowledgement;
+    arrived.more_blocks = view.block2 && view.block2->more;
     if (dispatcher_.expects(arrived))
     {
         arrived.bytes = copy_of(received.payload());
--- a/src/daemon/packet_path.hpp
+++ b/src/daemon/packet_path.hpp
@@ -28,7 +28,7 @@
 {
 public:
     packet_path(const config::host_settings& settings, std::uint64_t seed, channels& links, packet_pool& pool,
-                metric_board& metrics, int upstream_socket, int relay_socket);
+                metric_board& metrics, const udp_socket& upstream_socket, int relay_socket);
 
     /// Handles one packet; takes it over.
     void on_packet(packet* received, base::time_point now);
--- a/src/daemon/udp_socket.cpp
+++ b/src/daemon/udp_socket.cpp
@@ -76,6 +76,14 @@
     return opened;
 }
 
+base::endpoint udp_socket::local() const
+{
+    sockaddr_storage address{};
+    socklen_t length = sizeof address;
+    getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &length);
+    return from_sockaddr(address);
+}
+
 udp_socket& udp_socket::operator=(udp_socket&& other) noexcept
 {
     std::swap(descriptor_, other.descriptor_);
--- a/src/daemon/udp_socket.hpp
+++ b/src/daemon/udp_socket.hpp
@@ -30,6 +30,8 @@
     ~udp_socket();
 
     int descriptor() const noexcept { return descriptor_; }
+    /// Address and port that the socket is bound to.
+    base::endpoint local() const;
 
 private:
     explicit udp_socket(int descriptor) : descriptor_{descriptor} {}
