--- a/src/platform/revision_store.cpp
+++ b/src/platform/revision_store.cpp
@@ -15,7 +15,7 @@
 };
 
 revision_store::revision_store(object_client client, std::chrono::milliseconds patience)
-    : state_{std::make_unique<state>(std::move(client), patience)}
+    : state_{std::make_unique<state>(client, patience)}
 {
 }
 
--- a/tools/platform_stub/server.hpp
+++ b/tools/platform_stub/server.hpp
@@ -4,16 +4,13 @@
 #include "host_prober.hpp"
 #include "object_store.hpp"
 
+#include <Poco/Net/HTTPServer.h>
+
 #include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
 
-namespace Poco::Net
-{
-class HTTPServer;
-}
-
 namespace galenabay::stub
 {
 
