Established flows stay on an upstream that answers probes

A draining upstream reports healthy=0; steering took that for dead when the host itself had seen no answer of a feed within 2 s, and nobody told it about answers to probes. Ruled out: the configuration's drain (undrained 12 s earlier), host kills (the moves began before the kill), the lying upstream (reports healthy=1). Change: steering::on_alive, called for each answered probe; an answer counts as proof of life for 3.5 s (probes are one second apart).

--- a/include/galenabay/flow/steering.hpp
+++ b/include/galenabay/flow/steering.hpp
@@ -112,6 +112,10 @@
     /// a service without upstreams.
     void on_health(config::upstream_id upstream, bool healthy, base::time_point now);
 
+    /// An upstream answered something, a health report included; it is alive
+    /// whatever it reports, and its established flows stay.
+    void on_alive(config::upstream_id upstream, base::time_point now);
+
     /// A packet from a caller to a service address. `hops` is the number of
     /// hosts that relayed it.
     decision on_packet(const base::endpoint& caller, const base::endpoint& service, std::uint8_t hops,
--- a/src/daemon/packet_path.cpp
+++ b/src/daemon/packet_path.cpp
@@ -308,6 +308,7 @@
     const auto report = received.payload().subspan(view.value().payload_offset, view.value().payload_size);
     if (const auto change = prober_.on_answer(received.peer, view.value().token, report))
     {
+        steering_.on_alive(change->upstream, now);
         apply_health(*change, now);
     }
 }
--- a/src/flow/steering.cpp
+++ b/src/flow/steering.cpp
@@ -33,6 +33,11 @@
     return state_->on_packet(caller, service, hops, now);
 }
 
+void steering::on_alive(config::upstream_id upstream, base::time_point now)
+{
+    state_->on_alive(upstream, now);
+}
+
 void steering::on_upstream_packet(const base::endpoint& caller, const base::endpoint& service,
                                   const base::endpoint& upstream, base::time_point now)
 {
--- a/src/flow/steering_state.hpp
+++ b/src/flow/steering_state.hpp
@@ -29,6 +29,7 @@
 
     void on_revision(const config::accepted_revision& revision, base::time_point now);
     void on_hosts(std::span<const membership::live_host> hosts, base::time_point now);
+    void on_alive(config::upstream_id upstream, base::time_point now);
     void on_health(config::upstream_id upstream, bool healthy, base::time_point now);
     decision on_packet(const base::endpoint& caller, const base::endpoint& address, std::uint8_t hops,
                        base::time_point now);
--- a/src/flow/upstream_health.cpp
+++ b/src/flow/upstream_health.cpp
@@ -12,7 +12,7 @@
 /// this long without an answer.
 constexpr base::duration dead_after{1'000'000};
 /// An upstream that answered this recently is alive, whatever is reported.
-constexpr base::duration answer_proof{2'000'000};
+constexpr base::duration answer_proof{3'500'000};
 /// Interval at which peers are told again of an upstream that flows left.
 constexpr base::duration announce_interval{60'000'000};
 /// Reports are ignored when fewer than one in this many upstreams is healthy.
@@ -42,6 +42,17 @@
     }
 }
 
+void steering::state::on_alive(config::upstream_id upstream, base::time_point now)
+{
+    now_ = now;
+    if (const auto index = index_.find_upstream(upstream); index != no_upstream_index)
+    {
+        auto& slot = index_.upstream(index);
+        slot.answered = true;
+        slot.answered_at = now;
+    }
+}
+
 void steering::state::note_unhealthy(std::uint32_t upstream, base::time_point at)
 {
     if (upstream == no_upstream_index)
--- a/tests/flow/steering_test.cpp
+++ b/tests/flow/steering_test.cpp
@@ -153,6 +153,27 @@
     }
 }
 
+TEST(steering, upstream_that_answers_keeps_its_flows_whatever_it_reports)
+{
+    host.on_revision(revisions.current(), at_ms(0));
+    std::map<std::uint32_t, base::endpoint> before;
+    for (std::uint32_t i = 0; i < 500; ++i)
+    {
+        before[i] = send(i, 0);
+    }
+    for (int ms = 100; ms <= 60'000; ms += 1000)
+    {
+        host.on_health(id(3), false, at_ms(ms));
+        host.on_alive(id(3), at_ms(ms));
+        const auto flow = static_cast<std::uint32_t>(ms / 200);
+        CHECK(send(flow, ms + 900) == before[flow]);
+    }
+    for (std::uint32_t i = 1000; i < 1500; ++i)
+    {
+        CHECK(send(i, 60'500) != make_upstream(3).endpoint);
+    }
+}
+
 TEST(steering, flood_of_new_flows_does_not_evict_long_lived_ones)
 {
     host.on_revision(revisions.current(), at_ms(0));
