--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 # Entry points; each does its own set-up.
+SHELL := /bin/bash
 PRESET ?= release
 SITE ?= alliance
 HOSTS ?= 3
@@ -33,7 +34,8 @@
 	@scripts/demo.sh $(SITE) $(HOSTS)
 
 bench: build
-	@scripts/run_benches.sh $(BUILD)/bin
+	@scripts/run_benches.sh $(BUILD)/bin | tee build/bench.txt; \
+	 status=$${PIPESTATUS[0]}; scripts/plot.sh $(BUILD)/bin build/bench.txt docs/plots; exit $$status
 
 soak: build
 	@scripts/soak.sh $(SEED) $(DURATION)
--- a/src/daemon/decide_duty.cpp
+++ b/src/daemon/decide_duty.cpp
@@ -12,12 +12,12 @@
 namespace
 {
 
-constexpr base::duration tick_interval{5'000};
+constexpr base::duration tick_interval{10'000};
 constexpr base::duration metrics_interval{100'000};
 /// A longer gap between two rounds means that the process was paused.
 constexpr base::duration pause_limit{1'000'000};
 constexpr std::size_t packets_per_round = 256;
-constexpr std::chrono::milliseconds idle_wait{5};
+constexpr std::chrono::milliseconds idle_wait{10};
 /// Part of the control budget that flow records may use, in percent.
 constexpr std::size_t records_share_percent = 30;
 /// Flow records are collected this often for the next heartbeats.
