--- a/src/daemon/outbox.cpp
+++ b/src/daemon/outbox.cpp
@@ -12,14 +12,21 @@
 {
 }
 
-packet* outbox::take()
+packet* outbox::take_copy(std::span<const std::byte> payload)
 {
-    packet* free_packet = pool_.take();
-    if (free_packet == nullptr)
+    packet* copy = pool_.take();
+    if (copy == nullptr)
     {
         metrics_.add(metric::dropped_no_buffer);
+        return nullptr;
     }
-    return free_packet;
+    if (!copy->assign(payload))
+    {
+        metrics_.add(metric::dropped_oversize);
+        discard(copy);
+        return nullptr;
+    }
+    return copy;
 }
 
 void outbox::push(packet* ready)
@@ -76,49 +83,27 @@
 void outbox::send_to_upstream(std::span<const std::byte> payload, config::service_id service,
                               const wire::proxy_header& header, const base::endpoint& upstream)
 {
-    packet* copy = take();
-    if (copy == nullptr)
+    if (packet* copy = take_copy(payload))
     {
-        return;
-    }
-    if (!copy->assign(payload))
-    {
-        metrics_.add(metric::dropped_oversize);
-        discard(copy);
-        return;
+        forward(copy, service, header, upstream);
     }
-    forward(copy, service, header, upstream);
 }
 
 void outbox::send_to_caller(std::span<const std::byte> payload, int socket, const base::endpoint& caller)
 {
-    packet* copy = take();
-    if (copy == nullptr)
+    if (packet* copy = take_copy(payload))
     {
-        return;
+        reply(copy, socket, caller);
     }
-    if (!copy->assign(payload))
-    {
-        metrics_.add(metric::dropped_oversize);
-        discard(copy);
-        return;
-    }
-    reply(copy, socket, caller);
 }
 
 void outbox::send_to_host(const base::endpoint& relay, const wire::peer_datagram& message)
 {
-    packet* copy = take();
+    packet* copy = take_copy(wire::encode_peer_datagram(message));
     if (copy == nullptr)
     {
         return;
     }
-    if (!copy->assign(wire::encode_peer_datagram(message)))
-    {
-        metrics_.add(metric::dropped_oversize);
-        discard(copy);
-        return;
-    }
     copy->socket = relay_socket_;
     copy->peer = relay;
     copy->to_upstream = false;
--- a/src/daemon/outbox.hpp
+++ b/src/daemon/outbox.hpp
@@ -49,7 +49,9 @@
     void flush();
 
 private:
-    packet* take();
+    /// A packet with this payload; null, and counted, when there is no buffer or it
+    /// does not fit.
+    packet* take_copy(std::span<const std::byte> payload);
     void push(packet* ready);
 
     std::string self_;
