One endpoint codec for relayed packets and reports

Cause: the read of the whole change found the same two functions, identical, in src/wire/peer_datagram.cpp and src/daemon/report_codec.cpp. Ruled out as the same logic: the remaining pairs outside generated code are option parsing of two stand-ins, test fixtures and value types with like fields. Change: src/wire/endpoint_codec, used by both; behaviour unchanged.

--- a/src/daemon/report_codec.cpp
+++ b/src/daemon/report_codec.cpp
@@ -1,8 +1,7 @@
 #include "report_codec.hpp"
 
-#include <boost/endian/conversion.hpp>
+#include "../wire/endpoint_codec.hpp"
 
-#include <cstring>
 #include <string>
 #include <utility>
 
@@ -12,27 +11,12 @@
 namespace
 {
 
+using wire::read_endpoint;
+using wire::write_endpoint;
+
 constexpr std::size_t max_name_length = 63;
 constexpr std::size_t max_records = 65536;
 
-void write_endpoint(const base::endpoint& value, schema::Endpoint::Builder out)
-{
-    std::uint64_t halves[2] = {};
-    std::memcpy(halves, value.address().data(), sizeof halves);
-    out.setAddressHigh(boost::endian::big_to_native(halves[0]));
-    out.setAddressLow(boost::endian::big_to_native(halves[1]));
-    out.setPort(value.port());
-}
-
-base::endpoint read_endpoint(schema::Endpoint::Reader in)
-{
-    const std::uint64_t halves[2] = {boost::endian::native_to_big(in.getAddressHigh()),
-                                     boost::endian::native_to_big(in.getAddressLow())};
-    base::endpoint::address_bytes bytes{};
-    std::memcpy(bytes.data(), halves, sizeof halves);
-    return base::endpoint::make_v6(bytes, in.getPort());
-}
-
 base::result<std::string> read_name(capnp::Text::Reader in)
 {
     if (in.size() == 0 || in.size() > max_name_length)
--- a/src/wire/peer_datagram.cpp
+++ b/src/wire/peer_datagram.cpp
@@ -1,17 +1,16 @@
 #include <galenabay/wire/peer_datagram.hpp>
 
+#include "endpoint_codec.hpp"
+
 #include <galenabay/wire/proxy_header.hpp>
 
 #include <generated/peer.capnp.h>
 
-#include <boost/endian/conversion.hpp>
-
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 #include <kj/io.h>
 
-#include <cstring>
 #include <optional>
 #include <utility>
 
@@ -35,24 +34,6 @@
     return error::make(error_code::malformed, "decode_peer_datagram", "", detail);
 }
 
-void write_endpoint(const base::endpoint& value, schema::Endpoint::Builder out)
-{
-    std::uint64_t halves[2] = {};
-    std::memcpy(halves, value.address().data(), sizeof halves);
-    out.setAddressHigh(boost::endian::big_to_native(halves[0]));
-    out.setAddressLow(boost::endian::big_to_native(halves[1]));
-    out.setPort(value.port());
-}
-
-base::endpoint read_endpoint(schema::Endpoint::Reader in)
-{
-    const std::uint64_t halves[2] = {boost::endian::native_to_big(in.getAddressHigh()),
-                                     boost::endian::native_to_big(in.getAddressLow())};
-    base::endpoint::address_bytes bytes{};
-    std::memcpy(bytes.data(), halves, sizeof halves);
-    return base::endpoint::make_v6(bytes, in.getPort());
-}
-
 /// Writes each alternative of the body.
 struct body_writer
 {
