--- /dev/null
+++ b/daemons/galena_edged.cpp
@@ -0,0 +1,204 @@
+#include <galenabay/base/log.hpp>
+#include <galenabay/edge/edge_host.hpp>
+#include <platform/settings.hpp>
+
+#include <boost/program_options.hpp>
+
+#include <sys/stat.h>
+
+#include <cerrno>
+#include <csignal>
+#include <cstdint>
+#include <cstdlib>
+#include <ctime>
+
+#include <iostream>
+#include <string>
+#include <utility>
+
+namespace
+{
+
+namespace options = boost::program_options;
+using galenabay::adapter::load_settings;
+using galenabay::base::log_event;
+using galenabay::base::log_level;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+
+/// How often the settings file is looked at for a change without a signal.
+constexpr time_t settings_check_seconds = 1;
+constexpr std::uint16_t default_metrics_port = 9100;
+
+constexpr const char* version_text = "galena_edged 0.1.0";
+constexpr const char* usage_text = R"(Usage: galena_edged [--settings FILE] [--check-settings FILE]
+
+Entry host of galenabay on the users' platform: steers packets of flows to upstreams.
+The settings file is the one that GALENABAY_SETTINGS names, or FILE.
+
+Exit codes: 0 planned stop or settings valid, 1 could not start, 2 bad settings or usage.
+Signals: TERM and INT begin a planned stop, HUP reads the settings again.
+)";
+
+options::options_description described_options()
+{
+    options::options_description described{"Options"};
+    described.add_options()("settings", options::value<std::string>(), "settings file (YAML)")(
+        "check-settings", options::value<std::string>(), "check a settings file and exit")(
+        "metrics-port", options::value<std::uint16_t>()->default_value(default_metrics_port),
+        "port of /metrics")("help", "show this text")("version", "show the version");
+    return described;
+}
+
+/// Blocks the handled signals in this thread and those it starts.
+sigset_t block_signals()
+{
+    sigset_t handled;
+    sigemptyset(&handled);
+    sigaddset(&handled, SIGTERM);
+    sigaddset(&handled, SIGINT);
+    sigaddset(&handled, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &handled, nullptr);
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c)
+    return handled;
+}
+
+/// Tells versions of a file apart by size and time of its last change.
+class file_watch
+{
+public:
+    explicit file_watch(std::string file) : file_{std::move(file)} { changed(); }
+
+    /// True when the file differs from the last look.
+    bool changed()
+    {
+        struct stat status = {};
+        if (stat(file_.c_str(), &status) != 0)
+        {
+            return false;
+        }
+        const auto seen = std::pair{status.st_size, status.st_mtim.tv_sec * 1'000'000'000LL + status.st_mtim.tv_nsec};
+        return std::exchange(seen_, seen) != seen;
+    }
+
+private:
+    std::string file_;
+    std::pair<off_t, long long> seen_{};
+};
+
+void reload(const std::string& file, galenabay::edge::edge_host& running)
+{
+    const auto settings = load_settings(file);
+    if (!settings)
+    {
+        log_event{log_level::error, "settings_refused"}.with(settings.error());
+        return;
+    }
+    log_event{log_level::info, "settings_reloaded"}.with("file", file);
+    running.reload(settings.value());
+}
+
+/// Returns at a request to stop.
+void serve_until_stopped(const std::string& file, const sigset_t& handled, galenabay::edge::edge_host& running)
+{
+    file_watch watch{file};
+    const timespec interval{settings_check_seconds, 0};
+    while (true)
+    {
+        const int signal_number = sigtimedwait(&handled, nullptr, &interval);
+        if (signal_number == SIGTERM || signal_number == SIGINT)
+        {
+            return;
+        }
+        if (watch.changed() || signal_number == SIGHUP)
+        {
+            reload(file, running);
+        }
+    }
+}
+
+int serve(const std::string& file, const galenabay::adapter::settings& settings, std::uint16_t metrics_port)
+{
+    galenabay::base::configure_log(settings.host, settings.data_centre, log_level::info);
+    const sigset_t handled = block_signals();
+    auto started = galenabay::edge::edge_host::start(settings, metrics_port);
+    if (!started)
+    {
+        log_event{log_level::error, "start_failed"}.with(started.error());
+        return exit_failure;
+    }
+    log_event{log_level::info, "started"}
+        .with("packets", settings.packets.to_string())
+        .with("store", settings.store.to_string());
+    serve_until_stopped(file, handled, started.value());
+    log_event{log_level::info, "stop_begun"}.with("bound_ms", settings.stop_bound.count() / 1000);
+    const auto took = started.value().drain();
+    log_event{log_level::info, "stopped"}.with("took_ms", took.count());
+    // A thread may still wait for an answer of the store; the process does not.
+    std::cout.flush();
+    std::_Exit(exit_ok);
+}
+
+int check(const std::string& file)
+{
+    const auto settings = load_settings(file);
+    if (!settings)
+    {
+        std::cerr << settings.error().peer() << ": " << settings.error().detail() << '\n';
+        return exit_usage;
+    }
+    std::cout << file << ": valid\n";
+    return exit_ok;
+}
+
+int run(const options::variables_map& values)
+{
+    if (values.count("help") != 0)
+    {
+        std::cout << usage_text << described_options();
+        return exit_ok;
+    }
+    if (values.count("version") != 0)
+    {
+        std::cout << version_text << '\n';
+        return exit_ok;
+    }
+    if (values.count("check-settings") != 0)
+    {
+        return check(values["check-settings"].as<std::string>());
+    }
+    const char* named = std::getenv(galenabay::adapter::settings_variable);
+    const auto file = values.count("settings") != 0 ? values["settings"].as<std::string>()
+                                                    : std::string{named == nullptr ? "" : named};
+    if (file.empty())
+    {
+        std::cerr << "galena_edged: no settings file is named; see --help\n";
+        return exit_usage;
+    }
+    const auto settings = load_settings(file);
+    if (!settings)
+    {
+        std::cerr << settings.error().peer() << ": " << settings.error().detail() << '\n';
+        return exit_usage;
+    }
+    return serve(file, settings.value(), values["metrics-port"].as<std::uint16_t>());
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        options::variables_map values;
+        options::store(options::parse_command_line(argc, argv, described_options()), values);
+        return run(values);
+    }
+    catch (const options::error& failure)
+    {
+        std::cerr << "galena_edged: " << failure.what() << "; see --help\n";
+        return exit_usage;
+    }
+}
--- /dev/null
+++ b/include/galenabay/net/packet.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/config/service_set.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace galenabay::net
+{
+
+/// Which socket a packet came in on.
+enum class packet_origin : std::uint8_t
+{
+    caller,
+    upstream,
+    host,
+};
+
+/// Buffer of one datagram on its way through the receive, decide and send
+/// threads. Owned by the `packet_pool`; exactly one thread holds it at a time.
+class packet
+{
+public:
+    /// Room in front of the payload for a PROXY header, in bytes.
+    static constexpr std::size_t headroom = 128;
+    /// Largest datagram that is received or sent, in bytes.
+    static constexpr std::size_t capacity = 2048;
+
+    std::span<std::byte> receive_area() noexcept { return {bytes_.data() + headroom, capacity}; }
+
+    std::span<const std::byte> payload() const noexcept { return {bytes_.data() + begin_, size_}; }
+
+    std::span<std::byte> mutable_payload() noexcept { return {bytes_.data() + begin_, size_}; }
+
+    /// Sets the size of a datagram that was read into `receive_area`.
+    void set_received(std::size_t size) noexcept
+    {
+        begin_ = headroom;
+        size_ = std::min(size, capacity);
+    }
+
+    /// Removes bytes from the front.
+    void drop_front(std::size_t size) noexcept
+    {
+        const std::size_t dropped = std::min(size, size_);
+        begin_ += dropped;
+        size_ -= dropped;
+    }
+
+    /// Puts bytes in front of the payload. False when there is no room.
+    bool prepend(std::span<const std::byte> bytes) noexcept
+    {
+        if (bytes.size() > begin_)
+        {
+            return false;
+        }
+        begin_ -= bytes.size();
+        size_ += bytes.size();
+        std::copy(bytes.begin(), bytes.end(), bytes_.begin() + static_cast<std::ptrdiff_t>(begin_));
+        return true;
+    }
+
+    /// Replaces the payload. False when it does not fit.
+    bool assign(std::span<const std::byte> bytes) noexcept
+    {
+        if (bytes.size() > capacity)
+        {
+            return false;
+        }
+        std::copy(bytes.begin(), bytes.end(), bytes_.begin() + headroom);
+        set_received(bytes.size());
+        return true;
+    }
+
+    packet_origin origin = packet_origin::caller;
+    /// True for a packet that is about to leave for an upstream.
+    bool to_upstream = false;
+    /// Descriptor that the packet came in on or leaves by.
+    int socket = -1;
+    /// Sender of a received packet, destination of one to send.
+    base::endpoint peer;
+    /// Service address that the packet belongs to.
+    base::endpoint service;
+    /// Service that a packet to an upstream was decided for.
+    config::service_id decided_service = 0;
+
+private:
+    std::size_t begin_ = headroom;
+    std::size_t size_ = 0;
+    std::array<std::byte, headroom + capacity> bytes_;
+};
+
+} // namespace galenabay::net
--- /dev/null
+++ b/include/galenabay/net/status_server.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/result.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace galenabay::net
+{
+
+/// Answer to one GET of the status server. Plain value.
+struct status_answer
+{
+    /// HTTP status code.
+    int status = 200;
+    std::string body;
+};
+
+/// Small HTTP server for readiness, health and metrics. Runs on threads of its own
+/// until destroyed.
+class status_server
+{
+public:
+    /// Answers a path; called on the server's threads.
+    using responder = std::function<status_answer(const std::string& path)>;
+
+    /// Errors: `io_failure` when the endpoint can't be bound; `step` names the caller.
+    static base::result<status_server> start(const base::endpoint& local, const std::string& step, responder answer);
+
+    status_server(status_server&&) noexcept;
+    status_server& operator=(status_server&&) noexcept;
+    ~status_server();
+
+private:
+    class server;
+    explicit status_server(std::unique_ptr<server> running);
+
+    std::unique_ptr<server> server_;
+};
+
+} // namespace galenabay::net
--- /dev/null
+++ b/include/galenabay/steer/steerer.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <galenabay/base/random.hpp>
+#include <galenabay/base/time.hpp>
+#include <galenabay/steer/configuration.hpp>
+#include <galenabay/steer/packet_head.hpp>
+#include <galenabay/steer/route_table.hpp>
+#include <galenabay/steer/steering_decision.hpp>
+#include <galenabay/steer/upstream_registry.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace galenabay::steer
+{
+
+class flow_table;
+struct flow_state;
+
+/// Bounds of steering. Each has its unit in its type or name.
+struct steering_options
+{
+    upstream_registry::limits registry{};
+    /// Flows remembered: those of 53 million that one of 3,900 hosts sees, and half.
+    std::size_t max_flows = 20'000;
+    /// Silence of all flows after which an upstream is avoided: longer than the
+    /// caller's first pause before it sends again (200 ms) and a slow request.
+    base::duration silence_limit = std::chrono::milliseconds{500};
+    /// How long new flows avoid a silent upstream; evidence extends it.
+    base::duration avoid_time = std::chrono::milliseconds{1'500};
+    /// Gap between two ticks that shows that this process did not run: packets that
+    /// waited meanwhile say nothing about upstreams.
+    base::duration pause_limit = std::chrono::milliseconds{350};
+    /// How long a closed flow is remembered, for copies of its last packets.
+    base::duration closed_memory = std::chrono::seconds{2};
+};
+
+/// Steers the packets of callers to upstreams. Pure: time and seed come in,
+/// decisions go out.
+///
+/// A token in each packet names the flow's upstream, so any host steers any packet
+/// without state of the flow; an opening packet gets the token of the upstream that
+/// is chosen here. Not thread-safe; owned by the packet thread.
+class steerer
+{
+public:
+    steerer(steering_options options, std::uint64_t seed);
+    steerer(const steerer&) = delete;
+    steerer& operator=(const steerer&) = delete;
+    ~steerer();
+
+    /// What followed from something that was learned.
+    struct outcome
+    {
+        std::vector<upstream_registry::change> changes;
+        /// Flows that can't go on.
+        std::vector<flow_reset> resets;
+    };
+
+    /// False when a version that is as new or newer is in force.
+    bool on_configuration(const configuration& next);
+    /// A complete list of the upstreams.
+    outcome on_upstream_list(const std::vector<upstream_entry>& entries, base::time_point now);
+    outcome on_upstream(const upstream_entry& entry, base::time_point now);
+    outcome on_upstream_removed(std::string_view id, base::time_point now);
+    void on_store_failure(base::time_point now) { registry_.store_failed(now); }
+
+    /// Decides one packet.
+    steering_decision on_packet(const packet_head& head, base::time_point now);
+    /// To be called every `tick_interval`.
+    outcome on_tick(base::time_point now);
+
+    /// True when the configuration and the upstreams are known.
+    bool is_ready() const noexcept { return routes_.version() != 0 && has_upstreams_; }
+    const route_table& routes() const noexcept { return routes_; }
+    upstream_registry& registry() noexcept { return registry_; }
+    std::size_t flow_count() const noexcept;
+
+    static constexpr base::duration tick_interval = std::chrono::milliseconds{100};
+
+private:
+    steering_decision on_opening(const packet_head& head, base::time_point now);
+    steering_decision on_unrouted(const packet_head& head) const;
+    void count_opening(const packet_head& head, upstream_incarnation& chosen, flow_state* known, base::time_point now);
+    void observe(flow_state& flow, upstream_incarnation& upstream, const packet_head& head, base::time_point now);
+    bool should_reset(const flow_state& flow, const upstream_incarnation& upstream, base::time_point now);
+    /// Removes the upstream's flows and returns the resets that tell their callers.
+    void reset_flows(const upstream_incarnation& ended, std::vector<flow_reset>& resets);
+    outcome follow_up(std::vector<upstream_registry::change> changes);
+    void release(flow_state& flow);
+    void forget_old_flows(base::time_point now);
+
+    steering_options options_;
+    base::random_source random_;
+    route_table routes_;
+    upstream_registry registry_;
+    bool has_upstreams_ = false;
+    std::unique_ptr<flow_table> flows_;
+    base::time_point last_tick_{};
+    base::time_point last_sweep_{};
+};
+
+} // namespace galenabay::steer
--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
   libpoco-dev libcapnp-dev capnproto prometheus-cpp-dev libeasyloggingpp-dev
   libcpputest-dev libyaml-cpp-dev libboost-dev libboost-program-options-dev
-  libcoap3-dev libxxhash-dev libssl-dev
+  libcoap3-dev libxxhash-dev libssl-dev rapidjson-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -30,6 +30,6 @@
   clang-tidy --quiet -p "$build" "$file" 2>/dev/null && touch "$stamp"
 }
 export -f lint_one
-git ls-files -co --exclude-standard 'src/*.cpp' 'daemons/*.cpp' 'tools/*.cpp' 'bench/*.cpp' |
+git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'daemons/*.cpp' 'tools/*.cpp' 'bench/*.cpp' |
   xargs -P "$jobs" -I{} bash -c 'lint_one "$@"' _ "$build" "$cache" {}
 echo "lint clean"
--- a/src/daemon/balancer.cpp
+++ b/src/daemon/balancer.cpp
@@ -73,8 +73,8 @@
     base::result<void> start()
     {
         const auto local = settings_.address.with_port(settings_.metrics_port);
-        BOOST_OUTCOME_TRY(server, metrics_duty::start(local, metrics_, state_));
-        http_ = std::make_unique<metrics_duty>(std::move(server));
+        BOOST_OUTCOME_TRY(server, start_metrics_duty(local, metrics_, state_));
+        http_ = std::make_unique<net::status_server>(std::move(server));
         running_.emplace_back([this] { receive_.run(); });
         running_.emplace_back([this] { decide_.run(); });
         running_.emplace_back([this] { send_.run(); });
@@ -139,7 +139,7 @@
     platform_duty watcher_;
     platform_duty caller_;
     control_duty control_;
-    std::unique_ptr<metrics_duty> http_;
+    std::unique_ptr<net::status_server> http_;
     std::vector<std::thread> running_;
     /// These may wait for the platform for the length of a watch.
     std::vector<std::thread> platform_running_;
--- /dev/null
+++ b/src/edge/edge_host.cpp
@@ -0,0 +1,165 @@
+#include <galenabay/edge/edge_host.hpp>
+
+#include "packet_duty.hpp"
+#include "store_duty.hpp"
+
+#include <galenabay/base/hash.hpp>
+#include <galenabay/base/log.hpp>
+#include <galenabay/net/status_server.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+#include <utility>
+
+namespace galenabay::edge
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+/// The routers ask twice a second and move on after two misses; a packet may be on
+/// its way for some milliseconds more.
+constexpr milliseconds routers_move_on{1'300};
+/// Silence after which no router hands packets to this host any longer.
+constexpr milliseconds quiet_time{500};
+/// Left of the stop bound for the end of the process.
+constexpr milliseconds exit_reserve{800};
+constexpr milliseconds drain_step{50};
+
+/// Differs between hosts and starts; nothing that must be agreed on depends on it.
+std::uint64_t make_seed(const adapter::settings& settings)
+{
+    const auto now = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
+    return base::mix(base::hash_text(settings.host), now);
+}
+
+net::status_answer answer(const std::string& path, const shared_state& state, const edge_metrics& metrics)
+{
+    if (path == "/readyz")
+    {
+        const bool ready = state.ready.load() && !state.draining.load();
+        return {ready ? status_ok : status_unavailable, ready ? "ready" : "not ready"};
+    }
+    if (path == "/healthz")
+    {
+        return {status_ok, state.draining.load() ? "draining" : "ok"};
+    }
+    if (path == "/metrics")
+    {
+        return {status_ok, metrics.to_text()};
+    }
+    return {status_not_found, "not found"};
+}
+
+} // namespace
+
+class edge_host::implementation
+{
+public:
+    implementation(const adapter::settings& settings, net::udp_socket socket)
+        : settings_{settings}, state_{settings.store}, packets_{std::move(socket), make_seed(settings), state_,
+                                                                metrics_}
+    {
+    }
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    ~implementation() { state_.stop.store(true); }
+
+    base::result<void> open_status_servers(std::uint16_t metrics_port)
+    {
+        const auto respond = [this](const std::string& path) { return answer(path, state_, metrics_); };
+        BOOST_OUTCOME_TRY(readiness, net::status_server::start(settings_.readiness, "start_readiness", respond));
+        readiness_ = std::make_unique<net::status_server>(std::move(readiness));
+        const auto local = settings_.packets.with_port(metrics_port);
+        BOOST_OUTCOME_TRY(metrics, net::status_server::start(local, "start_metrics", respond));
+        metrics_server_ = std::make_unique<net::status_server>(std::move(metrics));
+        return base::outcome::success();
+    }
+
+    void start_duties()
+    {
+        packets_.start();
+        for (const auto kind : {adapter::object_kind::configuration, adapter::object_kind::upstreams})
+        {
+            followers_.push_back(std::make_unique<store_duty>(
+                kind, store_watch_options{}, base::mix(make_seed(settings_), static_cast<std::uint64_t>(kind)), state_,
+                metrics_, packets_.updates(kind), packets_.waker()));
+        }
+    }
+
+    void reload(const adapter::settings& next)
+    {
+        if (next.packets != settings_.packets || next.readiness != settings_.readiness)
+        {
+            log_event{log_level::warning, "settings_need_restart"}
+                .with("packets", next.packets.to_string())
+                .with("readiness", next.readiness.to_string());
+        }
+        state_.set_store(next.store);
+        settings_.store = next.store;
+        settings_.stop_bound = next.stop_bound;
+    }
+
+    milliseconds drain()
+    {
+        state_.draining.store(true);
+        metrics_.ready.Set(0);
+        const auto begun = steady_now();
+        const auto limit = std::max<base::duration>(settings_.stop_bound - exit_reserve, milliseconds{0});
+        const auto is_quiet = [&](base::time_point now)
+        { return now.time_since_epoch() - base::duration{state_.last_packet_us.load()} >= quiet_time; };
+        for (auto now = begun; now - begun < limit; now = steady_now())
+        {
+            if (now - begun >= routers_move_on && is_quiet(now))
+            {
+                break;
+            }
+            std::this_thread::sleep_for(drain_step);
+        }
+        return std::chrono::duration_cast<milliseconds>(steady_now() - begun);
+    }
+
+private:
+    adapter::settings settings_;
+    shared_state state_;
+    edge_metrics metrics_;
+    packet_duty packets_;
+    std::vector<std::unique_ptr<store_duty>> followers_;
+    std::unique_ptr<net::status_server> readiness_;
+    std::unique_ptr<net::status_server> metrics_server_;
+};
+
+base::result<edge_host> edge_host::start(const adapter::settings& settings, std::uint16_t metrics_port)
+{
+    BOOST_OUTCOME_TRY(socket, net::udp_socket::bind(settings.packets));
+    auto running = std::make_unique<implementation>(settings, std::move(socket));
+    BOOST_OUTCOME_TRY(running->open_status_servers(metrics_port));
+    running->start_duties();
+    return edge_host{std::move(running)};
+}
+
+edge_host::edge_host(std::unique_ptr<implementation> running) : running_{std::move(running)} {}
+edge_host::edge_host(edge_host&&) noexcept = default;
+edge_host& edge_host::operator=(edge_host&&) noexcept = default;
+edge_host::~edge_host() = default;
+
+void edge_host::reload(const adapter::settings& settings)
+{
+    running_->reload(settings);
+}
+
+std::chrono::milliseconds edge_host::drain()
+{
+    return running_->drain();
+}
+
+} // namespace galenabay::edge
--- /dev/null
+++ b/src/edge/edge_metrics.cpp
@@ -0,0 +1,65 @@
+#include "edge_metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace galenabay::edge
+{
+
+namespace
+{
+
+prometheus::Counter& counter(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+prometheus::Gauge& gauge(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+/// Buckets from 50 µs, a packet's cost on a small host, to 3 s, the configuration bound.
+prometheus::Histogram& histogram(prometheus::Registry& registry, const char* name, const char* help)
+{
+    const prometheus::Histogram::BucketBoundaries bounds{0.00005, 0.0002, 0.001, 0.005, 0.02, 0.1, 0.5, 1.0, 3.0};
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, bounds);
+}
+
+} // namespace
+
+edge_metrics::edge_metrics()
+    : resets{counter(registry_, "galenabay_resets_total", "Resets sent to callers")},
+      malformed_packets{counter(registry_, "galenabay_malformed_packets_total", "Datagrams that are no packet")},
+      send_failures{counter(registry_, "galenabay_send_failures_total", "Datagrams that the kernel did not take")},
+      refused_objects{counter(registry_, "galenabay_refused_objects_total", "Objects of the store that can't be used")},
+      version{gauge(registry_, "galenabay_configuration_version", "Version of the configuration in force")},
+      upstreams{gauge(registry_, "galenabay_upstreams", "Upstream incarnations that are remembered")},
+      flows{gauge(registry_, "galenabay_flows", "Flows that this host saw lately")},
+      ready{gauge(registry_, "galenabay_ready", "1 when the routers are told that this host is ready")},
+      handling_time{histogram(registry_, "galenabay_handling_seconds", "Time to decide and send a batch of packets")},
+      adoption_time{histogram(registry_, "galenabay_adoption_seconds", "Time from an answer of the store to its use")}
+{
+    auto& decided = prometheus::BuildCounter()
+                        .Name("galenabay_packets_total")
+                        .Help("Packets by the reason of the decision")
+                        .Register(registry_);
+    for (std::size_t i = 0; i < decisions_.size(); ++i)
+    {
+        decisions_[i] = &decided.Add({{"reason", name_of(static_cast<steer::steering_reason>(i))}});
+    }
+    auto& calls = prometheus::BuildCounter().Name("galenabay_store_calls_total").Help("Calls").Register(registry_);
+    auto& failures =
+        prometheus::BuildCounter().Name("galenabay_store_failures_total").Help("Failed calls").Register(registry_);
+    for (const auto kind : {adapter::object_kind::configuration, adapter::object_kind::upstreams})
+    {
+        store_calls_[index(kind)] = &calls.Add({{"kind", name_of(kind)}});
+        store_failures_[index(kind)] = &failures.Add({{"kind", name_of(kind)}});
+    }
+}
+
+std::string edge_metrics::to_text() const
+{
+    return prometheus::TextSerializer{}.Serialize(registry_.Collect());
+}
+
+} // namespace galenabay::edge
--- /dev/null
+++ b/src/edge/edge_metrics.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <galenabay/steer/steering_decision.hpp>
+#include <platform/store_objects.hpp>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <cstddef>
+#include <string>
+
+namespace galenabay::edge
+{
+
+/// Counters, gauges and histograms of an edge host. Thread-safe.
+class edge_metrics
+{
+public:
+    edge_metrics();
+    edge_metrics(const edge_metrics&) = delete;
+    edge_metrics& operator=(const edge_metrics&) = delete;
+
+    prometheus::Counter& decisions(steer::steering_reason reason)
+    {
+        return *decisions_[static_cast<std::size_t>(reason)];
+    }
+    prometheus::Counter& store_calls(adapter::object_kind kind) { return *store_calls_[index(kind)]; }
+    prometheus::Counter& store_failures(adapter::object_kind kind) { return *store_failures_[index(kind)]; }
+
+    /// All values in the text format of Prometheus.
+    std::string to_text() const;
+
+private:
+    static std::size_t index(adapter::object_kind kind) { return kind == adapter::object_kind::configuration ? 0 : 1; }
+
+    prometheus::Registry registry_;
+    std::array<prometheus::Counter*, steer::steering_reason_count> decisions_{};
+    std::array<prometheus::Counter*, 2> store_calls_{};
+    std::array<prometheus::Counter*, 2> store_failures_{};
+
+public:
+    prometheus::Counter& resets;
+    prometheus::Counter& malformed_packets;
+    prometheus::Counter& send_failures;
+    prometheus::Counter& refused_objects;
+    prometheus::Gauge& version;
+    prometheus::Gauge& upstreams;
+    prometheus::Gauge& flows;
+    prometheus::Gauge& ready;
+    /// Seconds from the arrival of a batch of packets to its last decision.
+    prometheus::Histogram& handling_time;
+    /// Seconds from the arrival of a change to its adoption by the packet thread.
+    prometheus::Histogram& adoption_time;
+};
+
+} // namespace galenabay::edge
--- /dev/null
+++ b/src/edge/packet_duty.cpp
@@ -0,0 +1,251 @@
+#include "packet_duty.hpp"
+
+#include <galenabay/base/log.hpp>
+#include <platform/packet_head.hpp>
+
+#include <poll.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace galenabay::edge
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+
+/// How often left-out lines and gauges are written.
+constexpr base::duration summary_interval = std::chrono::seconds{5};
+
+double seconds_between(base::time_point from, base::time_point to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+} // namespace
+
+packet_duty::packet_duty(net::udp_socket socket, std::uint64_t seed, shared_state& state, edge_metrics& metrics)
+    : socket_{std::move(socket)}, state_{state}, metrics_{metrics}, steerer_{{}, seed}, buffers_(net::batch_size)
+{
+}
+
+packet_duty::~packet_duty()
+{
+    if (thread_.joinable())
+    {
+        thread_.join();
+    }
+}
+
+void packet_duty::start()
+{
+    thread_ = std::thread{[this] { run(); }};
+}
+
+void packet_duty::run()
+{
+    while (!state_.stop.load())
+    {
+        wait();
+        drain(configuration_updates_);
+        drain(upstream_updates_);
+        receive(steady_now());
+        if (const auto now = steady_now(); now >= next_tick_)
+        {
+            tick(now);
+        }
+    }
+}
+
+void packet_duty::wait()
+{
+    waker_.prepare();
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(next_tick_ - steady_now());
+    const bool has_updates = configuration_updates_.size() > 0 || upstream_updates_.size() > 0;
+    const auto timeout = has_updates ? 0 : std::max<std::int64_t>(left.count(), 0);
+    std::array<pollfd, 2> entries{pollfd{socket_.descriptor(), POLLIN, 0}, pollfd{waker_.descriptor(), POLLIN, 0}};
+    if (poll(entries.data(), entries.size(), static_cast<int>(timeout)) > 0 && entries[1].revents != 0)
+    {
+        waker_.clear();
+    }
+    waker_.cancel();
+}
+
+void packet_duty::receive(base::time_point now)
+{
+    std::array<net::packet*, net::batch_size> batch{};
+    std::transform(buffers_.begin(), buffers_.end(), batch.begin(), [](net::packet& buffer) { return &buffer; });
+    const auto got = net::receive_batch(socket_.descriptor(), batch);
+    if (got.received == 0)
+    {
+        return;
+    }
+    state_.last_packet_us.store(now.time_since_epoch().count());
+    const auto end = std::partition(batch.begin(), batch.begin() + static_cast<std::ptrdiff_t>(got.received),
+                                    [&](net::packet* datagram) { return decide(*datagram, now); });
+    send({batch.begin(), end});
+    metrics_.handling_time.Observe(seconds_between(now, steady_now()));
+}
+
+bool packet_duty::decide(net::packet& datagram, base::time_point now)
+{
+    const auto head = adapter::decode_head(datagram.payload());
+    if (!head)
+    {
+        metrics_.malformed_packets.Increment();
+        return false;
+    }
+    const auto decision = steerer_.on_packet(*head, now);
+    metrics_.decisions(decision.reason).Increment();
+    log_.packet(*head, decision, steerer_.routes().version(), now);
+    switch (decision.action)
+    {
+    case steer::steering_action::drop:
+        return false;
+    case steer::steering_action::reset:
+        metrics_.resets.Increment();
+        datagram.peer = base::endpoint::make_v4(head->flow.caller_address, socket_.local().port());
+        return datagram.assign(adapter::encode_reset(decision.reset));
+    case steer::steering_action::forward:
+        break;
+    }
+    adapter::write_token(datagram.mutable_payload(), decision.token);
+    datagram.peer = decision.upstream;
+    return datagram.prepend(adapter::encode_upstream_number(decision.upstream_number));
+}
+
+void packet_duty::send(std::span<net::packet* const> datagrams)
+{
+    while (!datagrams.empty())
+    {
+        const auto sent = net::send_batch(socket_.descriptor(), datagrams);
+        if (sent == 0)
+        {
+            // Callers send again what gets lost here; waiting would delay the others.
+            metrics_.send_failures.Increment();
+            datagrams = datagrams.subspan(1);
+        }
+        datagrams = datagrams.subspan(sent);
+    }
+}
+
+void packet_duty::drain(update_ring& ring)
+{
+    std::shared_ptr<const store_update> update;
+    while (ring.pop(update))
+    {
+        apply(*update);
+    }
+}
+
+void packet_duty::apply(const store_update& update)
+{
+    if (update.what == store_update::kind::failure)
+    {
+        steerer_.on_store_failure(steady_now());
+        return;
+    }
+    for (const auto& object : update.objects)
+    {
+        if (!object.fault.empty())
+        {
+            metrics_.refused_objects.Increment();
+            log_.refused(object, update.revision, steady_now());
+        }
+    }
+    update.objects_of == adapter::object_kind::configuration ? apply_configuration(update) : apply_upstreams(update);
+    metrics_.adoption_time.Observe(seconds_between(update.at, steady_now()));
+    if (steerer_.is_ready() && !state_.ready.exchange(true))
+    {
+        log_event{log_level::info, "ready"}.with("version", steerer_.routes().version());
+        metrics_.ready.Set(1);
+    }
+}
+
+void packet_duty::apply_configuration(const store_update& update)
+{
+    for (const auto& object : update.objects)
+    {
+        if (!object.configuration)
+        {
+            continue;
+        }
+        const auto before = steerer_.routes().version();
+        const bool adopted = steerer_.on_configuration(*object.configuration);
+        log_event{log_level::info, adopted ? "configuration_adopted" : "configuration_ignored"}
+            .with("version", object.configuration->version)
+            .with("before", before)
+            .with("routes", object.configuration->routes.size())
+            .with("revision", update.revision);
+        metrics_.version.Set(static_cast<double>(steerer_.routes().version()));
+    }
+}
+
+void packet_duty::apply_upstreams(const store_update& update)
+{
+    const auto now = steady_now();
+    if (update.what == store_update::kind::list)
+    {
+        std::vector<steer::upstream_entry> entries;
+        for (const auto& object : update.objects)
+        {
+            if (object.upstream)
+            {
+                entries.push_back(*object.upstream);
+            }
+        }
+        follow_up(steerer_.on_upstream_list(entries, now), update.revision, now);
+        return;
+    }
+    for (const auto& object : update.objects)
+    {
+        // An entry that can't be used names no upstream, as one that was removed.
+        follow_up(object.upstream ? steerer_.on_upstream(*object.upstream, now)
+                                  : steerer_.on_upstream_removed(object.name, now),
+                  update.revision, now);
+    }
+}
+
+void packet_duty::follow_up(const steer::steerer::outcome& learned, std::uint64_t revision, base::time_point now)
+{
+    for (const auto& change : learned.changes)
+    {
+        log_.upstream(change, revision, now);
+    }
+    send_resets(learned.resets, now);
+}
+
+void packet_duty::send_resets(const std::vector<steer::flow_reset>& resets, base::time_point now)
+{
+    for (const auto& reset : resets)
+    {
+        metrics_.resets.Increment();
+        log_.reset(reset, now);
+        auto& datagram = buffers_.front();
+        datagram.peer = base::endpoint::make_v4(reset.flow.caller_address, socket_.local().port());
+        if (datagram.assign(adapter::encode_reset(reset)))
+        {
+            const std::array<net::packet*, 1> single{&datagram};
+            send(single);
+        }
+    }
+}
+
+void packet_duty::tick(base::time_point now)
+{
+    next_tick_ = now + steer::steerer::tick_interval;
+    follow_up(steerer_.on_tick(now), 0, now);
+    if (now < next_summary_)
+    {
+        return;
+    }
+    next_summary_ = now + summary_interval;
+    log_.summarize();
+    metrics_.upstreams.Set(static_cast<double>(steerer_.registry().size()));
+    metrics_.flows.Set(static_cast<double>(steerer_.flow_count()));
+}
+
+} // namespace galenabay::edge
--- /dev/null
+++ b/src/edge/steering_log.cpp
@@ -0,0 +1,107 @@
+#include "steering_log.hpp"
+
+#include <galenabay/base/log.hpp>
+
+#include <string>
+
+namespace galenabay::edge
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+
+std::string text_of(const steer::flow_key& flow)
+{
+    return base::endpoint::make_v4(flow.caller_address, flow.caller_port).to_string() + ">" +
+           base::endpoint::make_v4(flow.service_address, flow.service_port).to_string();
+}
+
+void write_left_out(const char* kind, log_limiter& limiter)
+{
+    if (const auto count = limiter.take_left_out(); count > 0)
+    {
+        log_event{log_level::info, "lines_left_out"}.with("kind", kind).with("count", count);
+    }
+}
+
+} // namespace
+
+void steering_log::packet(const steer::packet_head& head, const steer::steering_decision& decision,
+                          std::uint64_t version, base::time_point now)
+{
+    if (decision.reason == steer::steering_reason::token ||
+        !packets_[static_cast<std::size_t>(decision.reason)].allow(now))
+    {
+        return;
+    }
+    log_event line{log_level::info, "packet"};
+    line.with("flow", text_of(head.flow)).with("outcome", name_of(decision.action));
+    line.with("reason", name_of(decision.reason)).with("version", version);
+    if (head.opening)
+    {
+        line.with("copy", head.acknowledged);
+    }
+    if (decision.action == steer::steering_action::forward)
+    {
+        line.with("upstream", decision.upstream_number).with("address", decision.upstream.to_string());
+        line.with("token", decision.token);
+    }
+    else
+    {
+        line.with("token", head.token);
+    }
+}
+
+void steering_log::upstream(const steer::upstream_registry::change& change, std::uint64_t revision,
+                            base::time_point now)
+{
+    if (change.incarnation == nullptr || !upstreams_.allow(now))
+    {
+        return;
+    }
+    const auto& upstream = *change.incarnation;
+    log_event{log_level::info, "upstream"}
+        .with("id", upstream.entry.id)
+        .with("change", name_of(change.kind))
+        .with("service", upstream.entry.service)
+        .with("draining", upstream.entry.draining ? "yes" : "no")
+        .with("started_ms", upstream.entry.started_ms)
+        .with("token", upstream.token)
+        .with("flows", upstream.flows)
+        .with("revision", revision);
+}
+
+void steering_log::reset(const steer::flow_reset& reset, base::time_point now)
+{
+    if (resets_.allow(now))
+    {
+        log_event{log_level::info, "flow_reset"}.with("flow", text_of(reset.flow)).with("reason", "upstream_ended");
+    }
+}
+
+void steering_log::refused(const adapter::store_object& object, std::uint64_t revision, base::time_point now)
+{
+    if (refused_.allow(now))
+    {
+        log_event{log_level::warning, "object_refused"}
+            .with("id", object.name)
+            .with("field", object.fault)
+            .with("revision", revision);
+    }
+}
+
+void steering_log::summarize()
+{
+    for (std::size_t i = 0; i < packets_.size(); ++i)
+    {
+        write_left_out(name_of(static_cast<steer::steering_reason>(i)), packets_[i]);
+    }
+    write_left_out("upstream", upstreams_);
+    write_left_out("flow_reset", resets_);
+    write_left_out("object_refused", refused_);
+}
+
+} // namespace galenabay::edge
--- /dev/null
+++ b/src/edge/steering_log.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "log_limiter.hpp"
+
+#include <galenabay/steer/steerer.hpp>
+#include <platform/store_objects.hpp>
+
+#include <array>
+
+namespace galenabay::edge
+{
+
+/// Writes a line for each decision about a flow and each change of what is believed,
+/// bounded in number for each kind of line. Owned by the packet thread.
+class steering_log
+{
+public:
+    /// A decision about one packet; those by token alone are not written.
+    void packet(const steer::packet_head& head, const steer::steering_decision& decision, std::uint64_t version,
+                base::time_point now);
+    void upstream(const steer::upstream_registry::change& change, std::uint64_t revision, base::time_point now);
+    void reset(const steer::flow_reset& reset, base::time_point now);
+    void refused(const adapter::store_object& object, std::uint64_t revision, base::time_point now);
+    /// Writes how many lines were left out since the last call.
+    void summarize();
+
+private:
+    /// Lines a second and at once: a host sees some 20 new flows a second.
+    static constexpr double lines_per_second = 20;
+    static constexpr double line_burst = 60;
+
+    std::array<log_limiter, steer::steering_reason_count> packets_ =
+        make_limiters(std::make_index_sequence<steer::steering_reason_count>{});
+    log_limiter upstreams_{lines_per_second, line_burst};
+    log_limiter resets_{lines_per_second, line_burst};
+    log_limiter refused_{lines_per_second, line_burst};
+
+    template <std::size_t... I> static std::array<log_limiter, sizeof...(I)> make_limiters(std::index_sequence<I...>)
+    {
+        return {((void)I, log_limiter{lines_per_second, line_burst})...};
+    }
+};
+
+} // namespace galenabay::edge
--- /dev/null
+++ b/src/edge/store_duty.cpp
@@ -0,0 +1,164 @@
+#include "store_duty.hpp"
+
+#include <galenabay/base/log.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace galenabay::edge
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+using std::chrono::milliseconds;
+
+/// Longest wait for a connection and for an answer beyond a watch's own wait: many
+/// times the store's 4 ms, and with `watch_wait` below the configuration bound.
+constexpr milliseconds answer_timeout{1'000};
+/// Pause before an update is offered again to a full ring.
+constexpr milliseconds ring_pause{5};
+/// Longest single sleep, so that a stop is noticed.
+constexpr milliseconds sleep_step{100};
+
+milliseconds to_milliseconds(base::duration time)
+{
+    return std::chrono::duration_cast<milliseconds>(time);
+}
+
+} // namespace
+
+store_duty::store_duty(adapter::object_kind kind, store_watch_options options, std::uint64_t seed, shared_state& state,
+                       edge_metrics& metrics, update_ring& updates, net::waker& consumer)
+    : kind_{kind}, options_{options}, watch_{options, seed}, state_{state}, metrics_{metrics}, updates_{updates},
+      consumer_{consumer}, thread_{[this] { run(); }}
+{
+}
+
+store_duty::~store_duty()
+{
+    thread_.join();
+}
+
+void store_duty::run()
+{
+    auto store = state_.store();
+    auto client = adapter::store_client::make(store, kind_, answer_timeout);
+    while (!state_.stop.load())
+    {
+        if (const auto current = state_.store(); current != store)
+        {
+            store = current;
+            client = adapter::store_client::make(store, kind_, answer_timeout);
+        }
+        const auto call = watch_.next();
+        if (const auto now = steady_now(); now < call.at)
+        {
+            std::this_thread::sleep_for(std::min<base::duration>(call.at - now, sleep_step));
+            continue;
+        }
+        perform(client, call);
+    }
+}
+
+void store_duty::perform(adapter::store_client& client, const store_call& call)
+{
+    metrics_.store_calls(kind_).Increment();
+    if (call.what == store_call::kind::list)
+    {
+        on_list(call, client.list(call.after));
+    }
+    else
+    {
+        on_watch(client.watch(call.revision, to_milliseconds(options_.watch_wait)));
+    }
+}
+
+void store_duty::on_list(const store_call& call, const base::result<adapter::store_page>& answer)
+{
+    if (!answer)
+    {
+        on_failure(answer.error());
+        return;
+    }
+    const auto& page = answer.value();
+    if (call.after.empty())
+    {
+        listed_.clear();
+    }
+    listed_.insert(listed_.end(), page.objects.begin(), page.objects.end());
+    const bool regained = watch_.failures() > 0;
+    const auto now = steady_now();
+    if (watch_.on_page(page.revision, page.last_name, page.more, now))
+    {
+        log_event{log_level::info, regained ? "store_regained" : "store_listed"}
+            .with("kind", name_of(kind_))
+            .with("objects", listed_.size())
+            .with("revision", page.revision);
+        pass_on({.what = store_update::kind::list,
+                 .objects_of = kind_,
+                 .objects = std::exchange(listed_, {}),
+                 .revision = watch_.next().revision,
+                 .at = now});
+    }
+}
+
+void store_duty::on_watch(const base::result<adapter::store_page>& answer)
+{
+    if (!answer)
+    {
+        on_failure(answer.error());
+        return;
+    }
+    const auto& page = answer.value();
+    if (watch_.failures() > 0)
+    {
+        log_event{log_level::info, "store_regained"}
+            .with("kind", name_of(kind_))
+            .with("failures", watch_.failures())
+            .with("revision", page.revision);
+    }
+    const auto now = steady_now();
+    watch_.on_changes(page.revision, !page.objects.empty(), now);
+    if (!page.objects.empty())
+    {
+        pass_on({.what = store_update::kind::changes,
+                 .objects_of = kind_,
+                 .objects = page.objects,
+                 .revision = page.revision,
+                 .at = now});
+    }
+}
+
+void store_duty::on_failure(const base::error& failure)
+{
+    metrics_.store_failures(kind_).Increment();
+    const bool first = watch_.failures() == 0;
+    const auto now = steady_now();
+    watch_.on_failure(failure.code(), now);
+    if (failure.code() == base::error_code::stale)
+    {
+        log_event{log_level::warning, "store_history_gone"}.with("kind", name_of(kind_));
+        return;
+    }
+    if (first)
+    {
+        log_event{log_level::warning, "store_lost"}.with("kind", name_of(kind_)).with(failure);
+    }
+    pass_on({.what = store_update::kind::failure, .objects_of = kind_, .objects = {}, .revision = 0, .at = now});
+}
+
+void store_duty::pass_on(store_update update)
+{
+    const auto shared = std::make_shared<const store_update>(std::move(update));
+    while (!updates_.push(shared) && !state_.stop.load())
+    {
+        std::this_thread::sleep_for(ring_pause);
+    }
+    consumer_.notify();
+}
+
+} // namespace galenabay::edge
--- /dev/null
+++ b/src/edge/store_duty.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "edge_metrics.hpp"
+#include "shared_state.hpp"
+#include "store_update.hpp"
+#include "store_watch.hpp"
+
+#include <galenabay/net/waker.hpp>
+#include <platform/store_client.hpp>
+
+#include <thread>
+
+namespace galenabay::edge
+{
+
+/// Follows one kind of objects in the platform's store on a thread of its own and
+/// passes on what it learns. Blocking calls stay out of the packet thread.
+class store_duty
+{
+public:
+    /// `updates` and `consumer` belong to the packet thread and outlive the duty.
+    store_duty(adapter::object_kind kind, store_watch_options options, std::uint64_t seed, shared_state& state,
+               edge_metrics& metrics, update_ring& updates, net::waker& consumer);
+    store_duty(const store_duty&) = delete;
+    store_duty& operator=(const store_duty&) = delete;
+    ~store_duty();
+
+private:
+    void run();
+    void perform(adapter::store_client& client, const store_call& call);
+    void on_list(const store_call& call, const base::result<adapter::store_page>& answer);
+    void on_watch(const base::result<adapter::store_page>& answer);
+    void on_failure(const base::error& failure);
+    void pass_on(store_update update);
+
+    adapter::object_kind kind_;
+    store_watch_options options_;
+    store_watch watch_;
+    shared_state& state_;
+    edge_metrics& metrics_;
+    update_ring& updates_;
+    net::waker& consumer_;
+    std::vector<adapter::store_object> listed_;
+    std::thread thread_;
+};
+
+} // namespace galenabay::edge
--- /dev/null
+++ b/src/edge/store_update.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <galenabay/base/ring.hpp>
+#include <galenabay/base/time.hpp>
+#include <platform/store_objects.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace galenabay::edge
+{
+
+/// What a store thread learned, on its way to the packet thread. Immutable once sent.
+struct store_update
+{
+    enum class kind
+    {
+        /// `objects` are all that there are.
+        list,
+        /// `objects` are those that changed.
+        changes,
+        /// The store could not be read.
+        failure,
+    };
+
+    kind what = kind::failure;
+    adapter::object_kind objects_of = adapter::object_kind::configuration;
+    std::vector<adapter::store_object> objects;
+    std::uint64_t revision = 0;
+    /// When the answer arrived.
+    base::time_point at{};
+};
+
+using update_ring = base::ring<std::shared_ptr<const store_update>>;
+
+} // namespace galenabay::edge
--- /dev/null
+++ b/src/edge/store_watch.cpp
@@ -0,0 +1,57 @@
+#include "store_watch.hpp"
+
+#include <algorithm>
+
+namespace galenabay::edge
+{
+
+store_call store_watch::next() const
+{
+    return {.what = listed_ ? store_call::kind::watch : store_call::kind::list,
+            .after = after_,
+            .revision = revision_,
+            .at = not_before_};
+}
+
+bool store_watch::on_page(std::uint64_t revision, const std::string& last_name, bool more, base::time_point now)
+{
+    failures_ = 0;
+    not_before_ = now;
+    // Changes since the first page are caught by the watch from its revision.
+    list_revision_ = after_.empty() ? revision : std::min(list_revision_, revision);
+    if (more && !last_name.empty() && last_name != after_)
+    {
+        after_ = last_name;
+        return false;
+    }
+    listed_ = true;
+    after_.clear();
+    revision_ = list_revision_;
+    return true;
+}
+
+void store_watch::on_changes(std::uint64_t revision, bool any, base::time_point now)
+{
+    failures_ = 0;
+    revision_ = std::max(revision_, revision);
+    not_before_ = any ? now + options_.batch_pause : now;
+}
+
+void store_watch::on_failure(base::error_code code, base::time_point now)
+{
+    ++failures_;
+    if (code == base::error_code::stale)
+    {
+        listed_ = false;
+        after_.clear();
+        not_before_ = now;
+        return;
+    }
+    constexpr std::uint32_t max_doublings = 10;
+    const auto limit = std::min(options_.longest_retry,
+                                options_.first_retry * (std::int64_t{1} << std::min(failures_ - 1, max_doublings)));
+    const auto half = static_cast<std::uint64_t>(limit.count() / 2);
+    not_before_ = now + base::duration{static_cast<std::int64_t>(half + random_.below(half))};
+}
+
+} // namespace galenabay::edge
--- /dev/null
+++ b/src/edge/store_watch.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <galenabay/base/error.hpp>
+#include <galenabay/base/random.hpp>
+#include <galenabay/base/time.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace galenabay::edge
+{
+
+/// Times that govern how one kind of objects is followed.
+struct store_watch_options
+{
+    /// How long a watch waits at the store. With the answer timeout this is the
+    /// longest that a silent connection goes unnoticed; the sum stays below the
+    /// 3 s within which a configuration must be in force.
+    base::duration watch_wait = std::chrono::milliseconds{1'500};
+    /// Pause after changes arrived, so that a series of them costs fewer calls.
+    base::duration batch_pause = std::chrono::milliseconds{400};
+    /// First and longest pause after a failed call.
+    base::duration first_retry = std::chrono::milliseconds{100};
+    base::duration longest_retry = std::chrono::milliseconds{1'000};
+};
+
+/// Next call to the store.
+struct store_call
+{
+    enum class kind
+    {
+        list,
+        watch,
+    };
+
+    kind what = kind::list;
+    /// List: the page after this name.
+    std::string after;
+    /// Watch: changes after this revision.
+    std::uint64_t revision = 0;
+    /// Not before this time.
+    base::time_point at{};
+};
+
+/// Decides how one kind of objects is read and followed: a complete list first, then
+/// watches from its revision; a new list when the history is gone. Pure.
+class store_watch
+{
+public:
+    store_watch(store_watch_options options, std::uint64_t seed) : options_{options}, random_{seed} {}
+
+    store_call next() const;
+
+    /// A page of the list was read. True when the list is complete.
+    bool on_page(std::uint64_t revision, const std::string& last_name, bool more, base::time_point now);
+    /// A watch was answered.
+    void on_changes(std::uint64_t revision, bool any, base::time_point now);
+    /// A call failed; `stale` starts a new list at once.
+    void on_failure(base::error_code code, base::time_point now);
+
+    /// Calls that failed since the last answer.
+    std::uint32_t failures() const noexcept { return failures_; }
+
+private:
+    store_watch_options options_;
+    base::random_source random_;
+    bool listed_ = false;
+    std::uint64_t list_revision_ = 0;
+    std::uint64_t revision_ = 0;
+    std::string after_;
+    base::time_point not_before_{};
+    std::uint32_t failures_ = 0;
+};
+
+} // namespace galenabay::edge
--- a/src/platform/http_call.cpp
+++ b/src/net/http_session.cpp
@@ -1,4 +1,4 @@
-#include "http_call.hpp"
+#include <galenabay/net/http_session.hpp>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -11,7 +11,7 @@
 #include <ostream>
 #include <utility>
 
-namespace galenabay::platform
+namespace galenabay::net
 {
 
 namespace
@@ -47,8 +47,11 @@
     {
     case HTTPResponse::HTTP_NOT_FOUND:
         return make(error_code::not_found);
+    case HTTPResponse::HTTP_CONFLICT:
     case HTTPResponse::HTTP_PRECONDITION_FAILED:
         return make(error_code::conflict);
+    case HTTPResponse::HTTP_GONE:
+        return make(error_code::stale);
     case HTTPResponse::HTTP_TOO_MANY_REQUESTS:
         return make(error_code::exhausted);
     case HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE:
@@ -95,42 +98,101 @@
     }
 }
 
+Poco::Timespan timespan_of(std::chrono::milliseconds time)
+{
+    return Poco::Timespan{std::chrono::duration_cast<std::chrono::microseconds>(time).count()};
+}
+
 } // namespace
 
-base::result<http_answer> call(const base::endpoint& platform, const http_request& request)
+class http_session::connection
 {
-    const auto peer = platform.to_string();
-    const auto fail = [&](error_code code, const Poco::Exception& failure)
-    { return base::error::make(code, request.step, peer, failure.displayText()); };
-    Poco::Net::HTTPClientSession session;
-    try
+public:
+    connection(const base::endpoint& server, std::chrono::milliseconds connect_timeout)
+        : peer_{server.to_string()}, connect_timeout_{connect_timeout}
     {
-        session.setHost(platform.address_string());
-        session.setPort(platform.port());
-        session.setTimeout(
-            Poco::Timespan{std::chrono::duration_cast<std::chrono::microseconds>(request.timeout).count()});
-        Poco::Net::HTTPRequest message{request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1};
-        add_condition(request, message);
-        if (!request.body.empty())
+        session_.setHost(server.address_string());
+        session_.setPort(server.port());
+        session_.setKeepAlive(true);
+    }
+
+    base::result<http_answer> call(const http_request& request)
+    {
+        auto outcome = exchange(request);
+        if (!outcome && !is_complete(outcome.error()))
         {
-            message.setContentType("application/json");
-            message.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
+            session_.reset();
         }
-        session.sendRequest(message) << request.body << std::flush;
+        return outcome;
     }
-    catch (const Poco::Exception& failure)
+
+private:
+    /// True when the whole answer was read and the connection can carry another call.
+    static bool is_complete(const base::error& failure)
     {
-        // Once connected, part of the request may have arrived.
-        return fail(session.connected() ? error_code::timeout : error_code::unavailable, failure);
+        return failure.code() == error_code::not_found || failure.code() == error_code::conflict;
     }
-    try
+
+    base::result<http_answer> exchange(const http_request& request)
     {
-        return receive(session, request, peer);
+        const auto fail = [&](error_code code, const Poco::Exception& failure)
+        { return base::error::make(code, request.step, peer_, failure.displayText()); };
+        try
+        {
+            send(request);
+        }
+        catch (const Poco::Exception& failure)
+        {
+            // Once connected, part of the request may have arrived.
+            return fail(session_.connected() ? error_code::timeout : error_code::unavailable, failure);
+        }
+        try
+        {
+            return receive(session_, request, peer_);
+        }
+        catch (const Poco::Exception& failure)
+        {
+            return fail(error_code::timeout, failure);
+        }
     }
-    catch (const Poco::Exception& failure)
+
+    void send(const http_request& request)
     {
-        return fail(error_code::timeout, failure);
+        session_.setTimeout(timespan_of(connect_timeout_), timespan_of(request.timeout), timespan_of(request.timeout));
+        if (session_.connected())
+        {
+            // The session applies its time-outs only when it connects.
+            session_.socket().setReceiveTimeout(timespan_of(request.timeout));
+        }
+        Poco::Net::HTTPRequest message{request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1};
+        message.setKeepAlive(true);
+        add_condition(request, message);
+        if (!request.body.empty())
+        {
+            message.setContentType("application/json");
+            message.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
+        }
+        session_.sendRequest(message) << request.body << std::flush;
     }
+
+    std::string peer_;
+    std::chrono::milliseconds connect_timeout_;
+    Poco::Net::HTTPClientSession session_;
+};
+
+http_session http_session::make(const base::endpoint& server, std::chrono::milliseconds connect_timeout)
+{
+    return http_session{std::make_unique<connection>(server, connect_timeout)};
+}
+
+http_session::http_session(std::unique_ptr<connection> opened) : connection_{std::move(opened)} {}
+http_session::http_session(http_session&&) noexcept = default;
+http_session& http_session::operator=(http_session&&) noexcept = default;
+http_session::~http_session() = default;
+
+base::result<http_answer> http_session::call(const http_request& request)
+{
+    return connection_->call(request);
 }
 
-} // namespace galenabay::platform
+} // namespace galenabay::net
--- a/src/daemon/udp_socket.cpp
+++ b/src/net/udp_socket.cpp
@@ -1,4 +1,4 @@
-#include "udp_socket.hpp"
+#include <galenabay/net/udp_socket.hpp>
 
 #include <boost/endian/conversion.hpp>
 
@@ -10,7 +10,7 @@
 #include <cerrno>
 #include <cstring>
 
-namespace galenabay::daemon
+namespace galenabay::net
 {
 
 namespace
@@ -146,4 +146,4 @@
     return sent < 0 ? 0 : static_cast<std::size_t>(sent);
 }
 
-} // namespace galenabay::daemon
+} // namespace galenabay::net
--- a/src/daemon/waker.cpp
+++ b/src/net/waker.cpp
@@ -1,4 +1,4 @@
-#include "waker.hpp"
+#include <galenabay/net/waker.hpp>
 
 #include <galenabay/base/invariant.hpp>
 
@@ -8,7 +8,7 @@
 
 #include <cstdint>
 
-namespace galenabay::daemon
+namespace galenabay::net
 {
 
 waker::waker() : descriptor_{eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)}
@@ -47,4 +47,4 @@
     [[maybe_unused]] const auto got = read(descriptor_, &count, sizeof count);
 }
 
-} // namespace galenabay::daemon
+} // namespace galenabay::net
--- a/src/platform/object_client.cpp
+++ b/src/platform/object_client.cpp
@@ -1,8 +1,9 @@
 #include <galenabay/platform/object_client.hpp>
 
-#include "http_call.hpp"
 #include "json_text.hpp"
 
+#include <galenabay/net/http_session.hpp>
+
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/URI.h>
@@ -15,6 +16,7 @@
 namespace
 {
 
+using net::http_request;
 using Poco::JSON::Object;
 
 constexpr std::size_t max_object_response = 4U << 20U;
@@ -120,7 +122,7 @@
 base::result<object> object_client::get(const std::string& key) const
 {
     const auto request = get_request("platform_get", objects_path + "/" + key, timeout_);
-    BOOST_OUTCOME_TRY(answer, call(platform_, request));
+    BOOST_OUTCOME_TRY(answer, net::http_session::make(platform_, timeout_).call(request));
     return parse_body(answer.body, request.step, platform_.to_string(),
                       [](const Object& json) { return to_object(json, true); });
 }
@@ -140,7 +142,7 @@
     const auto path = objects_path + "?prefix=" + encoded(prefix) + (with_values ? "" : "&keys_only=1");
     auto request = get_request("platform_list", path, timeout_);
     request.max_response = max_list_response;
-    BOOST_OUTCOME_TRY(answer, call(platform_, request));
+    BOOST_OUTCOME_TRY(answer, net::http_session::make(platform_, timeout_).call(request));
     return parse_body(
         answer.body, request.step, platform_.to_string(),
         [&](const Object& json)
@@ -161,7 +163,7 @@
     request.method = "PUT";
     request.body = to_text(body);
     request.expected = expected;
-    BOOST_OUTCOME_TRY(answer, call(platform_, request));
+    BOOST_OUTCOME_TRY(answer, net::http_session::make(platform_, timeout_).call(request));
     return parse_body(answer.body, request.step, platform_.to_string(), version_of);
 }
 
@@ -170,7 +172,7 @@
     auto request = get_request("platform_remove", objects_path + "/" + key, timeout_);
     request.method = "DELETE";
     request.expected = expected;
-    BOOST_OUTCOME_TRY(call(platform_, request));
+    BOOST_OUTCOME_TRY(net::http_session::make(platform_, timeout_).call(request));
     return base::outcome::success();
 }
 
@@ -180,7 +182,7 @@
     const auto path =
         "/v1/watch/" + key + "?after=" + std::to_string(after) + "&wait_ms=" + std::to_string(wait.count());
     const auto request = get_request("platform_watch", path, timeout_ + wait);
-    BOOST_OUTCOME_TRY(answer, call(platform_, request));
+    BOOST_OUTCOME_TRY(answer, net::http_session::make(platform_, timeout_).call(request));
     if (!answer.has_content)
     {
         return object{key, 0, {}};
@@ -193,7 +195,7 @@
 {
     auto request = get_request("platform_hosts", "/v1/hosts", timeout_);
     request.max_response = max_list_response;
-    BOOST_OUTCOME_TRY(answer, call(platform_, request));
+    BOOST_OUTCOME_TRY(answer, net::http_session::make(platform_, timeout_).call(request));
     return parse_body(answer.body, request.step, platform_.to_string(),
                       [](const Object& json) { return rows_of(json, "hosts", to_host); });
 }
--- /dev/null
+++ b/src/steer/flow_table.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <galenabay/base/time.hpp>
+#include <galenabay/steer/packet_head.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <iterator>
+#include <unordered_map>
+
+namespace galenabay::steer
+{
+
+/// What this host saw of a flow. A hint only: tokens steer, so a flow that is
+/// missing here is steered all the same.
+struct flow_state
+{
+    upstream_token token = 0;
+    base::time_point last_seen{};
+    /// When the newest data of the caller was first seen here.
+    base::time_point sent_at{};
+    std::uint32_t sequence = 0;
+    std::uint32_t acknowledged = 0;
+    /// How often the newest data was seen again.
+    std::uint8_t repeats = 0;
+    /// The upstream answered the opening packet.
+    bool established = false;
+    /// Data was sent that no answer has followed yet.
+    bool waiting = false;
+    /// The caller closed its side; the flow counts as load no longer.
+    bool closing = false;
+};
+
+/// Flows seen by this host, bounded in number. Not thread-safe; owned by the
+/// `steerer`.
+class flow_table
+{
+public:
+    explicit flow_table(std::size_t max_flows) : max_flows_{max_flows} {}
+
+    flow_state* find(const flow_key& key)
+    {
+        const auto found = flows_.find(key);
+        return found == flows_.end() ? nullptr : &found->second;
+    }
+
+    /// Null when the table is full.
+    flow_state* insert(const flow_key& key)
+    {
+        return flows_.size() < max_flows_ ? &flows_.try_emplace(key).first->second : nullptr;
+    }
+
+    void erase(const flow_key& key) { flows_.erase(key); }
+    std::size_t size() const noexcept { return flows_.size(); }
+
+    /// Removes the flows for which `decide(key, state)` is true.
+    template <typename Decision> void erase_if(Decision decide)
+    {
+        for (auto row = flows_.begin(); row != flows_.end();)
+        {
+            row = decide(row->first, row->second) ? flows_.erase(row) : std::next(row);
+        }
+    }
+
+private:
+    std::size_t max_flows_;
+    std::unordered_map<flow_key, flow_state> flows_;
+};
+
+} // namespace galenabay::steer
--- /dev/null
+++ b/src/steer/upstream_evidence.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <galenabay/steer/upstream_registry.hpp>
+
+namespace galenabay::steer
+{
+
+/// Notes that a flow showed an answer from the upstream.
+inline void note_progress(upstream_incarnation& upstream, base::time_point now)
+{
+    upstream.last_progress = now;
+    upstream.repeats = 0;
+    upstream.avoid_until = {};
+}
+
+/// Notes that a caller sent a packet again. Avoids the upstream when none of its
+/// flows has shown an answer for `silence_limit`.
+inline void note_repeat(upstream_incarnation& upstream, base::time_point now, base::duration silence_limit,
+                        base::duration avoid_time)
+{
+    constexpr std::uint32_t enough_repeats = 2;
+    if (upstream.repeats++ == 0)
+    {
+        upstream.first_repeat = now;
+    }
+    if (upstream.repeats >= enough_repeats && now - upstream.last_progress >= silence_limit)
+    {
+        upstream.avoid_until = now + avoid_time;
+    }
+}
+
+inline bool is_avoided(const upstream_incarnation& upstream, base::time_point now)
+{
+    return now < upstream.avoid_until;
+}
+
+} // namespace galenabay::steer
--- /dev/null
+++ b/src/steer/upstream_registry.cpp
@@ -0,0 +1,185 @@
+#include <galenabay/steer/upstream_registry.hpp>
+
+#include <galenabay/base/hash.hpp>
+#include <galenabay/base/invariant.hpp>
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace galenabay::steer
+{
+
+const char* name_of(upstream_change change)
+{
+    switch (change)
+    {
+    case upstream_change::none:
+        return "none";
+    case upstream_change::added:
+        return "added";
+    case upstream_change::updated:
+        return "updated";
+    case upstream_change::restarted:
+        return "restarted";
+    case upstream_change::missing:
+        return "missing";
+    case upstream_change::ended:
+        return "ended";
+    }
+    return "unknown";
+}
+
+upstream_token token_of(const upstream_entry& entry) noexcept
+{
+    const auto mixed = base::mix(base::hash_text(entry.id), entry.started_ms);
+    const auto token = static_cast<upstream_token>(mixed ^ (mixed >> 32U));
+    return token == 0 ? 1 : token;
+}
+
+upstream_registry::change upstream_registry::put(const upstream_entry& entry, base::time_point now)
+{
+    auto kind = upstream_change::added;
+    if (const auto known = by_id_.find(entry.id); known != by_id_.end())
+    {
+        auto& current = *known->second;
+        if (current.entry.started_ms == entry.started_ms && current.entry.service == entry.service &&
+            current.entry.address == entry.address && !current.ended)
+        {
+            const bool same = current.entry.draining == entry.draining && !current.missing_since;
+            update(current, entry, now);
+            return {same ? upstream_change::none : upstream_change::updated, &current};
+        }
+        if (current.entry.started_ms > entry.started_ms)
+        {
+            return {upstream_change::none, &current};
+        }
+        end(current, now);
+        kind = upstream_change::restarted;
+    }
+    const auto token = token_of(entry);
+    auto& slot = by_token_[token];
+    if (slot && (!slot->ended || slot->entry.id != entry.id))
+    {
+        // Two upstreams with one token: packets could reach the wrong one, so the
+        // later one gets no flows.
+        return {upstream_change::none, nullptr};
+    }
+    if (!slot)
+    {
+        slot = std::make_unique<upstream_incarnation>();
+        slot->token = token;
+        slot->last_progress = now;
+    }
+    slot->ended = false;
+    update(*slot, entry, now);
+    by_id_[entry.id] = slot.get();
+    by_service_[entry.service].push_back(slot.get());
+    return {kind, slot.get()};
+}
+
+void upstream_registry::update(upstream_incarnation& incarnation, const upstream_entry& entry, base::time_point now)
+{
+    incarnation.entry = entry;
+    incarnation.warm_at = now + entry.warm_up_left;
+    incarnation.missing_since.reset();
+}
+
+upstream_registry::change upstream_registry::remove(std::string_view id, base::time_point now)
+{
+    const auto known = by_id_.find(std::string{id});
+    return known == by_id_.end() ? change{} : mark_missing(*known->second, now);
+}
+
+upstream_registry::change upstream_registry::mark_missing(upstream_incarnation& incarnation, base::time_point now)
+{
+    if (incarnation.missing_since || incarnation.ended)
+    {
+        return {};
+    }
+    incarnation.missing_since = now;
+    return {upstream_change::missing, &incarnation};
+}
+
+std::vector<upstream_registry::change> upstream_registry::replace_all(const std::vector<upstream_entry>& entries,
+                                                                      base::time_point now)
+{
+    std::vector<change> changes;
+    std::unordered_set<std::string_view> listed;
+    for (const auto& entry : entries)
+    {
+        listed.insert(entry.id);
+        if (const auto made = put(entry, now); made.kind != upstream_change::none)
+        {
+            changes.push_back(made);
+        }
+    }
+    for (const auto& [id, incarnation] : by_id_)
+    {
+        if (listed.contains(id))
+        {
+            continue;
+        }
+        if (const auto made = mark_missing(*incarnation, now); made.kind != upstream_change::none)
+        {
+            changes.push_back(made);
+        }
+    }
+    return changes;
+}
+
+void upstream_registry::end(upstream_incarnation& incarnation, base::time_point now)
+{
+    incarnation.ended = true;
+    incarnation.ended_at = now;
+    std::erase(by_service_[incarnation.entry.service], &incarnation);
+    by_id_.erase(incarnation.entry.id);
+}
+
+std::vector<upstream_registry::change> upstream_registry::expire(base::time_point now)
+{
+    std::vector<change> ended;
+    for (auto& [token, incarnation] : by_token_)
+    {
+        const bool overdue = incarnation->missing_since && now - *incarnation->missing_since >= limits_.missing_grace;
+        if (!incarnation->ended && overdue && is_store_settled(now))
+        {
+            end(*incarnation, now);
+            ended.push_back({upstream_change::ended, incarnation.get()});
+        }
+    }
+    std::erase_if(by_token_,
+                  [&](const auto& row)
+                  {
+                      const auto& incarnation = *row.second;
+                      return incarnation.ended && incarnation.flows == 0 &&
+                             now - incarnation.ended_at >= limits_.memory;
+                  });
+    return ended;
+}
+
+upstream_incarnation* upstream_registry::find(upstream_token token)
+{
+    const auto known = by_token_.find(token);
+    return known == by_token_.end() ? nullptr : known->second.get();
+}
+
+const std::vector<upstream_incarnation*>& upstream_registry::of_service(const std::string& service) const
+{
+    static const std::vector<upstream_incarnation*> none;
+    const auto known = by_service_.find(service);
+    return known == by_service_.end() ? none : known->second;
+}
+
+bool upstream_registry::is_store_settled(base::time_point now) const
+{
+    return !store_failed_at_ || now - *store_failed_at_ >= limits_.missing_grace;
+}
+
+bool upstream_registry::may_have_lapsed(const upstream_incarnation& incarnation) const
+{
+    return incarnation.missing_since && store_failed_at_ &&
+           *incarnation.missing_since - *store_failed_at_ < limits_.missing_grace;
+}
+
+} // namespace galenabay::steer
--- /dev/null
+++ b/tests/edge/store_watch_test.cpp
@@ -0,0 +1,80 @@
+#include "../../src/edge/store_watch.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace galenabay;
+using namespace galenabay::edge;
+using namespace std::chrono_literals;
+
+TEST_GROUP(store_watch)
+{
+    store_watch_options options;
+    store_watch watch{options, 1};
+    base::time_point now{1h};
+
+    void list_everything(std::uint64_t revision)
+    {
+        CHECK(watch.on_page(revision, "z", false, now));
+    }
+};
+
+TEST(store_watch, lists_before_it_watches)
+{
+    CHECK(watch.next().what == store_call::kind::list);
+    list_everything(40);
+    CHECK(watch.next().what == store_call::kind::watch);
+    LONGS_EQUAL(40, watch.next().revision);
+}
+
+TEST(store_watch, reads_all_pages_and_watches_from_the_first_ones_revision)
+{
+    CHECK_FALSE(watch.on_page(40, "m", true, now));
+    STRCMP_EQUAL("m", watch.next().after.c_str());
+    CHECK(watch.on_page(45, "z", false, now));
+    LONGS_EQUAL(40, watch.next().revision);
+}
+
+TEST(store_watch, a_lost_history_starts_a_new_list_at_once)
+{
+    list_everything(40);
+    watch.on_failure(base::error_code::stale, now);
+    CHECK(watch.next().what == store_call::kind::list);
+    CHECK(watch.next().at == now);
+    STRCMP_EQUAL("", watch.next().after.c_str());
+}
+
+TEST(store_watch, changes_that_come_in_series_are_read_together)
+{
+    list_everything(40);
+    watch.on_changes(41, true, now);
+    CHECK(watch.next().at == now + options.batch_pause);
+    watch.on_changes(41, false, now);
+    CHECK(watch.next().at == now);
+}
+
+TEST(store_watch, never_watches_from_an_older_revision)
+{
+    list_everything(40);
+    watch.on_changes(50, true, now);
+    watch.on_changes(45, true, now);
+    LONGS_EQUAL(50, watch.next().revision);
+}
+
+TEST(store_watch, pauses_between_failed_calls_stay_below_the_longest)
+{
+    for (int failure = 0; failure < 40; ++failure)
+    {
+        watch.on_failure(base::error_code::unavailable, now);
+        CHECK(watch.next().at > now);
+        CHECK(watch.next().at <= now + options.longest_retry);
+    }
+    list_everything(3);
+    LONGS_EQUAL(0, watch.failures());
+}
+
+TEST(store_watch, a_silent_connection_is_noticed_within_the_configuration_bound)
+{
+    constexpr auto configuration_bound = 3s;
+    constexpr auto answer_timeout = 1s;
+    CHECK(options.watch_wait + answer_timeout < configuration_bound);
+}
--- /dev/null
+++ b/tests/steer/steer_fixture.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <galenabay/steer/steerer.hpp>
+
+#include <string>
+
+namespace galenabay::steer::test
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t service_address = 0xc6120001;
+constexpr std::uint16_t service_port = 443;
+
+inline base::time_point at(base::duration since_start)
+{
+    return base::time_point{1h} + since_start;
+}
+
+inline upstream_entry make_upstream(const std::string& id, std::uint64_t number, std::uint64_t started_ms = 1000,
+                                    const std::string& service = "feed")
+{
+    return {.id = id,
+            .number = number,
+            .started_ms = started_ms,
+            .service = service,
+            .address = base::endpoint::make_v4(0x0a800000U + static_cast<std::uint32_t>(number), 8080),
+            .data_centre = "east",
+            .slots = 3,
+            .draining = false,
+            .warm_up_left = 0us};
+}
+
+inline configuration make_configuration(std::uint64_t version, std::vector<weighted_service> services = {{"feed", 1}})
+{
+    return {
+        .version = version,
+        .routes = {{.name = "r", .address = service_address, .port = service_port, .services = std::move(services)}},
+        .idle_timeout = 15s};
+}
+
+inline flow_key make_flow(std::uint16_t port)
+{
+    return {.caller_address = 0x64400007,
+            .service_address = service_address,
+            .caller_port = port,
+            .service_port = service_port};
+}
+
+inline packet_head opening(std::uint16_t port, std::uint32_t copy = 0)
+{
+    packet_head head;
+    head.flow = make_flow(port);
+    head.acknowledged = copy;
+    head.opening = true;
+    return head;
+}
+
+inline packet_head data(std::uint16_t port, upstream_token token, std::uint32_t sequence, std::uint32_t acknowledged)
+{
+    packet_head head;
+    head.flow = make_flow(port);
+    head.token = token;
+    head.sequence = sequence;
+    head.acknowledged = acknowledged;
+    head.data_size = 100;
+    return head;
+}
+
+/// A steerer with a configuration and upstreams.
+class steered
+{
+public:
+    explicit steered(std::vector<upstream_entry> upstreams, std::uint64_t seed = 7) : core{{}, seed}
+    {
+        core.on_configuration(make_configuration(1));
+        core.on_upstream_list(upstreams, at(0s));
+        core.on_tick(at(0s));
+    }
+
+    /// Ticks as the packet thread does, so that no pause is seen.
+    steerer::outcome run_until(base::duration since_start)
+    {
+        steerer::outcome all;
+        for (; now_ < since_start; now_ += 100ms)
+        {
+            auto learned = core.on_tick(at(now_));
+            all.changes.insert(all.changes.end(), learned.changes.begin(), learned.changes.end());
+            all.resets.insert(all.resets.end(), learned.resets.begin(), learned.resets.end());
+        }
+        return all;
+    }
+
+    steerer core;
+
+private:
+    base::duration now_ = 0s;
+};
+
+} // namespace galenabay::steer::test
--- /dev/null
+++ b/tests/steer/steerer_test.cpp
@@ -0,0 +1,315 @@
+#include "steer_fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace galenabay::steer;
+using namespace galenabay::steer::test;
+
+TEST_GROUP(steerer){};
+
+namespace
+{
+
+void check_action(steering_action expected, const steering_decision& decision)
+{
+    STRCMP_EQUAL(name_of(expected), name_of(decision.action));
+}
+
+void check_reason(steering_reason expected, const steering_decision& decision)
+{
+    STRCMP_EQUAL(name_of(expected), name_of(decision.reason));
+}
+
+} // namespace
+
+TEST(steerer, forwards_an_opening_packet_to_an_upstream_of_the_routes_service)
+{
+    steered host{{make_upstream("i-1", 1), make_upstream("i-2", 2, 1000, "other")}};
+    for (std::uint16_t port = 1; port < 50; ++port)
+    {
+        const auto decision = host.core.on_packet(opening(port), at(10ms));
+        check_action(steering_action::forward, decision);
+        LONGS_EQUAL(1, decision.upstream_number);
+        LONGS_EQUAL(token_of(make_upstream("i-1", 1)), decision.token);
+    }
+}
+
+TEST(steerer, any_host_steers_a_flow_by_its_token)
+{
+    const std::vector upstreams{make_upstream("i-1", 1), make_upstream("i-2", 2), make_upstream("i-3", 3)};
+    steered first{upstreams, 1};
+    steered second{upstreams, 99};
+    for (std::uint16_t port = 1; port < 100; ++port)
+    {
+        const auto opened = first.core.on_packet(opening(port), at(10ms));
+        const auto followed = second.core.on_packet(data(port, opened.token, 1, 500), at(20ms));
+        check_action(steering_action::forward, followed);
+        LONGS_EQUAL(opened.upstream_number, followed.upstream_number);
+    }
+}
+
+TEST(steerer, a_flow_stays_on_a_draining_upstream_that_takes_no_new_ones)
+{
+    auto draining = make_upstream("i-1", 1);
+    steered host{{draining, make_upstream("i-2", 2)}};
+    draining.draining = true;
+    host.core.on_upstream(draining, at(1s));
+    const auto followed = host.core.on_packet(data(1, token_of(draining), 1, 1), at(1s));
+    LONGS_EQUAL(1, followed.upstream_number);
+    for (std::uint16_t port = 2; port < 50; ++port)
+    {
+        LONGS_EQUAL(2, host.core.on_packet(opening(port), at(1s)).upstream_number);
+    }
+}
+
+TEST(steerer, resets_when_no_upstream_may_take_the_flow)
+{
+    auto draining = make_upstream("i-1", 1);
+    draining.draining = true;
+    steered host{{draining}};
+    const auto decision = host.core.on_packet(opening(1), at(10ms));
+    check_action(steering_action::reset, decision);
+    check_reason(steering_reason::no_upstream, decision);
+}
+
+TEST(steerer, an_id_that_restarted_ends_the_flows_of_its_earlier_start)
+{
+    const auto before = make_upstream("i-1", 1, 1000);
+    steered host{{before, make_upstream("i-2", 2)}};
+    host.core.on_packet(data(1, token_of(before), 1, 777), at(10ms));
+    const auto learned = host.core.on_upstream(make_upstream("i-1", 1, 2000), at(1s));
+    LONGS_EQUAL(1, learned.resets.size());
+    LONGS_EQUAL(777, learned.resets.front().sequence);
+    const auto late = host.core.on_packet(data(2, token_of(before), 1, 888), at(2s));
+    check_action(steering_action::reset, late);
+    LONGS_EQUAL(888, late.reset.sequence);
+}
+
+TEST(steerer, an_older_start_of_an_id_changes_nothing)
+{
+    const auto current = make_upstream("i-1", 1, 2000);
+    steered host{{current}};
+    LONGS_EQUAL(0, host.core.on_upstream(make_upstream("i-1", 1, 1000), at(1s)).changes.size());
+    check_action(steering_action::forward, host.core.on_packet(data(1, token_of(current), 1, 1), at(1s)));
+}
+
+TEST(steerer, an_address_used_again_never_gets_the_old_flows)
+{
+    const auto before = make_upstream("i-1", 1);
+    steered host{{before, make_upstream("i-2", 2)}};
+    host.core.on_upstream_removed("i-1", at(1s));
+    auto heir = make_upstream("i-9", 9, 5000, "other");
+    heir.address = before.address;
+    host.core.on_upstream(heir, at(2s));
+    const auto decision = host.core.on_packet(data(1, token_of(before), 1, 1), at(2s));
+    check_action(steering_action::forward, decision);
+    // The number in front of the packet keeps it from the upstream that listens there now.
+    LONGS_EQUAL(1, decision.upstream_number);
+}
+
+TEST(steerer, flows_of_a_missing_upstream_are_reset_only_when_it_had_time_to_come_back)
+{
+    const auto lost = make_upstream("i-1", 1);
+    steered host{{lost, make_upstream("i-2", 2)}};
+    host.core.on_packet(data(1, token_of(lost), 1, 5), at(0s));
+    host.run_until(1s);
+    host.core.on_upstream_removed("i-1", at(1s));
+    LONGS_EQUAL(0, host.run_until(3400ms).resets.size());
+    LONGS_EQUAL(1, host.run_until(4s).resets.size());
+}
+
+TEST(steerer, a_registration_that_lapsed_while_the_store_was_away_keeps_its_flows)
+{
+    const auto lapsed = make_upstream("i-1", 1);
+    steered host{{lapsed, make_upstream("i-2", 2)}};
+    host.core.on_packet(data(1, token_of(lapsed), 1, 5), at(0s));
+    for (auto now = 1s; now < 6s; now += 1s)
+    {
+        host.run_until(now);
+        host.core.on_store_failure(at(now));
+    }
+    host.core.on_upstream_list({make_upstream("i-2", 2)}, at(6s));
+    LONGS_EQUAL(0, host.run_until(7500ms).resets.size());
+    host.core.on_upstream(lapsed, at(7500ms));
+    LONGS_EQUAL(0, host.run_until(20s).resets.size());
+    check_action(steering_action::forward, host.core.on_packet(data(1, token_of(lapsed), 2, 6), at(20s)));
+}
+
+TEST(steerer, a_lapsed_registration_still_takes_new_flows)
+{
+    steered host{{make_upstream("i-1", 1)}};
+    host.core.on_store_failure(at(1s));
+    host.core.on_upstream_list({}, at(2s));
+    check_action(steering_action::forward, host.core.on_packet(opening(1), at(2s)));
+}
+
+TEST(steerer, a_packet_with_an_unknown_token_is_dropped)
+{
+    steered host{{make_upstream("i-1", 1)}};
+    check_reason(steering_reason::token_unknown, host.core.on_packet(data(1, 12345, 1, 1), at(1s)));
+    check_reason(steering_reason::token_missing, host.core.on_packet(data(1, 0, 1, 1), at(1s)));
+}
+
+TEST(steerer, a_copy_of_an_opening_packet_goes_to_another_upstream)
+{
+    steered host{{make_upstream("i-1", 1), make_upstream("i-2", 2)}};
+    for (std::uint16_t port = 1; port < 30; ++port)
+    {
+        const auto opened = host.core.on_packet(opening(port, 0), at(0ms));
+        const auto copied = host.core.on_packet(opening(port, 1), at(200ms));
+        check_reason(steering_reason::next_upstream, copied);
+        CHECK(opened.upstream_number != copied.upstream_number);
+    }
+}
+
+TEST(steerer, the_only_upstream_gets_the_copies_too)
+{
+    steered host{{make_upstream("i-1", 1)}};
+    host.core.on_packet(opening(1, 0), at(0ms));
+    check_action(steering_action::forward, host.core.on_packet(opening(1, 1), at(200ms)));
+}
+
+TEST(steerer, waits_for_a_newer_configuration_before_it_refuses_an_unknown_route)
+{
+    steered host{{make_upstream("i-1", 1)}};
+    auto unknown = opening(1, 0);
+    unknown.flow.service_port = 9999;
+    check_action(steering_action::drop, host.core.on_packet(unknown, at(0ms)));
+    unknown.acknowledged = 2;
+    check_action(steering_action::reset, host.core.on_packet(unknown, at(600ms)));
+}
+
+TEST(steerer, refuses_a_removed_route_at_once_and_keeps_its_open_flows)
+{
+    const auto upstream = make_upstream("i-1", 1);
+    steered host{{upstream}};
+    host.core.on_configuration({.version = 2, .routes = {}, .idle_timeout = 15s});
+    check_reason(steering_reason::route_removed, host.core.on_packet(opening(1, 0), at(0ms)));
+    check_action(steering_action::forward, host.core.on_packet(data(2, token_of(upstream), 1, 1), at(0ms)));
+}
+
+TEST(steerer, never_adopts_an_older_version)
+{
+    steered host{{make_upstream("i-1", 1)}};
+    CHECK(host.core.on_configuration(make_configuration(9)));
+    CHECK_FALSE(host.core.on_configuration(make_configuration(8)));
+    CHECK_FALSE(host.core.on_configuration(make_configuration(9)));
+    LONGS_EQUAL(9, host.core.routes().version());
+}
+
+TEST(steerer, splits_new_flows_by_weight)
+{
+    steered host{{make_upstream("i-1", 1), make_upstream("i-2", 2, 1000, "other")}};
+    host.core.on_configuration(make_configuration(2, {{"feed", 90}, {"other", 10}}));
+    int to_other = 0;
+    constexpr int flows = 2000;
+    for (std::uint16_t port = 1; port <= flows; ++port)
+    {
+        to_other += host.core.on_packet(opening(port), at(1ms)).upstream_number == 2 ? 1 : 0;
+    }
+    CHECK(to_other > flows / 20 && to_other < flows * 3 / 20);
+}
+
+TEST(steerer, avoids_a_silent_upstream_and_resets_its_waiting_flows)
+{
+    const auto silent = make_upstream("i-1", 1);
+    const auto good = make_upstream("i-2", 2);
+    steered host{{silent, good}};
+    host.core.on_packet(data(1, token_of(silent), 1, 5), at(0ms));
+    host.core.on_packet(data(2, token_of(good), 1, 5), at(0ms));
+    host.run_until(200ms);
+    check_action(steering_action::forward, host.core.on_packet(data(1, token_of(silent), 1, 5), at(200ms)));
+    host.core.on_packet(data(2, token_of(good), 101, 400), at(300ms));
+    host.run_until(600ms);
+    const auto third = host.core.on_packet(data(1, token_of(silent), 1, 5), at(600ms));
+    check_reason(steering_reason::upstream_silent, third);
+    for (std::uint16_t port = 10; port < 30; ++port)
+    {
+        LONGS_EQUAL(2, host.core.on_packet(opening(port), at(700ms)).upstream_number);
+    }
+}
+
+TEST(steerer, a_repeat_on_an_upstream_that_answers_others_resets_nothing)
+{
+    const auto lossy = make_upstream("i-1", 1);
+    steered host{{lossy, make_upstream("i-2", 2)}};
+    std::uint32_t answered = 5;
+    for (auto now = 0ms; now <= 1400ms; now += 100ms)
+    {
+        host.run_until(now);
+        host.core.on_packet(data(2, token_of(lossy), 1 + answered, answered), at(now));
+        answered += 10;
+        if (now == 0ms || now == 200ms || now == 600ms || now == 1400ms)
+        {
+            check_action(steering_action::forward, host.core.on_packet(data(1, token_of(lossy), 1, 5), at(now)));
+        }
+    }
+}
+
+TEST(steerer, a_host_that_reaches_no_upstream_resets_nothing)
+{
+    const auto first = make_upstream("i-1", 1);
+    const auto second = make_upstream("i-2", 2);
+    steered host{{first, second}};
+    for (const auto now : {0ms, 200ms, 600ms, 1400ms})
+    {
+        host.run_until(now);
+        check_action(steering_action::forward, host.core.on_packet(data(1, token_of(first), 1, 5), at(now)));
+        check_action(steering_action::forward, host.core.on_packet(data(2, token_of(second), 1, 5), at(now)));
+    }
+}
+
+TEST(steerer, packets_that_waited_while_the_process_was_paused_show_no_silence)
+{
+    const auto upstream = make_upstream("i-1", 1);
+    const auto other = make_upstream("i-2", 2);
+    steered host{{upstream, other}};
+    host.core.on_packet(data(1, token_of(upstream), 1, 5), at(0ms));
+    host.core.on_tick(at(3s));
+    host.core.on_packet(data(2, token_of(other), 1, 9), at(3s));
+    for (int copy = 0; copy < 3; ++copy)
+    {
+        check_action(steering_action::forward, host.core.on_packet(data(1, token_of(upstream), 1, 5), at(3s)));
+    }
+}
+
+TEST(steerer, counts_open_flows_and_forgets_closed_ones)
+{
+    const auto upstream = make_upstream("i-1", 1);
+    steered host{{upstream}};
+    host.core.on_packet(opening(1), at(0ms));
+    host.core.on_packet(data(1, token_of(upstream), 1, 1), at(10ms));
+    const auto* state = host.core.registry().find(token_of(upstream));
+    LONGS_EQUAL(1, state->flows);
+    LONGS_EQUAL(1, state->open_requests);
+    auto last = data(1, token_of(upstream), 101, 50);
+    last.closing = true;
+    host.core.on_packet(last, at(20ms));
+    LONGS_EQUAL(0, state->flows);
+    LONGS_EQUAL(0, state->open_requests);
+    host.run_until(5s);
+    LONGS_EQUAL(0, host.core.flow_count());
+}
+
+TEST(steerer, says_nothing_before_it_knows_configuration_and_upstreams)
+{
+    galenabay::steer::steerer fresh{{}, 1};
+    CHECK_FALSE(fresh.is_ready());
+    check_reason(steering_reason::not_ready, fresh.on_packet(opening(1), at(0s)));
+    fresh.on_configuration(make_configuration(1));
+    CHECK_FALSE(fresh.is_ready());
+    fresh.on_upstream_list({}, at(0s));
+    CHECK(fresh.is_ready());
+}
+
+TEST(steerer, two_upstreams_with_one_token_do_not_share_flows)
+{
+    // The same id and start from another service: equal tokens.
+    const auto first = make_upstream("i-1", 1);
+    steered host{{first}};
+    auto other = make_upstream("i-1", 1, 1000, "other");
+    host.core.on_upstream(other, at(1s));
+    const auto* known = host.core.registry().find(token_of(first));
+    STRCMP_EQUAL("other", known->entry.service.c_str());
+    check_reason(steering_reason::no_upstream, host.core.on_packet(opening(1), at(1s)));
+}
