--- /dev/null
+++ b/include/galenabay/peers/peer_view.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/time.hpp>
+#include <galenabay/peers/host_status.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace galenabay::peers
+{
+
+/// Times and numbers of the exchange between hosts.
+struct peer_options
+{
+    /// Hosts of a data centre that watch the store for all. The watchers of other
+    /// data centres tell this one too, so one is enough.
+    std::size_t followers_per_data_centre = 1;
+    /// Three statuses may be lost before a host counts as silent.
+    base::duration silence_limit = std::chrono::milliseconds{1'600};
+    /// How long the address of a silent host is kept.
+    base::duration address_memory = std::chrono::seconds{60};
+};
+
+/// Which hosts there are and what they said last. Pure; not thread-safe.
+///
+/// Every host ranks the hosts of its data centre in the same way, so that the one
+/// that watches the store needs no election: a host watches while too few that rank
+/// before it say that they do.
+class peer_view
+{
+public:
+    peer_view(std::string name, std::string data_centre, peer_options options = {});
+
+    /// False when the status is old or this host's own.
+    bool on_status(const host_status& status, const base::endpoint& from, base::time_point now);
+    /// The store names a host and its address.
+    void on_listed(const std::string& name, const base::endpoint& address, base::time_point now);
+    /// Forgets hosts that have been silent for long.
+    void expire(base::time_point now);
+
+    /// True when this host should watch the store.
+    bool should_follow(base::time_point now) const;
+
+    /// Addresses of the hosts of this data centre, or of all others. A host whose data
+    /// centre is unknown belongs to both.
+    std::vector<base::endpoint> addresses(bool own_data_centre) const;
+
+    /// A live host that has a newer configuration than `version`.
+    std::optional<base::endpoint> with_newer_configuration(std::uint64_t version, base::time_point now) const;
+    /// A live host that applied changes of the upstreams after `revision`.
+    std::optional<base::endpoint> with_newer_upstreams(std::uint64_t revision, base::time_point now) const;
+
+    /// Sum of what the live hosts put on each upstream.
+    std::unordered_map<steer::upstream_token, upstream_load> total_loads(base::time_point now) const;
+    /// How many live hosts call an upstream silent.
+    std::unordered_map<steer::upstream_token, std::size_t> silence_votes(base::time_point now) const;
+
+    std::size_t live_count(base::time_point now) const;
+
+private:
+    struct peer
+    {
+        base::endpoint address;
+        host_status status;
+        base::time_point heard_at{};
+        bool heard = false;
+    };
+
+    bool is_live(const peer& other, base::time_point now) const;
+    template <typename Value> std::optional<base::endpoint> newest(Value value, std::uint64_t floor,
+                                                                   base::time_point now) const;
+
+    std::string name_;
+    std::string data_centre_;
+    peer_options options_;
+    std::unordered_map<std::string, peer> peers_;
+};
+
+} // namespace galenabay::peers
--- /dev/null
+++ b/include/galenabay/peers/upstream_changes.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <galenabay/steer/configuration.hpp>
+#include <galenabay/steer/upstream_entry.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace galenabay::peers
+{
+
+/// A registration that was removed from the store. Plain value.
+struct removed_upstream
+{
+    std::string id;
+    std::uint64_t revision = 0;
+
+    friend auto operator<=>(const removed_upstream&, const removed_upstream&) = default;
+};
+
+/// Changes of the upstreams between two revisions of the store. Plain value.
+struct upstream_changes
+{
+    /// Applies to a host that knows all changes up to this revision.
+    std::uint64_t previous_revision = 0;
+    std::uint64_t revision = 0;
+    std::vector<steer::upstream_entry> entries;
+    std::vector<removed_upstream> removed;
+
+    friend auto operator<=>(const upstream_changes&, const upstream_changes&) = default;
+};
+
+/// All that a host knows of the store. Plain value.
+struct edge_state
+{
+    /// Version 0: none known.
+    steer::configuration configuration;
+    /// All upstreams; `previous_revision` is 0.
+    upstream_changes upstreams;
+
+    friend auto operator<=>(const edge_state&, const edge_state&) = default;
+};
+
+} // namespace galenabay::peers
--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace galenabay::steer
@@ -22,6 +23,8 @@
 /// Bounds of steering. Each has its unit in its type or name.
 struct steering_options
 {
+    /// Of this host; its upstreams are preferred.
+    std::string data_centre;
     upstream_registry::limits registry{};
     /// Flows remembered: those of 53 million that one of 3,900 hosts sees, and half.
     std::size_t max_flows = 20'000;
@@ -33,6 +36,8 @@
     /// Gap between two ticks that shows that this process did not run: packets that
     /// waited meanwhile say nothing about upstreams.
     base::duration pause_limit = std::chrono::milliseconds{350};
+    /// How long the silence that other hosts report counts: two of their statuses.
+    base::duration vote_time = std::chrono::milliseconds{1'000};
     /// How long a closed flow is remembered, for copies of its last packets.
     base::duration closed_memory = std::chrono::seconds{2};
 };
@@ -61,11 +66,15 @@
 
     /// False when a version that is as new or newer is in force.
     bool on_configuration(const configuration& next);
-    /// A complete list of the upstreams.
-    outcome on_upstream_list(const std::vector<upstream_entry>& entries, base::time_point now);
+    /// A complete list of the upstreams as of a revision of the store.
+    outcome on_upstream_list(const std::vector<upstream_entry>& entries, std::uint64_t revision, base::time_point now);
     outcome on_upstream(const upstream_entry& entry, base::time_point now);
-    outcome on_upstream_removed(std::string_view id, base::time_point now);
+    outcome on_upstream_removed(const std::string& id, std::uint64_t revision, base::time_point now);
     void on_store_failure(base::time_point now) { registry_.store_failed(now); }
+    /// The load that the other hosts put on an upstream, and how many of them call it
+    /// silent.
+    void on_remote_view(upstream_token token, std::uint32_t flows, std::uint32_t open_requests, std::size_t silence_votes,
+                        base::time_point now);
 
     /// Decides one packet.
     steering_decision on_packet(const packet_head& head, base::time_point now);
@@ -74,6 +83,8 @@
 
     /// True when the configuration and the upstreams are known.
     bool is_ready() const noexcept { return routes_.version() != 0 && has_upstreams_; }
+    /// True when this host's own flows show that the upstream answers none of them.
+    bool is_silent(const upstream_incarnation& upstream, base::time_point now) const;
     const route_table& routes() const noexcept { return routes_; }
     upstream_registry& registry() noexcept { return registry_; }
     std::size_t flow_count() const noexcept;
--- a/include/galenabay/steer/upstream_entry.hpp
+++ b/include/galenabay/steer/upstream_entry.hpp
@@ -28,6 +28,8 @@
     bool draining = false;
     /// How much longer the upstream is slow after its start.
     base::duration warm_up_left{0};
+    /// Revision of the store at which the registration last changed.
+    std::uint64_t revision = 0;
 
     friend auto operator<=>(const upstream_entry&, const upstream_entry&) = default;
 };
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -8,7 +8,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -57,7 +56,9 @@
     /// Packets sent again by callers since then.
     std::uint32_t repeats = 0;
     base::time_point first_repeat{};
-    /// New flows avoid the upstream until then.
+    /// This host's flows showed silence; it counts until then.
+    base::time_point silent_until{};
+    /// New flows avoid the upstream until then, by own evidence or that of others.
     base::time_point avoid_until{};
 };
 
@@ -85,12 +86,14 @@
 
     explicit upstream_registry(limits bounds) : limits_{bounds} {}
 
-    /// Takes one registration.
+    /// Takes one registration; ignores one older than what is known of the id.
     change put(const upstream_entry& entry, base::time_point now);
-    /// The store no longer lists the id, or lists it with unusable fields.
-    change remove(std::string_view id, base::time_point now);
-    /// A complete list: ids that it leaves out are missing.
-    std::vector<change> replace_all(const std::vector<upstream_entry>& entries, base::time_point now);
+    /// The store lists the id no longer since `revision`, or with unusable fields.
+    change remove(const std::string& id, std::uint64_t revision, base::time_point now);
+    /// A complete list as of `revision`: ids that it leaves out are missing, except
+    /// those that are known to have changed later.
+    std::vector<change> replace_all(const std::vector<upstream_entry>& entries, std::uint64_t revision,
+                                    base::time_point now);
     /// The store could not be read: its entries may lapse although upstreams live.
     void store_failed(base::time_point now) { store_failed_at_ = now; }
 
@@ -117,6 +120,16 @@
     std::size_t size() const noexcept { return by_token_.size(); }
 
 private:
+    /// The newest that is known of an id.
+    struct known_revision
+    {
+        std::uint64_t revision = 0;
+        bool removed = false;
+        base::time_point at{};
+    };
+
+    /// False when `revision` tells nothing newer of the id.
+    bool advance(const std::string& id, std::uint64_t revision, bool removed, base::time_point now);
     change mark_missing(upstream_incarnation& incarnation, base::time_point now);
     void end(upstream_incarnation& incarnation, base::time_point now);
     void update(upstream_incarnation& incarnation, const upstream_entry& entry, base::time_point now);
@@ -125,6 +138,7 @@
     std::unordered_map<upstream_token, std::unique_ptr<upstream_incarnation>> by_token_;
     std::unordered_map<std::string, upstream_incarnation*> by_id_;
     std::unordered_map<std::string, std::vector<upstream_incarnation*>> by_service_;
+    std::unordered_map<std::string, known_revision> revisions_;
     std::optional<base::time_point> store_failed_at_;
 };
 
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -1,6 +1,8 @@
 #include <galenabay/edge/edge_host.hpp>
 
 #include "packet_duty.hpp"
+#include "peer_paths.hpp"
+#include "registration_duty.hpp"
 #include "store_duty.hpp"
 
 #include <galenabay/base/hash.hpp>
@@ -34,6 +36,8 @@
 /// Left of the stop bound for the end of the process.
 constexpr milliseconds exit_reserve{800};
 constexpr milliseconds drain_step{50};
+/// Much less than the time until the routers have moved on.
+constexpr milliseconds unregister_timeout{300};
 
 /// Differs between hosts and starts; nothing that must be agreed on depends on it.
 std::uint64_t make_seed(const adapter::settings& settings)
@@ -42,6 +46,22 @@
     return base::mix(base::hash_text(settings.host), now);
 }
 
+std::uint64_t unix_microseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+net::status_answer answer_peer(const std::string& path, const shared_state& state)
+{
+    const auto known = state.snapshot();
+    if (path != peer_state_path || !known)
+    {
+        return {status_not_found, "not found"};
+    }
+    return {status_ok, peers::encode(*known)};
+}
+
 net::status_answer answer(const std::string& path, const shared_state& state, const edge_metrics& metrics)
 {
     if (path == "/readyz")
@@ -65,14 +85,15 @@
 class edge_host::implementation
 {
 public:
-    implementation(const adapter::settings& settings, net::udp_socket socket)
-        : settings_{settings}, state_{settings.store}, packets_{std::move(socket), make_seed(settings), state_,
-                                                                metrics_}
+    implementation(const adapter::settings& settings, net::udp_socket socket, net::udp_socket peers)
+        : settings_{settings}, state_{settings.store},
+          packets_{std::move(socket),   std::move(peers), {settings.host, settings.data_centre, unix_microseconds()},
+                   make_seed(settings), state_,           metrics_}
     {
     }
     implementation(const implementation&) = delete;
     implementation& operator=(const implementation&) = delete;
-    ~implementation() { state_.stop.store(true); }
+    ~implementation() { state_.stop(); }
 
     base::result<void> open_status_servers(std::uint16_t metrics_port)
     {
@@ -82,6 +103,9 @@
         const auto local = settings_.packets.with_port(metrics_port);
         BOOST_OUTCOME_TRY(metrics, net::status_server::start(local, "start_metrics", respond));
         metrics_server_ = std::make_unique<net::status_server>(std::move(metrics));
+        const auto respond_peer = [this](const std::string& path) { return answer_peer(path, state_); };
+        BOOST_OUTCOME_TRY(peers, net::status_server::start(settings_.peers, "start_peer_server", respond_peer));
+        peer_server_ = std::make_unique<net::status_server>(std::move(peers));
         return base::outcome::success();
     }
 
@@ -94,6 +118,9 @@
                 kind, store_watch_options{}, base::mix(make_seed(settings_), static_cast<std::uint64_t>(kind)), state_,
                 metrics_, packets_.updates(kind), packets_.waker()));
         }
+        registration_ =
+            std::make_unique<registration_duty>(settings_.host, settings_.peers, state_, metrics_,
+                                                packets_.updates(adapter::object_kind::hosts), packets_.waker());
     }
 
     void reload(const adapter::settings& next)
@@ -112,6 +139,7 @@
     milliseconds drain()
     {
         state_.draining.store(true);
+        unregister();
         metrics_.ready.Set(0);
         const auto begun = steady_now();
         const auto limit = std::max<base::duration>(settings_.stop_bound - exit_reserve, milliseconds{0});
@@ -129,6 +157,18 @@
     }
 
 private:
+    /// Hosts that start later need not write to this one. A failure is harmless: its
+    /// address is forgotten when it stays silent.
+    void unregister()
+    {
+        auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, unregister_timeout);
+        metrics_.store_calls(adapter::object_kind::hosts).Increment();
+        if (const auto removed = client.remove_host(settings_.host); !removed)
+        {
+            log_event{log_level::warning, "unregister_failed"}.with(removed.error());
+        }
+    }
+
     adapter::settings settings_;
     shared_state state_;
     edge_metrics metrics_;
@@ -136,12 +176,15 @@
     std::vector<std::unique_ptr<store_duty>> followers_;
     std::unique_ptr<net::status_server> readiness_;
     std::unique_ptr<net::status_server> metrics_server_;
+    std::unique_ptr<net::status_server> peer_server_;
+    std::unique_ptr<registration_duty> registration_;
 };
 
 base::result<edge_host> edge_host::start(const adapter::settings& settings, std::uint16_t metrics_port)
 {
     BOOST_OUTCOME_TRY(socket, net::udp_socket::bind(settings.packets));
-    auto running = std::make_unique<implementation>(settings, std::move(socket));
+    BOOST_OUTCOME_TRY(peers, net::udp_socket::bind(settings.peers));
+    auto running = std::make_unique<implementation>(settings, std::move(socket), std::move(peers));
     BOOST_OUTCOME_TRY(running->open_status_servers(metrics_port));
     running->start_duties();
     return edge_host{std::move(running)};
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -32,10 +32,13 @@
       malformed_packets{counter(registry_, "galenabay_malformed_packets_total", "Datagrams that are no packet")},
       send_failures{counter(registry_, "galenabay_send_failures_total", "Datagrams that the kernel did not take")},
       refused_objects{counter(registry_, "galenabay_refused_objects_total", "Objects of the store that can't be used")},
+      peer_messages{counter(registry_, "galenabay_peer_messages_total", "Messages from other hosts")},
       version{gauge(registry_, "galenabay_configuration_version", "Version of the configuration in force")},
       upstreams{gauge(registry_, "galenabay_upstreams", "Upstream incarnations that are remembered")},
       flows{gauge(registry_, "galenabay_flows", "Flows that this host saw lately")},
       ready{gauge(registry_, "galenabay_ready", "1 when the routers are told that this host is ready")},
+      peers{gauge(registry_, "galenabay_peers", "Other hosts that were heard lately")},
+      follows_store{gauge(registry_, "galenabay_follows_store", "1 while this host watches the store for others")},
       handling_time{histogram(registry_, "galenabay_handling_seconds", "Time to decide and send a batch of packets")},
       adoption_time{histogram(registry_, "galenabay_adoption_seconds", "Time from an answer of the store to its use")}
 {
@@ -50,7 +53,8 @@
     auto& calls = prometheus::BuildCounter().Name("galenabay_store_calls_total").Help("Calls").Register(registry_);
     auto& failures =
         prometheus::BuildCounter().Name("galenabay_store_failures_total").Help("Failed calls").Register(registry_);
-    for (const auto kind : {adapter::object_kind::configuration, adapter::object_kind::upstreams})
+    for (const auto kind :
+         {adapter::object_kind::configuration, adapter::object_kind::upstreams, adapter::object_kind::hosts})
     {
         store_calls_[index(kind)] = &calls.Add({{"kind", name_of(kind)}});
         store_failures_[index(kind)] = &failures.Add({{"kind", name_of(kind)}});
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -34,22 +34,25 @@
     std::string to_text() const;
 
 private:
-    static std::size_t index(adapter::object_kind kind) { return kind == adapter::object_kind::configuration ? 0 : 1; }
+    static std::size_t index(adapter::object_kind kind) { return static_cast<std::size_t>(kind); }
 
     prometheus::Registry registry_;
     std::array<prometheus::Counter*, steer::steering_reason_count> decisions_{};
-    std::array<prometheus::Counter*, 2> store_calls_{};
-    std::array<prometheus::Counter*, 2> store_failures_{};
+    std::array<prometheus::Counter*, 3> store_calls_{};
+    std::array<prometheus::Counter*, 3> store_failures_{};
 
 public:
     prometheus::Counter& resets;
     prometheus::Counter& malformed_packets;
     prometheus::Counter& send_failures;
     prometheus::Counter& refused_objects;
+    prometheus::Counter& peer_messages;
     prometheus::Gauge& version;
     prometheus::Gauge& upstreams;
     prometheus::Gauge& flows;
     prometheus::Gauge& ready;
+    prometheus::Gauge& peers;
+    prometheus::Gauge& follows_store;
     /// Seconds from the arrival of a batch of packets to its last decision.
     prometheus::Histogram& handling_time;
     /// Seconds from the arrival of a change to its adoption by the packet thread.
--- a/src/edge/packet_duty.cpp
+++ b/src/edge/packet_duty.cpp
@@ -20,6 +20,9 @@
 /// How often left-out lines and gauges are written.
 constexpr base::duration summary_interval = std::chrono::seconds{5};
 
+/// How long changes that a watcher has may be on their way to this host.
+constexpr base::duration changes_grace = std::chrono::milliseconds{300};
+
 double seconds_between(base::time_point from, base::time_point to)
 {
     return std::chrono::duration<double>(to - from).count();
@@ -27,8 +30,11 @@
 
 } // namespace
 
-packet_duty::packet_duty(net::udp_socket socket, std::uint64_t seed, shared_state& state, edge_metrics& metrics)
-    : socket_{std::move(socket)}, state_{state}, metrics_{metrics}, steerer_{{}, seed}, buffers_(net::batch_size)
+packet_duty::packet_duty(net::udp_socket socket, net::udp_socket peers, identity self, std::uint64_t seed,
+                         shared_state& state, edge_metrics& metrics)
+    : socket_{std::move(socket)}, state_{state}, metrics_{metrics}, steerer_{{.data_centre = self.data_centre}, seed},
+      self_{std::move(self)}, peers_{std::move(peers), peers::peer_view{self_.name, self_.data_centre}, metrics},
+      buffers_(net::batch_size)
 {
 }
 
@@ -47,12 +53,15 @@
 
 void packet_duty::run()
 {
-    while (!state_.stop.load())
+    while (!state_.stopping())
     {
         wait();
-        drain(configuration_updates_);
-        drain(upstream_updates_);
+        for (auto& ring : updates_)
+        {
+            drain(ring);
+        }
         receive(steady_now());
+        exchange_with_peers(steady_now());
         if (const auto now = steady_now(); now >= next_tick_)
         {
             tick(now);
@@ -64,9 +73,11 @@
 {
     waker_.prepare();
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(next_tick_ - steady_now());
-    const bool has_updates = configuration_updates_.size() > 0 || upstream_updates_.size() > 0;
+    const bool has_updates =
+        std::any_of(updates_.begin(), updates_.end(), [](const update_ring& ring) { return ring.size() > 0; });
     const auto timeout = has_updates ? 0 : std::max<std::int64_t>(left.count(), 0);
-    std::array<pollfd, 2> entries{pollfd{socket_.descriptor(), POLLIN, 0}, pollfd{waker_.descriptor(), POLLIN, 0}};
+    std::array<pollfd, 3> entries{pollfd{socket_.descriptor(), POLLIN, 0}, pollfd{waker_.descriptor(), POLLIN, 0},
+                                  pollfd{peers_.descriptor(), POLLIN, 0}};
     if (poll(entries.data(), entries.size(), static_cast<int>(timeout)) > 0 && entries[1].revents != 0)
     {
         waker_.clear();
@@ -148,6 +159,10 @@
         steerer_.on_store_failure(steady_now());
         return;
     }
+    if (update.what == store_update::kind::peer_state)
+    {
+        apply_peer_state(update);
+    }
     for (const auto& object : update.objects)
     {
         if (!object.fault.empty())
@@ -156,8 +171,25 @@
             log_.refused(object, update.revision, steady_now());
         }
     }
-    update.objects_of == adapter::object_kind::configuration ? apply_configuration(update) : apply_upstreams(update);
+    switch (update.objects_of)
+    {
+    case adapter::object_kind::configuration:
+        apply_configuration(update);
+        break;
+    case adapter::object_kind::upstreams:
+        apply_upstreams(update);
+        break;
+    case adapter::object_kind::hosts:
+        apply_hosts(update);
+        break;
+    }
+    snapshot_due_ = true;
     metrics_.adoption_time.Observe(seconds_between(update.at, steady_now()));
+    note_ready();
+}
+
+void packet_duty::note_ready()
+{
     if (steerer_.is_ready() && !state_.ready.exchange(true))
     {
         log_event{log_level::info, "ready"}.with("version", steerer_.routes().version());
@@ -165,28 +197,68 @@
     }
 }
 
+void packet_duty::apply_hosts(const store_update& update)
+{
+    for (const auto& object : update.objects)
+    {
+        if (object.host)
+        {
+            peers_.on_listed(object.name, *object.host, steady_now());
+        }
+    }
+}
+
+void packet_duty::apply_peer_state(const store_update& update)
+{
+    if (update.state->configuration.version != 0)
+    {
+        adopt(update.state->configuration, update.revision);
+    }
+    const auto& upstreams = update.state->upstreams;
+    if (upstreams.revision > upstreams_revision_)
+    {
+        const auto now = steady_now();
+        follow_up(steerer_.on_upstream_list(upstreams.entries, upstreams.revision, now), upstreams.revision, now);
+        upstreams_revision_ = upstreams.revision;
+    }
+}
+
+void packet_duty::adopt(const steer::configuration& next, std::uint64_t revision)
+{
+    const auto before = steerer_.routes().version();
+    const bool adopted = steerer_.on_configuration(next);
+    if (adopted)
+    {
+        configuration_ = next;
+    }
+    log_event{log_level::info, adopted ? "configuration_adopted" : "configuration_ignored"}
+        .with("version", next.version)
+        .with("before", before)
+        .with("routes", next.routes.size())
+        .with("revision", revision);
+    metrics_.version.Set(static_cast<double>(steerer_.routes().version()));
+}
+
 void packet_duty::apply_configuration(const store_update& update)
 {
     for (const auto& object : update.objects)
     {
-        if (!object.configuration)
+        if (object.configuration)
         {
-            continue;
+            adopt(*object.configuration, update.revision);
+            peers_.send_status(status(steady_now()), true, steady_now());
         }
-        const auto before = steerer_.routes().version();
-        const bool adopted = steerer_.on_configuration(*object.configuration);
-        log_event{log_level::info, adopted ? "configuration_adopted" : "configuration_ignored"}
-            .with("version", object.configuration->version)
-            .with("before", before)
-            .with("routes", object.configuration->routes.size())
-            .with("revision", update.revision);
-        metrics_.version.Set(static_cast<double>(steerer_.routes().version()));
     }
 }
 
 void packet_duty::apply_upstreams(const store_update& update)
 {
     const auto now = steady_now();
+    const auto previous_revision = upstreams_revision_;
+    for (const auto& object : update.objects)
+    {
+        upstreams_revision_ = std::max(upstreams_revision_, object.revision);
+    }
     if (update.what == store_update::kind::list)
     {
         std::vector<steer::upstream_entry> entries;
@@ -197,16 +269,164 @@
                 entries.push_back(*object.upstream);
             }
         }
-        follow_up(steerer_.on_upstream_list(entries, now), update.revision, now);
+        follow_up(steerer_.on_upstream_list(entries, update.revision, now), update.revision, now);
         return;
     }
     for (const auto& object : update.objects)
     {
         // An entry that can't be used names no upstream, as one that was removed.
         follow_up(object.upstream ? steerer_.on_upstream(*object.upstream, now)
-                                  : steerer_.on_upstream_removed(object.name, now),
+                                  : steerer_.on_upstream_removed(object.name, object.revision, now),
                   update.revision, now);
     }
+    if (update.what == store_update::kind::changes && state_.follows.load())
+    {
+        spread(update, previous_revision);
+    }
+}
+
+void packet_duty::spread(const store_update& update, std::uint64_t previous_revision)
+{
+    peers::upstream_changes changes{
+        .previous_revision = previous_revision, .revision = upstreams_revision_, .entries = {}, .removed = {}};
+    for (const auto& object : update.objects)
+    {
+        if (object.upstream)
+        {
+            changes.entries.push_back(*object.upstream);
+        }
+        else
+        {
+            changes.removed.push_back({.id = object.name, .revision = object.revision});
+        }
+    }
+    peers_.send_changes(changes);
+}
+
+void packet_duty::apply_changes(const peers::upstream_changes& changes)
+{
+    const auto now = steady_now();
+    for (const auto& entry : changes.entries)
+    {
+        follow_up(steerer_.on_upstream(entry, now), entry.revision, now);
+    }
+    for (const auto& removed : changes.removed)
+    {
+        follow_up(steerer_.on_upstream_removed(removed.id, removed.revision, now), removed.revision, now);
+    }
+    // After a gap the revision stays behind, so that the store is read.
+    if (changes.previous_revision <= upstreams_revision_)
+    {
+        upstreams_revision_ = std::max(upstreams_revision_, changes.revision);
+    }
+    snapshot_due_ = true;
+}
+
+void packet_duty::exchange_with_peers(base::time_point now)
+{
+    const bool any_status =
+        peers_.receive(now, [this](const peers::upstream_changes& changes) { apply_changes(changes); });
+    if (any_status)
+    {
+        catch_up(now);
+    }
+    if (!peers_.is_status_due(now))
+    {
+        return;
+    }
+    const bool follows = peers_.view().should_follow(now);
+    if (follows != state_.follows.exchange(follows))
+    {
+        log_event{log_level::info, follows ? "follow_begun" : "follow_ended"}.with("peers",
+                                                                                   peers_.view().live_count(now));
+        metrics_.follows_store.Set(follows ? 1 : 0);
+        state_.wake();
+    }
+    use_remote_view(now);
+    peers_.send_status(status(now), false, now);
+}
+
+void packet_duty::use_remote_view(base::time_point now)
+{
+    const auto loads = peers_.view().total_loads(now);
+    const auto votes = peers_.view().silence_votes(now);
+    steerer_.registry().for_each(
+        [&](const steer::upstream_incarnation& upstream)
+        {
+            const auto load = loads.find(upstream.token);
+            const auto vote = votes.find(upstream.token);
+            const auto sum = load == loads.end() ? peers::upstream_load{} : load->second;
+            steerer_.on_remote_view(upstream.token, sum.flows, sum.open_requests,
+                                    vote == votes.end() ? 0 : vote->second, now);
+        });
+}
+
+void packet_duty::catch_up(base::time_point now)
+{
+    const auto newer = peers_.view().with_newer_configuration(steerer_.routes().version(), now);
+    if (newer)
+    {
+        state_.request_read(adapter::object_kind::configuration, *newer);
+    }
+    const auto ahead = peers_.view().with_newer_upstreams(upstreams_revision_, now);
+    if (!ahead)
+    {
+        behind_since_.reset();
+        return;
+    }
+    if (!behind_since_)
+    {
+        behind_since_ = now;
+    }
+    if (now - *behind_since_ >= changes_grace)
+    {
+        behind_since_ = now;
+        state_.request_read(adapter::object_kind::upstreams, *ahead);
+    }
+}
+
+peers::host_status packet_duty::status(base::time_point now)
+{
+    peers::host_status own{.name = self_.name,
+                           .started_us = self_.started_us,
+                           .data_centre = self_.data_centre,
+                           .follows_store = state_.follows.load() && state_.store_answers(),
+                           .leaving = state_.draining.load(),
+                           .configuration_version = steerer_.routes().version(),
+                           .upstreams_revision = upstreams_revision_,
+                           .loads = {},
+                           .silent = {}};
+    steerer_.registry().for_each(
+        [&](const steer::upstream_incarnation& upstream)
+        {
+            if (upstream.flows > 0)
+            {
+                own.loads.push_back(
+                    {.token = upstream.token, .flows = upstream.flows, .open_requests = upstream.open_requests});
+            }
+            if (!upstream.ended && steerer_.is_silent(upstream, now))
+            {
+                own.silent.push_back(upstream.token);
+            }
+        });
+    return own;
+}
+
+void packet_duty::publish_snapshot()
+{
+    auto state = std::make_shared<peers::edge_state>();
+    state->configuration = configuration_;
+    state->upstreams.revision = upstreams_revision_;
+    steerer_.registry().for_each(
+        [&](const steer::upstream_incarnation& upstream)
+        {
+            if (!upstream.ended && !upstream.missing_since)
+            {
+                state->upstreams.entries.push_back(upstream.entry);
+            }
+        });
+    state_.publish(std::move(state));
+    snapshot_due_ = false;
 }
 
 void packet_duty::follow_up(const steer::steerer::outcome& learned, std::uint64_t revision, base::time_point now)
@@ -238,6 +458,10 @@
 {
     next_tick_ = now + steer::steerer::tick_interval;
     follow_up(steerer_.on_tick(now), 0, now);
+    if (snapshot_due_ && steerer_.is_ready())
+    {
+        publish_snapshot();
+    }
     if (now < next_summary_)
     {
         return;
@@ -245,6 +469,7 @@
     next_summary_ = now + summary_interval;
     log_.summarize();
     metrics_.upstreams.Set(static_cast<double>(steerer_.registry().size()));
+    metrics_.peers.Set(static_cast<double>(peers_.view().live_count(now)));
     metrics_.flows.Set(static_cast<double>(steerer_.flow_count()));
 }
 
--- a/src/edge/packet_duty.hpp
+++ b/src/edge/packet_duty.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge_metrics.hpp"
+#include "peer_link.hpp"
 #include "shared_state.hpp"
 #include "steering_log.hpp"
 #include "store_update.hpp"
@@ -12,6 +13,8 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -25,8 +28,18 @@
 class packet_duty
 {
 public:
-    /// `socket` receives the routers' datagrams; resets leave for `caller_port`.
-    packet_duty(net::udp_socket socket, std::uint64_t seed, shared_state& state, edge_metrics& metrics);
+    /// What names this host to the others.
+    struct identity
+    {
+        std::string name;
+        std::string data_centre;
+        /// Start of the process in microseconds of Unix time.
+        std::uint64_t started_us = 0;
+    };
+
+    /// `socket` receives the routers' datagrams, `peers` those of the other hosts.
+    packet_duty(net::udp_socket socket, net::udp_socket peers, identity self, std::uint64_t seed, shared_state& state,
+                edge_metrics& metrics);
     packet_duty(const packet_duty&) = delete;
     packet_duty& operator=(const packet_duty&) = delete;
     ~packet_duty();
@@ -35,10 +48,7 @@
     void start();
 
     /// Ring and waker of the thread that follows `kind`.
-    update_ring& updates(adapter::object_kind kind)
-    {
-        return kind == adapter::object_kind::configuration ? configuration_updates_ : upstream_updates_;
-    }
+    update_ring& updates(adapter::object_kind kind) { return updates_[static_cast<std::size_t>(kind)]; }
     net::waker& waker() noexcept { return waker_; }
 
 private:
@@ -55,6 +65,19 @@
     void apply_upstreams(const store_update& update);
     void follow_up(const steer::steerer::outcome& learned, std::uint64_t revision, base::time_point now);
     void send_resets(const std::vector<steer::flow_reset>& resets, base::time_point now);
+    void apply_hosts(const store_update& update);
+    void apply_peer_state(const store_update& update);
+    void apply_changes(const peers::upstream_changes& changes);
+    void adopt(const steer::configuration& next, std::uint64_t revision);
+    /// Passes on what a watch told.
+    void spread(const store_update& update, std::uint64_t previous_revision);
+    void exchange_with_peers(base::time_point now);
+    void use_remote_view(base::time_point now);
+    /// Reads the store when another host knows more.
+    void catch_up(base::time_point now);
+    peers::host_status status(base::time_point now);
+    void publish_snapshot();
+    void note_ready();
     void tick(base::time_point now);
     void send(std::span<net::packet* const> datagrams);
 
@@ -63,8 +86,16 @@
     edge_metrics& metrics_;
     steer::steerer steerer_;
     steering_log log_;
-    update_ring configuration_updates_{ring_capacity};
-    update_ring upstream_updates_{ring_capacity};
+    std::array<update_ring, 3> updates_{update_ring{ring_capacity}, update_ring{ring_capacity},
+                                        update_ring{ring_capacity}};
+    identity self_;
+    peer_link peers_;
+    steer::configuration configuration_;
+    /// Revision of the last change of the upstreams that was applied.
+    std::uint64_t upstreams_revision_ = 0;
+    bool snapshot_due_ = false;
+    /// Since when another host knows more.
+    std::optional<base::time_point> behind_since_;
     net::waker waker_;
     std::vector<net::packet> buffers_;
     base::time_point next_tick_{};
--- a/src/edge/store_duty.cpp
+++ b/src/edge/store_duty.cpp
@@ -1,6 +1,10 @@
 #include "store_duty.hpp"
 
+#include "peer_paths.hpp"
+
 #include <galenabay/base/log.hpp>
+#include <galenabay/net/http_session.hpp>
+#include <galenabay/peers/message_codec.hpp>
 
 #include <algorithm>
 #include <iterator>
@@ -23,6 +27,13 @@
 constexpr milliseconds ring_pause{5};
 /// Longest single sleep, so that a stop is noticed.
 constexpr milliseconds sleep_step{100};
+/// Longest wait for work of a host that does not watch the store.
+constexpr milliseconds idle_step{1'000};
+/// A single read does not wait for changes.
+constexpr milliseconds single_read_wait{1};
+/// Pause between two questions to a peer.
+constexpr milliseconds ask_interval{1'000};
+constexpr std::size_t max_state_bytes = 4U << 20U;
 
 milliseconds to_milliseconds(base::duration time)
 {
@@ -47,7 +58,7 @@
 {
     auto store = state_.store();
     auto client = adapter::store_client::make(store, kind_, answer_timeout);
-    while (!state_.stop.load())
+    while (!state_.stopping())
     {
         if (const auto current = state_.store(); current != store)
         {
@@ -55,16 +66,22 @@
             client = adapter::store_client::make(store, kind_, answer_timeout);
         }
         const auto call = watch_.next();
+        const bool follows = call.what == store_call::kind::list || state_.follows.load();
+        if (!follows && watch_.failures() == 0 && !state_.take_read_request(kind_))
+        {
+            state_.wait_for_work(kind_, idle_step);
+            continue;
+        }
         if (const auto now = steady_now(); now < call.at)
         {
             std::this_thread::sleep_for(std::min<base::duration>(call.at - now, sleep_step));
             continue;
         }
-        perform(client, call);
+        perform(client, call, follows ? options_.watch_wait : single_read_wait);
     }
 }
 
-void store_duty::perform(adapter::store_client& client, const store_call& call)
+void store_duty::perform(adapter::store_client& client, const store_call& call, base::duration watch_wait)
 {
     metrics_.store_calls(kind_).Increment();
     if (call.what == store_call::kind::list)
@@ -73,8 +90,53 @@
     }
     else
     {
-        on_watch(client.watch(call.revision, to_milliseconds(options_.watch_wait)));
+        on_watch(client.watch(call.revision, to_milliseconds(watch_wait)));
+    }
+    state_.store_answers(kind_).store(watch_.failures() == 0);
+    if (watch_.failures() > 0)
+    {
+        ask_peer();
+    }
+}
+
+void store_duty::ask_peer()
+{
+    const auto peer = state_.informed_peer();
+    const auto now = steady_now();
+    if (!peer || now < next_ask_)
+    {
+        return;
+    }
+    next_ask_ = now + ask_interval;
+    const auto answer = net::http_session::make(*peer, answer_timeout)
+                            .call({.step = "ask_peer",
+                                   .method = "GET",
+                                   .path = peer_state_path,
+                                   .body = {},
+                                   .expected = {},
+                                   .timeout = answer_timeout,
+                                   .max_response = max_state_bytes});
+    if (!answer)
+    {
+        log_event{log_level::warning, "peer_lost"}.with(answer.error());
+        return;
+    }
+    auto state = peers::decode_state(answer.value().body);
+    if (!state)
+    {
+        log_event{log_level::warning, "peer_state_refused"}.with("address", peer->to_string()).with(state.error());
+        return;
     }
+    log_event{log_level::info, "peer_state"}
+        .with("address", peer->to_string())
+        .with("version", state.value().configuration.version)
+        .with("revision", state.value().upstreams.revision);
+    pass_on({.what = store_update::kind::peer_state,
+             .objects_of = kind_,
+             .objects = {},
+             .revision = state.value().upstreams.revision,
+             .state = std::make_shared<const peers::edge_state>(std::move(state.value())),
+             .at = steady_now()});
 }
 
 void store_duty::on_list(const store_call& call, const base::result<adapter::store_page>& answer)
@@ -102,6 +164,7 @@
                  .objects_of = kind_,
                  .objects = std::exchange(listed_, {}),
                  .revision = watch_.next().revision,
+                 .state = {},
                  .at = now});
     }
 }
@@ -129,6 +192,7 @@
                  .objects_of = kind_,
                  .objects = page.objects,
                  .revision = page.revision,
+                 .state = {},
                  .at = now});
     }
 }
@@ -148,13 +212,18 @@
     {
         log_event{log_level::warning, "store_lost"}.with("kind", name_of(kind_)).with(failure);
     }
-    pass_on({.what = store_update::kind::failure, .objects_of = kind_, .objects = {}, .revision = 0, .at = now});
+    pass_on({.what = store_update::kind::failure,
+             .objects_of = kind_,
+             .objects = {},
+             .revision = 0,
+             .state = {},
+             .at = now});
 }
 
 void store_duty::pass_on(store_update update)
 {
     const auto shared = std::make_shared<const store_update>(std::move(update));
-    while (!updates_.push(shared) && !state_.stop.load())
+    while (!updates_.push(shared) && !state_.stopping())
     {
         std::this_thread::sleep_for(ring_pause);
     }
--- a/src/edge/store_duty.hpp
+++ b/src/edge/store_duty.hpp
@@ -27,7 +27,9 @@
 
 private:
     void run();
-    void perform(adapter::store_client& client, const store_call& call);
+    void perform(adapter::store_client& client, const store_call& call, base::duration watch_wait);
+    /// Asks a host that is better informed while the store can't be read.
+    void ask_peer();
     void on_list(const store_call& call, const base::result<adapter::store_page>& answer);
     void on_watch(const base::result<adapter::store_page>& answer);
     void on_failure(const base::error& failure);
@@ -41,6 +43,7 @@
     update_ring& updates_;
     net::waker& consumer_;
     std::vector<adapter::store_object> listed_;
+    base::time_point next_ask_{};
     std::thread thread_;
 };
 
--- a/src/edge/store_update.hpp
+++ b/src/edge/store_update.hpp
@@ -2,6 +2,7 @@
 
 #include <galenabay/base/ring.hpp>
 #include <galenabay/base/time.hpp>
+#include <galenabay/peers/upstream_changes.hpp>
 #include <platform/store_objects.hpp>
 
 #include <memory>
@@ -19,6 +20,8 @@
         list,
         /// `objects` are those that changed.
         changes,
+        /// `state` is what another host knows.
+        peer_state,
         /// The store could not be read.
         failure,
     };
@@ -27,6 +30,7 @@
     adapter::object_kind objects_of = adapter::object_kind::configuration;
     std::vector<adapter::store_object> objects;
     std::uint64_t revision = 0;
+    std::shared_ptr<const peers::edge_state> state;
     /// When the answer arrived.
     base::time_point at{};
 };
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -39,7 +39,6 @@
 
 void store_watch::on_failure(base::error_code code, base::time_point now)
 {
-    ++failures_;
     if (code == base::error_code::stale)
     {
         listed_ = false;
@@ -47,6 +46,7 @@
         not_before_ = now;
         return;
     }
+    ++failures_;
     constexpr std::uint32_t max_doublings = 10;
     const auto limit = std::min(options_.longest_retry,
                                 options_.first_retry * (std::int64_t{1} << std::min(failures_ - 1, max_doublings)));
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -90,6 +90,7 @@
     switch (response.getStatus())
     {
     case HTTPResponse::HTTP_OK:
+    case HTTPResponse::HTTP_CREATED:
         return http_answer{true, std::move(body)};
     case HTTPResponse::HTTP_NO_CONTENT:
         return http_answer{false, {}};
--- /dev/null
+++ b/src/peers/message_codec.cpp
@@ -0,0 +1,253 @@
+#include <galenabay/peers/message_codec.hpp>
+
+#include <generated/edge.capnp.h>
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <limits>
+#include <utility>
+
+namespace galenabay::peers
+{
+
+namespace
+{
+
+using base::error;
+using base::error_code;
+
+/// Bound of what a message may unpack to, in words: 8 MB, several times a
+/// configuration of thousands of routes.
+constexpr std::uint64_t max_words = 1U << 20U;
+constexpr int max_nesting = 8;
+
+void write_upstream(const steer::upstream_entry& from, schema::UpstreamEntry::Builder out)
+{
+    out.setId(from.id);
+    out.setNumber(from.number);
+    out.setStartedMs(from.started_ms);
+    out.setService(from.service);
+    out.setAddress(from.address.v4());
+    out.setPort(from.address.port());
+    out.setDataCentre(from.data_centre);
+    out.setSlots(from.slots);
+    out.setDraining(from.draining);
+    out.setWarmUpLeftUs(from.warm_up_left.count());
+    out.setRevision(from.revision);
+}
+
+steer::upstream_entry read_upstream(schema::UpstreamEntry::Reader in)
+{
+    return {.id = in.getId(),
+            .number = in.getNumber(),
+            .started_ms = in.getStartedMs(),
+            .service = in.getService(),
+            .address = base::endpoint::make_v4(in.getAddress(), in.getPort()),
+            .data_centre = in.getDataCentre(),
+            .slots = in.getSlots() == 0 ? 1 : in.getSlots(),
+            .draining = in.getDraining(),
+            .warm_up_left = base::duration{in.getWarmUpLeftUs()},
+            .revision = in.getRevision()};
+}
+
+void write_changes(const upstream_changes& from, schema::UpstreamChanges::Builder out)
+{
+    out.setPreviousRevision(from.previous_revision);
+    out.setRevision(from.revision);
+    auto entries = out.initEntries(static_cast<unsigned>(from.entries.size()));
+    for (unsigned i = 0; i < entries.size(); ++i)
+    {
+        write_upstream(from.entries[i], entries[i]);
+    }
+    auto removed = out.initRemoved(static_cast<unsigned>(from.removed.size()));
+    for (unsigned i = 0; i < removed.size(); ++i)
+    {
+        removed[i].setId(from.removed[i].id);
+        removed[i].setRevision(from.removed[i].revision);
+    }
+}
+
+upstream_changes read_changes(schema::UpstreamChanges::Reader in)
+{
+    upstream_changes changes{.previous_revision = in.getPreviousRevision(), .revision = in.getRevision(),
+                             .entries = {}, .removed = {}};
+    for (const auto entry : in.getEntries())
+    {
+        changes.entries.push_back(read_upstream(entry));
+    }
+    for (const auto entry : in.getRemoved())
+    {
+        changes.removed.push_back({.id = entry.getId(), .revision = entry.getRevision()});
+    }
+    return changes;
+}
+
+void write_status(const host_status& from, schema::HostStatus::Builder out)
+{
+    out.setName(from.name);
+    out.setStartedUs(from.started_us);
+    out.setSequence(from.sequence);
+    out.setDataCentre(from.data_centre);
+    out.setFollowsStore(from.follows_store);
+    out.setLeaving(from.leaving);
+    out.setConfigurationVersion(from.configuration_version);
+    out.setUpstreamsRevision(from.upstreams_revision);
+    auto loads = out.initLoads(static_cast<unsigned>(from.loads.size()));
+    for (unsigned i = 0; i < loads.size(); ++i)
+    {
+        loads[i].setToken(from.loads[i].token);
+        loads[i].setFlows(from.loads[i].flows);
+        loads[i].setOpenRequests(from.loads[i].open_requests);
+    }
+    auto silent = out.initSilent(static_cast<unsigned>(from.silent.size()));
+    for (unsigned i = 0; i < silent.size(); ++i)
+    {
+        silent.set(i, from.silent[i]);
+    }
+}
+
+host_status read_status(schema::HostStatus::Reader in)
+{
+    host_status status{.name = in.getName(),
+                       .started_us = in.getStartedUs(),
+                       .sequence = in.getSequence(),
+                       .data_centre = in.getDataCentre(),
+                       .follows_store = in.getFollowsStore(),
+                       .leaving = in.getLeaving(),
+                       .configuration_version = in.getConfigurationVersion(),
+                       .upstreams_revision = in.getUpstreamsRevision(),
+                       .loads = {},
+                       .silent = {}};
+    for (const auto load : in.getLoads())
+    {
+        status.loads.push_back(
+            {.token = load.getToken(), .flows = load.getFlows(), .open_requests = load.getOpenRequests()});
+    }
+    for (const auto token : in.getSilent())
+    {
+        status.silent.push_back(token);
+    }
+    return status;
+}
+
+void write_configuration(const steer::configuration& from, schema::EdgeConfiguration::Builder out)
+{
+    out.setVersion(from.version);
+    out.setIdleTimeoutUs(from.idle_timeout.count());
+    auto routes = out.initRoutes(static_cast<unsigned>(from.routes.size()));
+    for (unsigned i = 0; i < routes.size(); ++i)
+    {
+        const auto& route = from.routes[i];
+        routes[i].setName(route.name);
+        routes[i].setAddress(route.address);
+        routes[i].setPort(route.port);
+        auto services = routes[i].initServices(static_cast<unsigned>(route.services.size()));
+        for (unsigned j = 0; j < services.size(); ++j)
+        {
+            services[j].setService(route.services[j].service);
+            services[j].setWeight(route.services[j].weight);
+        }
+    }
+}
+
+steer::configuration read_configuration(schema::EdgeConfiguration::Reader in)
+{
+    steer::configuration read{.version = in.getVersion(), .routes = {},
+                              .idle_timeout = base::duration{in.getIdleTimeoutUs()}};
+    for (const auto route : in.getRoutes())
+    {
+        steer::service_route next{
+            .name = route.getName(), .address = route.getAddress(), .port = route.getPort(), .services = {}};
+        for (const auto service : route.getServices())
+        {
+            next.services.push_back({.service = service.getService(), .weight = service.getWeight()});
+        }
+        read.routes.push_back(std::move(next));
+    }
+    return read;
+}
+
+kj::ArrayPtr<const kj::byte> as_array(const void* data, std::size_t size)
+{
+    return {static_cast<const kj::byte*>(data), size};
+}
+
+template <typename Bytes> Bytes pack(capnp::MessageBuilder& built)
+{
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, built);
+    const auto packed = stream.getArray();
+    const auto* begin = reinterpret_cast<const typename Bytes::value_type*>(packed.begin());
+    return Bytes(begin, begin + packed.size());
+}
+
+/// Unpacks bytes and passes the root to `read`.
+template <typename Root, typename Read> auto unpack(kj::ArrayPtr<const kj::byte> bytes, const char* step, Read read)
+    -> base::result<decltype(read(std::declval<typename Root::Reader>()))>
+{
+    const capnp::ReaderOptions bounds{max_words, max_nesting};
+    try
+    {
+        kj::ArrayInputStream stream{bytes};
+        capnp::PackedMessageReader reader{stream, bounds};
+        return read(reader.getRoot<Root>());
+    }
+    catch (const kj::Exception& failure)
+    {
+        return error::make(error_code::malformed, step, "", failure.getDescription().cStr());
+    }
+}
+
+} // namespace
+
+std::vector<std::byte> encode(const message& value)
+{
+    capnp::MallocMessageBuilder built;
+    auto root = built.initRoot<schema::EdgeMessage>();
+    if (const auto* status = std::get_if<host_status>(&value); status != nullptr)
+    {
+        write_status(*status, root.initStatus());
+    }
+    else
+    {
+        write_changes(std::get<upstream_changes>(value), root.initChanges());
+    }
+    return pack<std::vector<std::byte>>(built);
+}
+
+base::result<message> decode_message(std::span<const std::byte> bytes)
+{
+    const auto read = [](schema::EdgeMessage::Reader in) -> message
+    {
+        if (in.isStatus())
+        {
+            return read_status(in.getStatus());
+        }
+        return read_changes(in.getChanges());
+    };
+    return unpack<schema::EdgeMessage>(as_array(bytes.data(), bytes.size()), "decode_peer_message", read);
+}
+
+std::string encode(const edge_state& state)
+{
+    capnp::MallocMessageBuilder built;
+    auto root = built.initRoot<schema::EdgeState>();
+    write_configuration(state.configuration, root.initConfiguration());
+    write_changes(state.upstreams, root.initUpstreams());
+    return pack<std::string>(built);
+}
+
+base::result<edge_state> decode_state(const std::string& body)
+{
+    const auto read = [](schema::EdgeState::Reader in)
+    {
+        return edge_state{.configuration = read_configuration(in.getConfiguration()),
+                          .upstreams = read_changes(in.getUpstreams())};
+    };
+    return unpack<schema::EdgeState>(as_array(body.data(), body.size()), "decode_peer_state", read);
+}
+
+} // namespace galenabay::peers
--- /dev/null
+++ b/src/peers/peer_view.cpp
@@ -0,0 +1,167 @@
+#include <galenabay/peers/peer_view.hpp>
+
+#include <galenabay/base/hash.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace galenabay::peers
+{
+
+namespace
+{
+
+/// Order in which hosts come to watch the store.
+auto rank_of(const std::string& name)
+{
+    return std::pair{base::hash_text(name), name};
+}
+
+} // namespace
+
+peer_view::peer_view(std::string name, std::string data_centre, peer_options options)
+    : name_{std::move(name)}, data_centre_{std::move(data_centre)}, options_{options}
+{
+}
+
+bool peer_view::on_status(const host_status& status, const base::endpoint& from, base::time_point now)
+{
+    if (status.name == name_ || status.name.empty())
+    {
+        return false;
+    }
+    auto& known = peers_[status.name];
+    // The time of day may jump back while a host restarts, so a silent host's new
+    // start is taken whatever its time.
+    const bool is_restart = status.started_us != known.status.started_us && !is_live(known, now);
+    const auto order = [](const host_status& value) { return std::tuple{value.started_us, value.sequence}; };
+    if (known.heard && !is_restart && order(status) <= order(known.status))
+    {
+        return false;
+    }
+    known = {.address = from, .status = status, .heard_at = now, .heard = true};
+    return true;
+}
+
+void peer_view::on_listed(const std::string& name, const base::endpoint& address, base::time_point now)
+{
+    if (name == name_)
+    {
+        return;
+    }
+    const auto [known, is_new] = peers_.try_emplace(name);
+    if (is_new || !is_live(known->second, now))
+    {
+        known->second.address = address;
+        known->second.heard_at = now;
+    }
+}
+
+void peer_view::expire(base::time_point now)
+{
+    std::erase_if(peers_, [&](const auto& row) { return now - row.second.heard_at >= options_.address_memory; });
+}
+
+bool peer_view::is_live(const peer& other, base::time_point now) const
+{
+    return other.heard && now - other.heard_at < options_.silence_limit;
+}
+
+bool peer_view::should_follow(base::time_point now) const
+{
+    const auto own_rank = rank_of(name_);
+    const auto before = std::count_if(peers_.begin(), peers_.end(),
+                                      [&](const auto& row)
+                                      {
+                                          const auto& [name, other] = row;
+                                          return is_live(other, now) && other.status.data_centre == data_centre_ &&
+                                                 other.status.follows_store && !other.status.leaving &&
+                                                 rank_of(name) < own_rank;
+                                      });
+    return static_cast<std::size_t>(before) < options_.followers_per_data_centre;
+}
+
+std::vector<base::endpoint> peer_view::addresses(bool own_data_centre) const
+{
+    std::vector<base::endpoint> found;
+    for (const auto& [name, other] : peers_)
+    {
+        const bool own = other.status.data_centre == data_centre_;
+        if (!other.heard || own == own_data_centre)
+        {
+            found.push_back(other.address);
+        }
+    }
+    return found;
+}
+
+template <typename Value>
+std::optional<base::endpoint> peer_view::newest(Value value, std::uint64_t floor, base::time_point now) const
+{
+    std::optional<base::endpoint> best;
+    for (const auto& [name, other] : peers_)
+    {
+        if (is_live(other, now) && value(other.status) > floor)
+        {
+            floor = value(other.status);
+            best = other.address;
+        }
+    }
+    return best;
+}
+
+std::optional<base::endpoint> peer_view::with_newer_configuration(std::uint64_t version, base::time_point now) const
+{
+    return newest([](const host_status& status) { return status.configuration_version; }, version, now);
+}
+
+std::optional<base::endpoint> peer_view::with_newer_upstreams(std::uint64_t revision, base::time_point now) const
+{
+    return newest([](const host_status& status) { return status.upstreams_revision; }, revision, now);
+}
+
+std::unordered_map<steer::upstream_token, upstream_load> peer_view::total_loads(base::time_point now) const
+{
+    std::unordered_map<steer::upstream_token, upstream_load> totals;
+    for (const auto& [name, other] : peers_)
+    {
+        if (!is_live(other, now))
+        {
+            continue;
+        }
+        for (const auto& load : other.status.loads)
+        {
+            auto& total = totals[load.token];
+            total.token = load.token;
+            total.flows += load.flows;
+            total.open_requests += load.open_requests;
+        }
+    }
+    return totals;
+}
+
+std::unordered_map<steer::upstream_token, std::size_t> peer_view::silence_votes(base::time_point now) const
+{
+    std::unordered_map<steer::upstream_token, std::size_t> votes;
+    for (const auto& [name, other] : peers_)
+    {
+        if (!is_live(other, now))
+        {
+            continue;
+        }
+        for (const auto token : other.status.silent)
+        {
+            ++votes[token];
+        }
+    }
+    return votes;
+}
+
+std::size_t peer_view::live_count(base::time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) { return is_live(row.second, now); }));
+}
+
+} // namespace galenabay::peers
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -76,10 +76,11 @@
     return adopted;
 }
 
-steerer::outcome steerer::on_upstream_list(const std::vector<upstream_entry>& entries, base::time_point now)
+steerer::outcome steerer::on_upstream_list(const std::vector<upstream_entry>& entries, std::uint64_t revision,
+                                           base::time_point now)
 {
     has_upstreams_ = true;
-    return follow_up(registry_.replace_all(entries, now));
+    return follow_up(registry_.replace_all(entries, revision, now));
 }
 
 steerer::outcome steerer::on_upstream(const upstream_entry& entry, base::time_point now)
@@ -87,9 +88,31 @@
     return follow_up({registry_.put(entry, now)});
 }
 
-steerer::outcome steerer::on_upstream_removed(std::string_view id, base::time_point now)
+steerer::outcome steerer::on_upstream_removed(const std::string& id, std::uint64_t revision, base::time_point now)
 {
-    return follow_up({registry_.remove(id, now)});
+    return follow_up({registry_.remove(id, revision, now)});
+}
+
+bool steerer::is_silent(const upstream_incarnation& upstream, base::time_point now) const
+{
+    return now < upstream.silent_until;
+}
+
+void steerer::on_remote_view(upstream_token token, std::uint32_t flows, std::uint32_t open_requests,
+                             std::size_t silence_votes, base::time_point now)
+{
+    auto* upstream = registry_.find(token);
+    if (upstream == nullptr)
+    {
+        return;
+    }
+    upstream->remote_flows = flows;
+    upstream->remote_requests = open_requests;
+    // What this host sees itself goes before what others say.
+    if (silence_votes > 0 && now - upstream->last_progress >= options_.silence_limit)
+    {
+        upstream->avoid_until = std::max(upstream->avoid_until, now + options_.vote_time);
+    }
 }
 
 steerer::outcome steerer::follow_up(std::vector<upstream_registry::change> changes)
@@ -305,7 +328,7 @@
         }
         note_repeat(*tried, now, options_.silence_limit, options_.avoid_time);
     }
-    auto* chosen = select_upstream(registry_, *service, tried, random_, now);
+    auto* chosen = select_upstream(registry_, *service, options_.data_centre, tried, random_, now);
     if (chosen == nullptr)
     {
         return reset(head, steering_reason::no_upstream);
--- a/src/steer/upstream_evidence.hpp
+++ b/src/steer/upstream_evidence.hpp
@@ -10,6 +10,7 @@
 {
     upstream.last_progress = now;
     upstream.repeats = 0;
+    upstream.silent_until = {};
     upstream.avoid_until = {};
 }
 
@@ -25,7 +26,8 @@
     }
     if (upstream.repeats >= enough_repeats && now - upstream.last_progress >= silence_limit)
     {
-        upstream.avoid_until = now + avoid_time;
+        upstream.silent_until = now + avoid_time;
+        upstream.avoid_until = upstream.silent_until;
     }
 }
 
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -37,8 +37,23 @@
     return token == 0 ? 1 : token;
 }
 
+bool upstream_registry::advance(const std::string& id, std::uint64_t revision, bool removed, base::time_point now)
+{
+    auto& known = revisions_[id];
+    if (revision < known.revision || (revision == known.revision && known.removed && !removed))
+    {
+        return false;
+    }
+    known = {.revision = revision, .removed = removed, .at = now};
+    return true;
+}
+
 upstream_registry::change upstream_registry::put(const upstream_entry& entry, base::time_point now)
 {
+    if (!advance(entry.id, entry.revision, false, now))
+    {
+        return {};
+    }
     auto kind = upstream_change::added;
     if (const auto known = by_id_.find(entry.id); known != by_id_.end())
     {
@@ -85,9 +100,14 @@
     incarnation.missing_since.reset();
 }
 
-upstream_registry::change upstream_registry::remove(std::string_view id, base::time_point now)
+upstream_registry::change upstream_registry::remove(const std::string& id, std::uint64_t revision,
+                                                    base::time_point now)
 {
-    const auto known = by_id_.find(std::string{id});
+    if (!advance(id, revision, true, now))
+    {
+        return {};
+    }
+    const auto known = by_id_.find(id);
     return known == by_id_.end() ? change{} : mark_missing(*known->second, now);
 }
 
@@ -102,7 +122,7 @@
 }
 
 std::vector<upstream_registry::change> upstream_registry::replace_all(const std::vector<upstream_entry>& entries,
-                                                                      base::time_point now)
+                                                                      std::uint64_t revision, base::time_point now)
 {
     std::vector<change> changes;
     std::unordered_set<std::string_view> listed;
@@ -116,7 +136,7 @@
     }
     for (const auto& [id, incarnation] : by_id_)
     {
-        if (listed.contains(id))
+        if (listed.contains(id) || incarnation->entry.revision > revision)
         {
             continue;
         }
@@ -155,6 +175,8 @@
                       return incarnation.ended && incarnation.flows == 0 &&
                              now - incarnation.ended_at >= limits_.memory;
                   });
+    std::erase_if(revisions_,
+                  [&](const auto& row) { return row.second.removed && now - row.second.at >= limits_.memory; });
     return ended;
 }
 
--- a/src/steer/upstream_selection.cpp
+++ b/src/steer/upstream_selection.cpp
@@ -17,6 +17,10 @@
 /// Weight of an open request against an idle flow, which sends about one request a second.
 constexpr double request_weight = 2.0;
 
+/// How much more load an upstream of the own data centre may have than one elsewhere:
+/// a flow across data centres breaks when they are cut off from each other.
+constexpr double local_preference = 1.3;
+
 enum candidate_class : std::size_t
 {
     usable,
@@ -46,13 +50,38 @@
     return now < upstream.warm_at ? load * warm_up_slowdown : load;
 }
 
+using candidates = std::vector<upstream_incarnation*>;
+
+/// The less loaded of two drawn at random; null when there are none.
+upstream_incarnation* draw(const candidates& from, base::random_source& random, base::time_point now)
+{
+    if (from.empty())
+    {
+        return nullptr;
+    }
+    auto* first = from[random.below(from.size())];
+    auto* second = from[random.below(from.size())];
+    return load_of(*second, now) < load_of(*first, now) ? second : first;
+}
+
+/// Prefers the upstream of the own data centre unless its load is much higher.
+upstream_incarnation* prefer_local(upstream_incarnation* local, upstream_incarnation* remote, base::time_point now)
+{
+    if (local == nullptr || remote == nullptr)
+    {
+        return local == nullptr ? remote : local;
+    }
+    return load_of(*local, now) > local_preference * load_of(*remote, now) ? remote : local;
+}
+
 } // namespace
 
 upstream_incarnation* select_upstream(const upstream_registry& registry, const std::string& service,
-                                      const upstream_incarnation* tried, base::random_source& random,
-                                      base::time_point now)
+                                      const std::string& data_centre, const upstream_incarnation* tried,
+                                      base::random_source& random, base::time_point now)
 {
-    std::array<std::vector<upstream_incarnation*>, excluded> classes;
+    std::array<candidates, excluded> local;
+    std::array<candidates, excluded> remote;
     upstream_incarnation* fallback = nullptr;
     for (auto* upstream : registry.of_service(service))
     {
@@ -66,17 +95,17 @@
             fallback = upstream;
             continue;
         }
-        classes[found].push_back(upstream);
+        (upstream->entry.data_centre == data_centre ? local : remote)[found].push_back(upstream);
     }
-    const auto best =
-        std::find_if(classes.begin(), classes.end(), [](const auto& members) { return !members.empty(); });
-    if (best == classes.end())
+    for (std::size_t found = usable; found < excluded; ++found)
     {
-        return fallback;
+        if (auto* chosen = prefer_local(draw(local[found], random, now), draw(remote[found], random, now), now);
+            chosen != nullptr)
+        {
+            return chosen;
+        }
     }
-    auto* first = (*best)[random.below(best->size())];
-    auto* second = (*best)[random.below(best->size())];
-    return load_of(*second, now) < load_of(*first, now) ? second : first;
+    return fallback;
 }
 
 } // namespace galenabay::steer
