Resets need another host's evidence; state is asked from a random host, once

Change: each host draws an informed host of its data centre and asks once; with other hosts heard, a reset needs a silence vote of one of them. Test: with_other_hosts_a_silent_upstreams_flow_is_reset_only_when_one_of_them_agrees.

--- a/include/galenabay/peers/peer_view.hpp
+++ b/include/galenabay/peers/peer_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/random.hpp>
 #include <galenabay/base/time.hpp>
 #include <galenabay/peers/host_status.hpp>
 
@@ -50,10 +51,13 @@
     /// centre is unknown belongs to both.
     std::vector<base::endpoint> addresses(bool own_data_centre) const;
 
-    /// A live host that has a newer configuration than `version`.
-    std::optional<base::endpoint> with_newer_configuration(std::uint64_t version, base::time_point now) const;
-    /// A live host that applied changes of the upstreams after `revision`.
-    std::optional<base::endpoint> with_newer_upstreams(std::uint64_t revision, base::time_point now) const;
+    /// A live host that has a newer configuration than `version`, drawn from those of
+    /// the own data centre if there are any, so that many hosts don't ask the same one.
+    std::optional<base::endpoint> with_newer_configuration(std::uint64_t version, base::random_source& random,
+                                                           base::time_point now) const;
+    /// A live host that applied changes of the upstreams after `revision`; drawn likewise.
+    std::optional<base::endpoint> with_newer_upstreams(std::uint64_t revision, base::random_source& random,
+                                                       base::time_point now) const;
 
     /// Sum of what the live hosts put on each upstream.
     std::unordered_map<steer::upstream_token, upstream_load> total_loads(base::time_point now) const;
@@ -72,8 +76,8 @@
     };
 
     bool is_live(const peer& other, base::time_point now) const;
-    template <typename Value> std::optional<base::endpoint> newest(Value value, std::uint64_t floor,
-                                                                   base::time_point now) const;
+    template <typename Predicate>
+    std::optional<base::endpoint> draw(Predicate is_wanted, base::random_source& random, base::time_point now) const;
 
     std::string name_;
     std::string data_centre_;
--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -73,8 +73,8 @@
     void on_store_failure(base::time_point now) { registry_.store_failed(now); }
     /// The load that the other hosts put on an upstream, and how many of them call it
     /// silent.
-    void on_remote_view(upstream_token token, std::uint32_t flows, std::uint32_t open_requests, std::size_t silence_votes,
-                        base::time_point now);
+    void on_remote_view(upstream_token token, std::uint32_t flows, std::uint32_t open_requests,
+                        std::size_t silence_votes, base::time_point now);
 
     /// Decides one packet.
     steering_decision on_packet(const packet_head& head, base::time_point now);
@@ -83,6 +83,10 @@
 
     /// True when the configuration and the upstreams are known.
     bool is_ready() const noexcept { return routes_.version() != 0 && has_upstreams_; }
+    /// Other hosts that are heard. With any, their evidence is needed for a reset.
+    void set_peer_count(std::size_t peers) noexcept { peer_count_ = peers; }
+    /// How often an upstream was found silent by this host's flows.
+    std::uint64_t silence_count() const noexcept { return silence_count_; }
     /// True when this host's own flows show that the upstream answers none of them.
     bool is_silent(const upstream_incarnation& upstream, base::time_point now) const;
     const route_table& routes() const noexcept { return routes_; }
@@ -96,6 +100,8 @@
     steering_decision on_unrouted(const packet_head& head) const;
     void count_opening(const packet_head& head, upstream_incarnation& chosen, flow_state* known, base::time_point now);
     void observe(flow_state& flow, upstream_incarnation& upstream, const packet_head& head, base::time_point now);
+    void note_silence(upstream_incarnation& upstream, base::time_point now);
+    bool is_most_answering(base::time_point since, base::time_point now);
     bool should_reset(const flow_state& flow, const upstream_incarnation& upstream, base::time_point now);
     /// Removes the upstream's flows and returns the resets that tell their callers.
     void reset_flows(const upstream_incarnation& ended, std::vector<flow_reset>& resets);
@@ -109,6 +115,8 @@
     upstream_registry registry_;
     bool has_upstreams_ = false;
     std::unique_ptr<flow_table> flows_;
+    std::size_t peer_count_ = 0;
+    std::uint64_t silence_count_ = 0;
     base::time_point last_tick_{};
     base::time_point last_sweep_{};
 };
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -58,6 +58,8 @@
     base::time_point first_repeat{};
     /// This host's flows showed silence; it counts until then.
     base::time_point silent_until{};
+    /// Other hosts whose flows show silence.
+    std::size_t silence_votes = 0;
     /// New flows avoid the upstream until then, by own evidence or that of others.
     base::time_point avoid_until{};
 };
--- a/src/edge/packet_duty.cpp
+++ b/src/edge/packet_duty.cpp
@@ -20,6 +20,10 @@
 /// How often left-out lines and gauges are written.
 constexpr base::duration summary_interval = std::chrono::seconds{5};
 
+/// How often the others' load and votes are summed up.
+constexpr base::duration remote_view_interval = std::chrono::milliseconds{200};
+/// Shortest time between two statuses that are sent because an upstream fell silent.
+constexpr base::duration urgent_interval = std::chrono::milliseconds{300};
 /// How long changes that a watcher has may be on their way to this host.
 constexpr base::duration changes_grace = std::chrono::milliseconds{300};
 
@@ -33,7 +37,9 @@
 packet_duty::packet_duty(net::udp_socket socket, net::udp_socket peers, identity self, std::uint64_t seed,
                          shared_state& state, edge_metrics& metrics)
     : socket_{std::move(socket)}, state_{state}, metrics_{metrics}, steerer_{{.data_centre = self.data_centre}, seed},
-      self_{std::move(self)}, peers_{std::move(peers), peers::peer_view{self_.name, self_.data_centre}, metrics},
+      self_{std::move(self)}, random_{base::mix(seed, 1)}, peers_{std::move(peers),
+                                                                  peers::peer_view{self_.name, self_.data_centre},
+                                                                  metrics},
       buffers_(net::batch_size)
 {
 }
@@ -329,6 +335,13 @@
     if (any_status)
     {
         catch_up(now);
+        use_remote_view(now);
+    }
+    if (steerer_.silence_count() != silences_told_ && now >= next_urgent_)
+    {
+        silences_told_ = steerer_.silence_count();
+        next_urgent_ = now + urgent_interval;
+        peers_.send_status(status(now), true, now);
     }
     if (!peers_.is_status_due(now))
     {
@@ -342,12 +355,17 @@
         metrics_.follows_store.Set(follows ? 1 : 0);
         state_.wake();
     }
-    use_remote_view(now);
     peers_.send_status(status(now), false, now);
 }
 
 void packet_duty::use_remote_view(base::time_point now)
 {
+    if (now < next_remote_view_)
+    {
+        return;
+    }
+    next_remote_view_ = now + remote_view_interval;
+    steerer_.set_peer_count(peers_.view().live_count(now));
     const auto loads = peers_.view().total_loads(now);
     const auto votes = peers_.view().silence_votes(now);
     steerer_.registry().for_each(
@@ -363,12 +381,12 @@
 
 void packet_duty::catch_up(base::time_point now)
 {
-    const auto newer = peers_.view().with_newer_configuration(steerer_.routes().version(), now);
+    const auto newer = peers_.view().with_newer_configuration(steerer_.routes().version(), random_, now);
     if (newer)
     {
         state_.request_read(adapter::object_kind::configuration, *newer);
     }
-    const auto ahead = peers_.view().with_newer_upstreams(upstreams_revision_, now);
+    const auto ahead = peers_.view().with_newer_upstreams(upstreams_revision_, random_, now);
     if (!ahead)
     {
         behind_since_.reset();
--- a/src/edge/packet_duty.hpp
+++ b/src/edge/packet_duty.hpp
@@ -89,11 +89,16 @@
     std::array<update_ring, 3> updates_{update_ring{ring_capacity}, update_ring{ring_capacity},
                                         update_ring{ring_capacity}};
     identity self_;
+    base::random_source random_;
     peer_link peers_;
     steer::configuration configuration_;
     /// Revision of the last change of the upstreams that was applied.
     std::uint64_t upstreams_revision_ = 0;
     bool snapshot_due_ = false;
+    /// Upstreams that had been called silent at the last status.
+    std::uint64_t silences_told_ = 0;
+    base::time_point next_urgent_{};
+    base::time_point next_remote_view_{};
     /// Since when another host knows more.
     std::optional<base::time_point> behind_since_;
     net::waker waker_;
--- a/src/edge/shared_state.hpp
+++ b/src/edge/shared_state.hpp
@@ -63,16 +63,11 @@
         const std::lock_guard lock{mutex_};
         return std::exchange(requested_[index(kind)], false);
     }
-    /// A host that had newer state lately.
-    std::optional<base::endpoint> informed_peer() const
+    /// The host that had newer state at the last request; each is asked once.
+    std::optional<base::endpoint> take_informed_peer()
     {
         const std::lock_guard lock{mutex_};
-        return peer_;
-    }
-    void set_informed_peer(const base::endpoint& peer)
-    {
-        const std::lock_guard lock{mutex_};
-        peer_ = peer;
+        return std::exchange(peer_, std::nullopt);
     }
 
     /// Sleeps until a read is requested, this host is to follow the store or the
--- a/src/edge/store_duty.cpp
+++ b/src/edge/store_duty.cpp
@@ -31,8 +31,6 @@
 constexpr milliseconds idle_step{1'000};
 /// A single read does not wait for changes.
 constexpr milliseconds single_read_wait{1};
-/// Pause between two questions to a peer.
-constexpr milliseconds ask_interval{1'000};
 constexpr std::size_t max_state_bytes = 4U << 20U;
 
 milliseconds to_milliseconds(base::duration time)
@@ -67,7 +65,7 @@
         }
         const auto call = watch_.next();
         const bool follows = call.what == store_call::kind::list || state_.follows.load();
-        if (!follows && watch_.failures() == 0 && !state_.take_read_request(kind_))
+        if (!follows && !state_.take_read_request(kind_))
         {
             state_.wait_for_work(kind_, idle_step);
             continue;
@@ -101,13 +99,11 @@
 
 void store_duty::ask_peer()
 {
-    const auto peer = state_.informed_peer();
-    const auto now = steady_now();
-    if (!peer || now < next_ask_)
+    const auto peer = state_.take_informed_peer();
+    if (!peer)
     {
         return;
     }
-    next_ask_ = now + ask_interval;
     const auto answer = net::http_session::make(*peer, answer_timeout)
                             .call({.step = "ask_peer",
                                    .method = "GET",
--- a/src/edge/store_duty.hpp
+++ b/src/edge/store_duty.hpp
@@ -43,7 +43,6 @@
     update_ring& updates_;
     net::waker& consumer_;
     std::vector<adapter::store_object> listed_;
-    base::time_point next_ask_{};
     std::thread thread_;
 };
 
--- a/src/peers/message_codec.cpp
+++ b/src/peers/message_codec.cpp
@@ -72,8 +72,8 @@
 
 upstream_changes read_changes(schema::UpstreamChanges::Reader in)
 {
-    upstream_changes changes{.previous_revision = in.getPreviousRevision(), .revision = in.getRevision(),
-                             .entries = {}, .removed = {}};
+    upstream_changes changes{
+        .previous_revision = in.getPreviousRevision(), .revision = in.getRevision(), .entries = {}, .removed = {}};
     for (const auto entry : in.getEntries())
     {
         changes.entries.push_back(read_upstream(entry));
@@ -155,8 +155,8 @@
 
 steer::configuration read_configuration(schema::EdgeConfiguration::Reader in)
 {
-    steer::configuration read{.version = in.getVersion(), .routes = {},
-                              .idle_timeout = base::duration{in.getIdleTimeoutUs()}};
+    steer::configuration read{
+        .version = in.getVersion(), .routes = {}, .idle_timeout = base::duration{in.getIdleTimeoutUs()}};
     for (const auto route : in.getRoutes())
     {
         steer::service_route next{
@@ -185,7 +185,8 @@
 }
 
 /// Unpacks bytes and passes the root to `read`.
-template <typename Root, typename Read> auto unpack(kj::ArrayPtr<const kj::byte> bytes, const char* step, Read read)
+template <typename Root, typename Read>
+auto unpack(kj::ArrayPtr<const kj::byte> bytes, const char* step, Read read)
     -> base::result<decltype(read(std::declval<typename Root::Reader>()))>
 {
     const capnp::ReaderOptions bounds{max_words, max_nesting};
--- a/src/peers/peer_view.cpp
+++ b/src/peers/peer_view.cpp
@@ -96,29 +96,33 @@
     return found;
 }
 
-template <typename Value>
-std::optional<base::endpoint> peer_view::newest(Value value, std::uint64_t floor, base::time_point now) const
+template <typename Predicate>
+std::optional<base::endpoint> peer_view::draw(Predicate is_wanted, base::random_source& random,
+                                              base::time_point now) const
 {
-    std::optional<base::endpoint> best;
+    std::vector<base::endpoint> near;
+    std::vector<base::endpoint> far;
     for (const auto& [name, other] : peers_)
     {
-        if (is_live(other, now) && value(other.status) > floor)
+        if (is_live(other, now) && is_wanted(other.status))
         {
-            floor = value(other.status);
-            best = other.address;
+            (other.status.data_centre == data_centre_ ? near : far).push_back(other.address);
         }
     }
-    return best;
+    const auto& from = near.empty() ? far : near;
+    return from.empty() ? std::nullopt : std::optional{from[random.below(from.size())]};
 }
 
-std::optional<base::endpoint> peer_view::with_newer_configuration(std::uint64_t version, base::time_point now) const
+std::optional<base::endpoint> peer_view::with_newer_configuration(std::uint64_t version, base::random_source& random,
+                                                                  base::time_point now) const
 {
-    return newest([](const host_status& status) { return status.configuration_version; }, version, now);
+    return draw([&](const host_status& status) { return status.configuration_version > version; }, random, now);
 }
 
-std::optional<base::endpoint> peer_view::with_newer_upstreams(std::uint64_t revision, base::time_point now) const
+std::optional<base::endpoint> peer_view::with_newer_upstreams(std::uint64_t revision, base::random_source& random,
+                                                              base::time_point now) const
 {
-    return newest([](const host_status& status) { return status.upstreams_revision; }, revision, now);
+    return draw([&](const host_status& status) { return status.upstreams_revision > revision; }, random, now);
 }
 
 std::unordered_map<steer::upstream_token, upstream_load> peer_view::total_loads(base::time_point now) const
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -108,6 +108,7 @@
     }
     upstream->remote_flows = flows;
     upstream->remote_requests = open_requests;
+    upstream->silence_votes = silence_votes;
     // What this host sees itself goes before what others say.
     if (silence_votes > 0 && now - upstream->last_progress >= options_.silence_limit)
     {
@@ -272,25 +273,38 @@
     else if (head.sequence == flow.sequence && !answered)
     {
         ++flow.repeats;
-        note_repeat(upstream, now, options_.silence_limit, options_.avoid_time);
+        note_silence(upstream, now);
     }
 }
 
+void steerer::note_silence(upstream_incarnation& upstream, base::time_point now)
+{
+    const bool before = is_silent(upstream, now);
+    note_repeat(upstream, now, options_.silence_limit, options_.avoid_time);
+    silence_count_ += is_silent(upstream, now) && !before ? 1 : 0;
+}
+
 bool steerer::should_reset(const flow_state& flow, const upstream_incarnation& upstream, base::time_point now)
 {
-    if (flow.closing || flow.repeats < silent_repeats || !is_avoided(upstream, now) ||
+    if (flow.closing || flow.repeats < silent_repeats || !is_silent(upstream, now) ||
         upstream.last_progress > flow.sent_at)
     {
         return false;
     }
-    // When most upstreams seem silent it is this host that can't reach them.
+    // A host whose own link drops packets sees silence too: what other hosts see tells
+    // the two apart. Without others, most upstreams being silent does.
+    return peer_count_ > 0 ? upstream.silence_votes > 0 : is_most_answering(flow.sent_at, now);
+}
+
+bool steerer::is_most_answering(base::time_point since, base::time_point now)
+{
     std::size_t silent = 0;
     std::size_t answering = 0;
     registry_.for_each(
         [&](const upstream_incarnation& other)
         {
             silent += !other.ended && is_avoided(other, now) ? 1 : 0;
-            answering += !other.ended && !is_avoided(other, now) && other.last_progress > flow.sent_at ? 1 : 0;
+            answering += !other.ended && !is_avoided(other, now) && other.last_progress > since ? 1 : 0;
         });
     return answering >= silent;
 }
@@ -326,7 +340,7 @@
         {
             return forward(*tried, steering_reason::new_flow);
         }
-        note_repeat(*tried, now, options_.silence_limit, options_.avoid_time);
+        note_silence(*tried, now);
     }
     auto* chosen = select_upstream(registry_, *service, options_.data_centre, tried, random_, now);
     if (chosen == nullptr)
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -100,8 +100,7 @@
     incarnation.missing_since.reset();
 }
 
-upstream_registry::change upstream_registry::remove(const std::string& id, std::uint64_t revision,
-                                                    base::time_point now)
+upstream_registry::change upstream_registry::remove(const std::string& id, std::uint64_t revision, base::time_point now)
 {
     if (!advance(id, revision, true, now))
     {
--- a/tests/steer/steer_fixture.hpp
+++ b/tests/steer/steer_fixture.hpp
@@ -74,7 +74,7 @@
     explicit steered(std::vector<upstream_entry> upstreams, std::uint64_t seed = 7) : core{{}, seed}
     {
         core.on_configuration(make_configuration(1));
-        core.on_upstream_list(upstreams, at(0s));
+        core.on_upstream_list(upstreams, 0, at(0s));
         core.on_tick(at(0s));
     }
 
--- a/tests/steer/steerer_test.cpp
+++ b/tests/steer/steerer_test.cpp
@@ -97,7 +97,7 @@
 {
     const auto before = make_upstream("i-1", 1);
     steered host{{before, make_upstream("i-2", 2)}};
-    host.core.on_upstream_removed("i-1", at(1s));
+    host.core.on_upstream_removed("i-1", 0, at(1s));
     auto heir = make_upstream("i-9", 9, 5000, "other");
     heir.address = before.address;
     host.core.on_upstream(heir, at(2s));
@@ -113,7 +113,7 @@
     steered host{{lost, make_upstream("i-2", 2)}};
     host.core.on_packet(data(1, token_of(lost), 1, 5), at(0s));
     host.run_until(1s);
-    host.core.on_upstream_removed("i-1", at(1s));
+    host.core.on_upstream_removed("i-1", 0, at(1s));
     LONGS_EQUAL(0, host.run_until(3400ms).resets.size());
     LONGS_EQUAL(1, host.run_until(4s).resets.size());
 }
@@ -128,7 +128,7 @@
         host.run_until(now);
         host.core.on_store_failure(at(now));
     }
-    host.core.on_upstream_list({make_upstream("i-2", 2)}, at(6s));
+    host.core.on_upstream_list({make_upstream("i-2", 2)}, 0, at(6s));
     LONGS_EQUAL(0, host.run_until(7500ms).resets.size());
     host.core.on_upstream(lapsed, at(7500ms));
     LONGS_EQUAL(0, host.run_until(20s).resets.size());
@@ -139,7 +139,7 @@
 {
     steered host{{make_upstream("i-1", 1)}};
     host.core.on_store_failure(at(1s));
-    host.core.on_upstream_list({}, at(2s));
+    host.core.on_upstream_list({}, 0, at(2s));
     check_action(steering_action::forward, host.core.on_packet(opening(1), at(2s)));
 }
 
@@ -298,7 +298,7 @@
     check_reason(steering_reason::not_ready, fresh.on_packet(opening(1), at(0s)));
     fresh.on_configuration(make_configuration(1));
     CHECK_FALSE(fresh.is_ready());
-    fresh.on_upstream_list({}, at(0s));
+    fresh.on_upstream_list({}, 0, at(0s));
     CHECK(fresh.is_ready());
 }
 
@@ -313,3 +313,24 @@
     STRCMP_EQUAL("other", known->entry.service.c_str());
     check_reason(steering_reason::no_upstream, host.core.on_packet(opening(1), at(1s)));
 }
+
+TEST(steerer, with_other_hosts_a_silent_upstreams_flow_is_reset_only_when_one_of_them_agrees)
+{
+    const auto silent = make_upstream("i-1", 1);
+    const auto good = make_upstream("i-2", 2);
+    for (const std::size_t votes : {0U, 1U})
+    {
+        steered host{{silent, good}};
+        host.core.set_peer_count(8);
+        host.core.on_packet(data(1, token_of(silent), 1, 5), at(0ms));
+        host.core.on_packet(data(2, token_of(good), 1, 5), at(0ms));
+        host.run_until(200ms);
+        host.core.on_packet(data(1, token_of(silent), 1, 5), at(200ms));
+        host.core.on_packet(data(2, token_of(good), 101, 400), at(300ms));
+        host.run_until(600ms);
+        host.core.on_remote_view(token_of(silent), 3, 1, votes, at(600ms));
+        const auto third = host.core.on_packet(data(1, token_of(silent), 1, 5), at(600ms));
+        check_action(votes == 0 ? steering_action::forward : steering_action::reset, third);
+        LONGS_EQUAL(1, host.core.silence_count());
+    }
+}
