Packets wait for a starting host; flows of confirmed silent upstreams are reset at once

Cause: a host that starts dropped some 300 opening packets in the 60 to 85 ms until it was ready, whose next copies came 200 to 600 ms later; flows on a dead upstream ended at their third copy or, with an acknowledged request, at the caller's deadline. Change: packets stay in the socket for up to 1 s of the start; when two other hosts find an upstream silent too, all its flows are reset and a first repeat is enough. Tests: resets_all_flows_of_an_upstream_that_several_hosts_find_silent, votes_of_others_reset_nothing_on_an_upstream_that_answers_here.

--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -32,7 +32,10 @@
     /// caller's first pause before it sends again (200 ms) and a slow request.
     base::duration silence_limit = std::chrono::milliseconds{500};
     /// How long new flows avoid a silent upstream; evidence extends it.
-    base::duration avoid_time = std::chrono::milliseconds{1'500};
+    base::duration avoid_time = std::chrono::milliseconds{2'500};
+    /// Other hosts that must find an upstream silent too before all its flows are
+    /// reset: one host's link may fail, hardly that of three at once.
+    std::size_t confirming_votes = 2;
     /// Gap between two ticks that shows that this process did not run: packets that
     /// waited meanwhile say nothing about upstreams.
     base::duration pause_limit = std::chrono::milliseconds{350};
@@ -101,6 +104,8 @@
     void count_opening(const packet_head& head, upstream_incarnation& chosen, flow_state* known, base::time_point now);
     void observe(flow_state& flow, upstream_incarnation& upstream, const packet_head& head, base::time_point now);
     void note_silence(upstream_incarnation& upstream, base::time_point now);
+    /// True when other hosts confirm what this host's flows show.
+    bool is_confirmed_silent(const upstream_incarnation& upstream, base::time_point now) const;
     bool is_most_answering(base::time_point since, base::time_point now);
     bool should_reset(const flow_state& flow, const upstream_incarnation& upstream, base::time_point now);
     /// Removes the upstream's flows and returns the resets that tell their callers.
--- a/src/edge/packet_duty.cpp
+++ b/src/edge/packet_duty.cpp
@@ -20,6 +20,9 @@
 /// How often left-out lines and gauges are written.
 constexpr base::duration summary_interval = std::chrono::seconds{5};
 
+/// How long after its start a host leaves packets in the socket until it knows where
+/// they go; older ones have been sent again.
+constexpr base::duration start_hold = std::chrono::milliseconds{1'000};
 /// How often the others' load and votes are summed up.
 constexpr base::duration remote_view_interval = std::chrono::milliseconds{200};
 /// Shortest time between two statuses that are sent because an upstream fell silent.
@@ -57,8 +60,14 @@
     thread_ = std::thread{[this] { run(); }};
 }
 
+bool packet_duty::is_holding(base::time_point now) const
+{
+    return !steerer_.is_ready() && now < hold_until_;
+}
+
 void packet_duty::run()
 {
+    hold_until_ = steady_now() + start_hold;
     while (!state_.stopping())
     {
         wait();
@@ -66,7 +75,10 @@
         {
             drain(ring);
         }
-        receive(steady_now());
+        if (!is_holding(steady_now()))
+        {
+            receive(steady_now());
+        }
         exchange_with_peers(steady_now());
         if (const auto now = steady_now(); now >= next_tick_)
         {
@@ -82,7 +94,8 @@
     const bool has_updates =
         std::any_of(updates_.begin(), updates_.end(), [](const update_ring& ring) { return ring.size() > 0; });
     const auto timeout = has_updates ? 0 : std::max<std::int64_t>(left.count(), 0);
-    std::array<pollfd, 3> entries{pollfd{socket_.descriptor(), POLLIN, 0}, pollfd{waker_.descriptor(), POLLIN, 0},
+    const short awaited = is_holding(steady_now()) ? 0 : POLLIN;
+    std::array<pollfd, 3> entries{pollfd{socket_.descriptor(), awaited, 0}, pollfd{waker_.descriptor(), POLLIN, 0},
                                   pollfd{peers_.descriptor(), POLLIN, 0}};
     if (poll(entries.data(), entries.size(), static_cast<int>(timeout)) > 0 && entries[1].revents != 0)
     {
--- a/src/edge/packet_duty.hpp
+++ b/src/edge/packet_duty.hpp
@@ -56,6 +56,8 @@
 
     void run();
     void wait();
+    /// True while the start is too fresh to decide packets.
+    bool is_holding(base::time_point now) const;
     void receive(base::time_point now);
     /// True when the packet is to be sent.
     bool decide(net::packet& datagram, base::time_point now);
@@ -103,6 +105,7 @@
     std::optional<base::time_point> behind_since_;
     net::waker waker_;
     std::vector<net::packet> buffers_;
+    base::time_point hold_until_{};
     base::time_point next_tick_{};
     base::time_point next_summary_{};
     std::thread thread_;
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -286,7 +286,8 @@
 
 bool steerer::should_reset(const flow_state& flow, const upstream_incarnation& upstream, base::time_point now)
 {
-    if (flow.closing || flow.repeats < silent_repeats || !is_silent(upstream, now) ||
+    const auto enough_repeats = is_confirmed_silent(upstream, now) ? 1 : silent_repeats;
+    if (flow.closing || flow.repeats < enough_repeats || !is_silent(upstream, now) ||
         upstream.last_progress > flow.sent_at)
     {
         return false;
@@ -296,6 +297,11 @@
     return peer_count_ > 0 ? upstream.silence_votes > 0 : is_most_answering(flow.sent_at, now);
 }
 
+bool steerer::is_confirmed_silent(const upstream_incarnation& upstream, base::time_point now) const
+{
+    return is_silent(upstream, now) && upstream.silence_votes >= options_.confirming_votes;
+}
+
 bool steerer::is_most_answering(base::time_point since, base::time_point now)
 {
     std::size_t silent = 0;
@@ -396,7 +402,16 @@
         last_sweep_ = now;
         forget_old_flows(now);
     }
-    return follow_up(registry_.expire(now));
+    auto learned = follow_up(registry_.expire(now));
+    registry_.for_each(
+        [&](const upstream_incarnation& upstream)
+        {
+            if (!upstream.ended && upstream.flows > 0 && is_confirmed_silent(upstream, now))
+            {
+                reset_flows(upstream, learned.resets);
+            }
+        });
+    return learned;
 }
 
 } // namespace galenabay::steer
--- a/tests/steer/steerer_test.cpp
+++ b/tests/steer/steerer_test.cpp
@@ -334,3 +334,29 @@
         LONGS_EQUAL(1, host.core.silence_count());
     }
 }
+
+TEST(steerer, resets_all_flows_of_an_upstream_that_several_hosts_find_silent)
+{
+    const auto silent = make_upstream("i-1", 1);
+    steered host{{silent, make_upstream("i-2", 2)}};
+    host.core.set_peer_count(8);
+    host.core.on_packet(data(1, token_of(silent), 1, 5), at(0ms));
+    host.core.on_packet(data(2, token_of(silent), 1, 6), at(0ms));
+    host.run_until(200ms);
+    host.core.on_packet(data(1, token_of(silent), 1, 5), at(200ms));
+    host.run_until(600ms);
+    host.core.on_packet(data(1, token_of(silent), 1, 5), at(600ms));
+    LONGS_EQUAL(0, host.run_until(800ms).resets.size());
+    host.core.on_remote_view(token_of(silent), 3, 1, 2, at(800ms));
+    LONGS_EQUAL(2, host.run_until(1000ms).resets.size());
+}
+
+TEST(steerer, votes_of_others_reset_nothing_on_an_upstream_that_answers_here)
+{
+    const auto upstream = make_upstream("i-1", 1);
+    steered host{{upstream, make_upstream("i-2", 2)}};
+    host.core.set_peer_count(8);
+    host.core.on_packet(data(1, token_of(upstream), 1, 5), at(0ms));
+    host.core.on_remote_view(token_of(upstream), 3, 1, 5, at(100ms));
+    LONGS_EQUAL(0, host.run_until(2s).resets.size());
+}
