New flows avoid upstreams that leave opening packets unanswered

Change: an opening packet without an answer for 100 ms counts; two of them, or one and another host's vote, avoid the upstream for 2.5 s. Tests: avoids_an_upstream_that_refuses_new_flows, a_single_lost_opening_packet_avoids_nothing.

--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -18,6 +18,7 @@
 {
 
 class flow_table;
+class opening_queue;
 struct flow_state;
 
 /// Bounds of steering. Each has its unit in its type or name.
@@ -31,6 +32,9 @@
     /// Silence of all flows after which an upstream is avoided: longer than the
     /// caller's first pause before it sends again (200 ms) and a slow request.
     base::duration silence_limit = std::chrono::milliseconds{500};
+    /// Time within which an upstream answers an opening packet: many round trips, and
+    /// a tenth of a second for which a host with a quota may not run.
+    base::duration opening_limit = std::chrono::milliseconds{100};
     /// How long new flows avoid a silent upstream; evidence extends it.
     base::duration avoid_time = std::chrono::milliseconds{2'500};
     /// Other hosts that must find an upstream silent too before all its flows are
@@ -88,10 +92,12 @@
     bool is_ready() const noexcept { return routes_.version() != 0 && has_upstreams_; }
     /// Other hosts that are heard. With any, their evidence is needed for a reset.
     void set_peer_count(std::size_t peers) noexcept { peer_count_ = peers; }
-    /// How often an upstream was found silent by this host's flows.
+    /// How often an upstream was found silent or refusing by this host's flows.
     std::uint64_t silence_count() const noexcept { return silence_count_; }
     /// True when this host's own flows show that the upstream answers none of them.
     bool is_silent(const upstream_incarnation& upstream, base::time_point now) const;
+    /// True when this host's new flows go elsewhere because of what its own flows show.
+    bool is_avoided_here(const upstream_incarnation& upstream, base::time_point now) const;
     const route_table& routes() const noexcept { return routes_; }
     upstream_registry& registry() noexcept { return registry_; }
     std::size_t flow_count() const noexcept;
@@ -103,6 +109,8 @@
     steering_decision on_unrouted(const packet_head& head) const;
     void count_opening(const packet_head& head, upstream_incarnation& chosen, flow_state* known, base::time_point now);
     void observe(flow_state& flow, upstream_incarnation& upstream, const packet_head& head, base::time_point now);
+    /// Looks for openings that were not answered in time.
+    void check_openings(base::time_point now);
     void note_silence(upstream_incarnation& upstream, base::time_point now);
     /// True when other hosts confirm what this host's flows show.
     bool is_confirmed_silent(const upstream_incarnation& upstream, base::time_point now) const;
@@ -120,6 +128,7 @@
     upstream_registry registry_;
     bool has_upstreams_ = false;
     std::unique_ptr<flow_table> flows_;
+    std::unique_ptr<opening_queue> openings_;
     std::size_t peer_count_ = 0;
     std::uint64_t silence_count_ = 0;
     base::time_point last_tick_{};
--- a/src/edge/packet_duty.cpp
+++ b/src/edge/packet_duty.cpp
@@ -435,7 +435,7 @@
                 own.loads.push_back(
                     {.token = upstream.token, .flows = upstream.flows, .open_requests = upstream.open_requests});
             }
-            if (!upstream.ended && steerer_.is_silent(upstream, now))
+            if (!upstream.ended && steerer_.is_avoided_here(upstream, now))
             {
                 own.silent.push_back(upstream.token);
             }
--- /dev/null
+++ b/src/steer/opening_queue.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <galenabay/base/time.hpp>
+#include <galenabay/steer/packet_head.hpp>
+
+#include <cstddef>
+#include <deque>
+
+namespace galenabay::steer
+{
+
+/// Opening packets whose answer is awaited, in the order in which they were sent.
+/// Bounded: the oldest makes room. Not thread-safe; owned by the `steerer`.
+class opening_queue
+{
+public:
+    struct opening
+    {
+        flow_key flow;
+        upstream_token token = 0;
+        base::time_point sent_at{};
+    };
+
+    void push(const opening& sent)
+    {
+        if (waiting_.size() == max_waiting)
+        {
+            waiting_.pop_front();
+        }
+        waiting_.push_back(sent);
+    }
+
+    /// Removes those sent before `limit` and passes each to `visit`.
+    template <typename Visitor> void take_older(base::time_point limit, Visitor visit)
+    {
+        while (!waiting_.empty() && waiting_.front().sent_at <= limit)
+        {
+            visit(waiting_.front());
+            waiting_.pop_front();
+        }
+    }
+
+private:
+    /// New flows of two ticks on a host with thousands of them a second.
+    static constexpr std::size_t max_waiting = 2'000;
+
+    std::deque<opening> waiting_;
+};
+
+} // namespace galenabay::steer
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -1,6 +1,7 @@
 #include <galenabay/steer/steerer.hpp>
 
 #include "flow_table.hpp"
+#include "opening_queue.hpp"
 #include "upstream_evidence.hpp"
 #include "upstream_selection.hpp"
 
@@ -56,8 +57,8 @@
 } // namespace
 
 steerer::steerer(steering_options options, std::uint64_t seed)
-    : options_{options}, random_{seed}, registry_{options.registry}, flows_{std::make_unique<flow_table>(
-                                                                         options.max_flows)}
+    : options_{std::move(options)}, random_{seed}, registry_{options_.registry},
+      flows_{std::make_unique<flow_table>(options_.max_flows)}, openings_{std::make_unique<opening_queue>()}
 {
 }
 
@@ -277,6 +278,27 @@
     }
 }
 
+bool steerer::is_avoided_here(const upstream_incarnation& upstream, base::time_point now) const
+{
+    return is_silent(upstream, now) || (upstream.unanswered > 0 && is_avoided(upstream, now));
+}
+
+void steerer::check_openings(base::time_point now)
+{
+    openings_->take_older(now - options_.opening_limit,
+                          [&](const opening_queue::opening& sent)
+                          {
+                              const auto* flow = flows_->find(sent.flow);
+                              auto* upstream = registry_.find(sent.token);
+                              if (flow == nullptr || upstream == nullptr || flow->established ||
+                                  flow->token != sent.token || upstream->last_progress > sent.sent_at)
+                              {
+                                  return;
+                              }
+                              silence_count_ += note_unanswered(*upstream, now, options_.avoid_time) ? 1 : 0;
+                          });
+}
+
 void steerer::note_silence(upstream_incarnation& upstream, base::time_point now)
 {
     const bool before = is_silent(upstream, now);
@@ -372,6 +394,7 @@
     }
     *flow = {.token = chosen.token, .last_seen = now};
     ++chosen.flows;
+    openings_->push({.flow = head.flow, .token = chosen.token, .sent_at = now});
 }
 
 void steerer::forget_old_flows(base::time_point now)
@@ -397,6 +420,7 @@
         registry_.for_each([&](upstream_incarnation& upstream) { note_progress(upstream, now); });
     }
     last_tick_ = now;
+    check_openings(now);
     if (now - last_sweep_ >= sweep_interval)
     {
         last_sweep_ = now;
--- a/src/steer/upstream_evidence.hpp
+++ b/src/steer/upstream_evidence.hpp
@@ -10,6 +10,7 @@
 {
     upstream.last_progress = now;
     upstream.repeats = 0;
+    upstream.unanswered = 0;
     upstream.silent_until = {};
     upstream.avoid_until = {};
 }
@@ -31,6 +32,22 @@
     }
 }
 
+/// Notes that an opening packet got no answer although the upstream had time for it.
+/// A stopped upstream refuses flows at once, which the caller sees and this host does
+/// not. True when the upstream is newly avoided.
+inline bool note_unanswered(upstream_incarnation& upstream, base::time_point now, base::duration avoid_time)
+{
+    constexpr std::uint32_t enough_unanswered = 2;
+    ++upstream.unanswered;
+    const bool is_enough = upstream.unanswered >= enough_unanswered || upstream.silence_votes > 0;
+    const bool before = now < upstream.avoid_until;
+    if (is_enough)
+    {
+        upstream.avoid_until = now + avoid_time;
+    }
+    return is_enough && !before;
+}
+
 inline bool is_avoided(const upstream_incarnation& upstream, base::time_point now)
 {
     return now < upstream.avoid_until;
--- a/tests/steer/steerer_test.cpp
+++ b/tests/steer/steerer_test.cpp
@@ -360,3 +360,35 @@
     host.core.on_remote_view(token_of(upstream), 3, 1, 5, at(100ms));
     LONGS_EQUAL(0, host.run_until(2s).resets.size());
 }
+
+TEST(steerer, avoids_an_upstream_that_refuses_new_flows)
+{
+    // The upstream resets new flows, which only the callers see.
+    const auto stopped = make_upstream("i-1", 1);
+    steered host{{stopped, make_upstream("i-2", 2), make_upstream("i-3", 3)}};
+    std::uint16_t port = 1;
+    for (int refused = 0; refused < 2; ++port)
+    {
+        const auto opened = host.core.on_packet(opening(port), at(0ms));
+        if (opened.upstream_number != 1)
+        {
+            host.core.on_packet(data(port, opened.token, 1, 1), at(10ms));
+        }
+        refused += opened.upstream_number == 1 ? 1 : 0;
+    }
+    host.run_until(300ms);
+    for (int flow = 0; flow < 30; ++flow, ++port)
+    {
+        CHECK(host.core.on_packet(opening(port), at(300ms)).upstream_number != 1);
+    }
+    CHECK(host.core.is_avoided_here(*host.core.registry().find(token_of(stopped)), at(300ms)));
+    LONGS_EQUAL(1, host.core.silence_count());
+}
+
+TEST(steerer, a_single_lost_opening_packet_avoids_nothing)
+{
+    steered host{{make_upstream("i-1", 1), make_upstream("i-2", 2)}};
+    host.core.on_packet(opening(1), at(0ms));
+    host.run_until(300ms);
+    LONGS_EQUAL(0, host.core.silence_count());
+}
