--- /dev/null
+++ b/src/edge/packet_duty_peers.cpp
@@ -0,0 +1,145 @@
+#include "packet_duty.hpp"
+
+#include <galenabay/base/log.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace galenabay::edge
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+
+/// How often the others' load and votes are summed up.
+constexpr base::duration remote_view_interval = std::chrono::milliseconds{200};
+/// Shortest time between two statuses that are sent because an upstream fell silent.
+constexpr base::duration urgent_interval = std::chrono::milliseconds{300};
+/// How long changes that a watcher has may be on their way to this host.
+constexpr base::duration changes_grace = std::chrono::milliseconds{300};
+
+} // namespace
+
+void packet_duty::exchange_with_peers(base::time_point now)
+{
+    const bool any_status =
+        peers_.receive(now, [this](const peers::upstream_changes& changes) { apply_changes(changes); });
+    if (any_status)
+    {
+        catch_up(now);
+        use_remote_view(now);
+    }
+    if (steerer_.silence_count() != silences_told_ && now >= next_urgent_)
+    {
+        silences_told_ = steerer_.silence_count();
+        next_urgent_ = now + urgent_interval;
+        peers_.send_status(status(now), true, now);
+    }
+    if (!peers_.is_status_due(now))
+    {
+        return;
+    }
+    const bool follows = peers_.view().should_follow(now);
+    if (follows != state_.follows.exchange(follows))
+    {
+        log_event{log_level::info, follows ? "follow_begun" : "follow_ended"}.with("peers",
+                                                                                   peers_.view().live_count(now));
+        metrics_.follows_store.Set(follows ? 1 : 0);
+        state_.wake();
+    }
+    peers_.send_status(status(now), false, now);
+}
+
+void packet_duty::use_remote_view(base::time_point now)
+{
+    if (now < next_remote_view_)
+    {
+        return;
+    }
+    next_remote_view_ = now + remote_view_interval;
+    steerer_.set_peer_count(peers_.view().live_count(now));
+    const auto loads = peers_.view().total_loads(now);
+    const auto votes = peers_.view().silence_votes(now);
+    steerer_.registry().for_each(
+        [&](const steer::upstream_incarnation& upstream)
+        {
+            const auto load = loads.find(upstream.token);
+            const auto vote = votes.find(upstream.token);
+            const auto sum = load == loads.end() ? peers::upstream_load{} : load->second;
+            steerer_.on_remote_view(upstream.token, sum.flows, sum.open_requests,
+                                    vote == votes.end() ? 0 : vote->second, now);
+        });
+}
+
+void packet_duty::catch_up(base::time_point now)
+{
+    const auto newer = peers_.view().with_newer_configuration(steerer_.routes().version(), random_, now);
+    if (newer)
+    {
+        state_.request_read(adapter::object_kind::configuration, *newer);
+    }
+    const auto ahead = peers_.view().with_newer_upstreams(upstreams_revision_, random_, now);
+    if (!ahead)
+    {
+        behind_since_.reset();
+        return;
+    }
+    if (!behind_since_)
+    {
+        behind_since_ = now;
+    }
+    if (now - *behind_since_ >= changes_grace)
+    {
+        behind_since_ = now;
+        state_.request_read(adapter::object_kind::upstreams, *ahead);
+    }
+}
+
+peers::host_status packet_duty::status(base::time_point now)
+{
+    peers::host_status own{.name = self_.name,
+                           .started_us = self_.started_us,
+                           .data_centre = self_.data_centre,
+                           .follows_store = state_.follows.load() && state_.store_answers(),
+                           .leaving = state_.draining.load(),
+                           .configuration_version = steerer_.routes().version(),
+                           .upstreams_revision = upstreams_revision_,
+                           .loads = {},
+                           .silent = {}};
+    steerer_.registry().for_each(
+        [&](const steer::upstream_incarnation& upstream)
+        {
+            if (upstream.flows > 0)
+            {
+                own.loads.push_back(
+                    {.token = upstream.token, .flows = upstream.flows, .open_requests = upstream.open_requests});
+            }
+            if (!upstream.ended && steerer_.is_avoided_here(upstream, now))
+            {
+                own.silent.push_back(upstream.token);
+            }
+        });
+    return own;
+}
+
+void packet_duty::publish_snapshot()
+{
+    auto state = std::make_shared<peers::edge_state>();
+    state->configuration = configuration_;
+    state->upstreams.revision = upstreams_revision_;
+    steerer_.registry().for_each(
+        [&](const steer::upstream_incarnation& upstream)
+        {
+            if (!upstream.ended && !upstream.missing_since)
+            {
+                state->upstreams.entries.push_back(upstream.entry);
+            }
+        });
+    state_.publish(std::move(state));
+    snapshot_due_ = false;
+}
+
+} // namespace galenabay::edge
--- /dev/null
+++ b/src/edge/packet_duty_updates.cpp
@@ -0,0 +1,198 @@
+#include "packet_duty.hpp"
+
+#include <galenabay/base/log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace galenabay::edge
+{
+
+namespace
+{
+
+using base::log_event;
+using base::log_level;
+
+} // namespace
+
+void packet_duty::drain(update_ring& ring)
+{
+    std::shared_ptr<const store_update> update;
+    while (ring.pop(update))
+    {
+        apply(*update);
+    }
+}
+
+void packet_duty::apply(const store_update& update)
+{
+    if (update.what == store_update::kind::failure)
+    {
+        steerer_.on_store_failure(steady_now());
+        return;
+    }
+    if (update.what == store_update::kind::peer_state)
+    {
+        apply_peer_state(update);
+    }
+    for (const auto& object : update.objects)
+    {
+        if (!object.fault.empty())
+        {
+            metrics_.refused_objects.Increment();
+            log_.refused(object, update.revision, steady_now());
+        }
+    }
+    switch (update.objects_of)
+    {
+    case adapter::object_kind::configuration:
+        apply_configuration(update);
+        break;
+    case adapter::object_kind::upstreams:
+        apply_upstreams(update);
+        break;
+    case adapter::object_kind::hosts:
+        apply_hosts(update);
+        break;
+    }
+    snapshot_due_ = true;
+    metrics_.adoption_time.Observe(seconds_between(update.at, steady_now()));
+    note_ready();
+}
+
+void packet_duty::note_ready()
+{
+    if (steerer_.is_ready() && !state_.ready.exchange(true))
+    {
+        log_event{log_level::info, "ready"}.with("version", steerer_.routes().version());
+        metrics_.ready.Set(1);
+    }
+}
+
+void packet_duty::apply_hosts(const store_update& update)
+{
+    for (const auto& object : update.objects)
+    {
+        if (object.host)
+        {
+            peers_.on_listed(object.name, *object.host, steady_now());
+        }
+    }
+}
+
+void packet_duty::apply_peer_state(const store_update& update)
+{
+    if (update.state->configuration.version != 0)
+    {
+        adopt(update.state->configuration, update.revision);
+    }
+    const auto& upstreams = update.state->upstreams;
+    if (upstreams.revision > upstreams_revision_)
+    {
+        const auto now = steady_now();
+        follow_up(steerer_.on_upstream_list(upstreams.entries, upstreams.revision, now), upstreams.revision, now);
+        upstreams_revision_ = upstreams.revision;
+    }
+}
+
+void packet_duty::adopt(const steer::configuration& next, std::uint64_t revision)
+{
+    const auto before = steerer_.routes().version();
+    const bool adopted = steerer_.on_configuration(next);
+    if (adopted)
+    {
+        configuration_ = next;
+    }
+    log_event{log_level::info, adopted ? "configuration_adopted" : "configuration_ignored"}
+        .with("version", next.version)
+        .with("before", before)
+        .with("routes", next.routes.size())
+        .with("revision", revision);
+    metrics_.version.Set(static_cast<double>(steerer_.routes().version()));
+}
+
+void packet_duty::apply_configuration(const store_update& update)
+{
+    for (const auto& object : update.objects)
+    {
+        if (object.configuration)
+        {
+            adopt(*object.configuration, update.revision);
+            peers_.send_status(status(steady_now()), true, steady_now());
+        }
+    }
+}
+
+void packet_duty::apply_upstreams(const store_update& update)
+{
+    const auto now = steady_now();
+    const auto previous_revision = upstreams_revision_;
+    for (const auto& object : update.objects)
+    {
+        upstreams_revision_ = std::max(upstreams_revision_, object.revision);
+    }
+    if (update.what == store_update::kind::list)
+    {
+        std::vector<steer::upstream_entry> entries;
+        for (const auto& object : update.objects)
+        {
+            if (object.upstream)
+            {
+                entries.push_back(*object.upstream);
+            }
+        }
+        follow_up(steerer_.on_upstream_list(entries, update.revision, now), update.revision, now);
+        return;
+    }
+    for (const auto& object : update.objects)
+    {
+        // An entry that can't be used names no upstream, as one that was removed.
+        follow_up(object.upstream ? steerer_.on_upstream(*object.upstream, now)
+                                  : steerer_.on_upstream_removed(object.name, object.revision, now),
+                  update.revision, now);
+    }
+    if (update.what == store_update::kind::changes && state_.follows.load())
+    {
+        spread(update, previous_revision);
+    }
+}
+
+void packet_duty::spread(const store_update& update, std::uint64_t previous_revision)
+{
+    peers::upstream_changes changes{
+        .previous_revision = previous_revision, .revision = upstreams_revision_, .entries = {}, .removed = {}};
+    for (const auto& object : update.objects)
+    {
+        if (object.upstream)
+        {
+            changes.entries.push_back(*object.upstream);
+        }
+        else
+        {
+            changes.removed.push_back({.id = object.name, .revision = object.revision});
+        }
+    }
+    peers_.send_changes(changes);
+}
+
+void packet_duty::apply_changes(const peers::upstream_changes& changes)
+{
+    const auto now = steady_now();
+    for (const auto& entry : changes.entries)
+    {
+        follow_up(steerer_.on_upstream(entry, now), entry.revision, now);
+    }
+    for (const auto& removed : changes.removed)
+    {
+        follow_up(steerer_.on_upstream_removed(removed.id, removed.revision, now), removed.revision, now);
+    }
+    // After a gap the revision stays behind, so that the store is read.
+    if (changes.previous_revision <= upstreams_revision_)
+    {
+        upstreams_revision_ = std::max(upstreams_revision_, changes.revision);
+    }
+    snapshot_due_ = true;
+}
+
+} // namespace galenabay::edge
--- a/src/edge/shared_state.hpp
+++ b/src/edge/shared_state.hpp
@@ -127,4 +127,10 @@
     return base::time_point{std::chrono::duration_cast<base::duration>(since_boot)};
 }
 
+/// Seconds between two times, for histograms.
+inline double seconds_between(base::time_point from, base::time_point to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
 } // namespace galenabay::edge
--- /dev/null
+++ b/tests/peers/message_codec_test.cpp
@@ -0,0 +1,92 @@
+#include <galenabay/base/random.hpp>
+#include <galenabay/peers/message_codec.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace galenabay;
+using namespace galenabay::peers;
+
+namespace
+{
+
+steer::upstream_entry make_entry(const std::string& id)
+{
+    return {.id = id,
+            .number = 77,
+            .started_ms = 1785880304094,
+            .service = "feed",
+            .address = base::endpoint::make_v4(0x0a800009, 8080),
+            .data_centre = "east",
+            .slots = 3,
+            .draining = true,
+            .warm_up_left = std::chrono::milliseconds{250},
+            .revision = 12};
+}
+
+host_status make_status()
+{
+    return {.name = "edge-east-1",
+            .started_us = 5,
+            .sequence = 6,
+            .data_centre = "east",
+            .follows_store = true,
+            .leaving = false,
+            .configuration_version = 7,
+            .upstreams_revision = 12,
+            .loads = {{.token = 9, .flows = 3, .open_requests = 1}},
+            .silent = {9, 10}};
+}
+
+} // namespace
+
+TEST_GROUP(message_codec){};
+
+TEST(message_codec, a_status_survives_the_wire)
+{
+    const auto status = make_status();
+    const auto decoded = decode_message(encode(message{status}));
+    CHECK(std::get<host_status>(decoded.value()) == status);
+}
+
+TEST(message_codec, changes_survive_the_wire)
+{
+    const upstream_changes changes{.previous_revision = 10,
+                                   .revision = 12,
+                                   .entries = {make_entry("i-1"), make_entry("i-2")},
+                                   .removed = {{.id = "i-3", .revision = 11}}};
+    const auto decoded = decode_message(encode(message{changes}));
+    CHECK(std::get<upstream_changes>(decoded.value()) == changes);
+}
+
+TEST(message_codec, a_state_survives_the_wire)
+{
+    edge_state state;
+    state.configuration.version = 7;
+    state.configuration.routes.push_back(
+        {.name = "r", .address = 1, .port = 80, .services = {{.service = "a", .weight = 90}}});
+    state.upstreams.revision = 12;
+    state.upstreams.entries.push_back(make_entry("i-1"));
+    CHECK(decode_state(encode(state)).value() == state);
+}
+
+TEST(message_codec, bytes_that_are_no_message_are_refused)
+{
+    const auto whole = encode(message{make_status()});
+    for (std::uint64_t seed = 1; seed <= 3000; ++seed)
+    {
+        base::random_source random{seed};
+        auto bytes = whole;
+        for (std::uint64_t flips = 1 + random.below(6); flips > 0; --flips)
+        {
+            bytes[random.below(bytes.size())] = static_cast<std::byte>(random.below(256));
+        }
+        bytes.resize(random.below(bytes.size() + 1));
+        // Any outcome but a crash; a message that decodes can be encoded again.
+        if (const auto decoded = decode_message(bytes); decoded)
+        {
+            CHECK(!encode(decoded.value()).empty());
+        }
+    }
+    CHECK_FALSE(decode_message({}).has_value());
+    CHECK_FALSE(decode_state("").has_value());
+}
--- /dev/null
+++ b/tests/steer/upstream_registry_test.cpp
@@ -0,0 +1,59 @@
+#include "steer_fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace galenabay::steer;
+using namespace galenabay::steer::test;
+
+namespace
+{
+
+upstream_entry at_revision(std::uint64_t revision, bool draining = false)
+{
+    auto entry = make_upstream("i-1", 1);
+    entry.revision = revision;
+    entry.draining = draining;
+    return entry;
+}
+
+} // namespace
+
+TEST_GROUP(upstream_registry)
+{
+    upstream_registry registry{upstream_registry::limits{}};
+};
+
+TEST(upstream_registry, an_older_registration_that_arrives_late_changes_nothing)
+{
+    registry.put(at_revision(10), at(0s));
+    registry.put(at_revision(14, true), at(1s));
+    CHECK(registry.put(at_revision(10), at(2s)).kind == upstream_change::none);
+    CHECK(registry.find(token_of(at_revision(1)))->entry.draining);
+}
+
+TEST(upstream_registry, a_removal_is_not_undone_by_the_registration_before_it)
+{
+    registry.put(at_revision(10), at(0s));
+    CHECK(registry.remove("i-1", 12, at(1s)).kind == upstream_change::missing);
+    CHECK(registry.put(at_revision(10), at(1s)).kind == upstream_change::none);
+    CHECK(registry.find(token_of(at_revision(1)))->missing_since.has_value());
+    CHECK(registry.put(at_revision(13), at(2s)).kind == upstream_change::updated);
+    CHECK_FALSE(registry.find(token_of(at_revision(1)))->missing_since.has_value());
+}
+
+TEST(upstream_registry, an_old_list_does_not_remove_what_registered_later)
+{
+    registry.put(at_revision(20), at(0s));
+    LONGS_EQUAL(0, registry.replace_all({}, 15, at(1s)).size());
+    LONGS_EQUAL(1, registry.replace_all({}, 25, at(1s)).size());
+}
+
+TEST(upstream_registry, forgets_ended_incarnations_after_the_age_limit_of_flows)
+{
+    registry.put(at_revision(10), at(0s));
+    registry.remove("i-1", 12, at(0s));
+    registry.expire(at(3s));
+    LONGS_EQUAL(1, registry.size());
+    registry.expire(at(70s));
+    LONGS_EQUAL(0, registry.size());
+}
