A reset needs that no host saw an answer of the upstream for 1.5 s

Ruled out: a missing or restarted registration (no such line for the upstream). Change: a status tells for each upstream when it last answered; resets wait until no host saw an answer for 1.5 s. Test: an_upstream_that_answers_some_requests_at_another_host_keeps_its_flows.

--- a/include/galenabay/peers/host_status.hpp
+++ b/include/galenabay/peers/host_status.hpp
@@ -2,6 +2,7 @@
 
 #include <galenabay/steer/packet_head.hpp>
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -16,6 +17,8 @@
     steer::upstream_token token = 0;
     std::uint32_t flows = 0;
     std::uint32_t open_requests = 0;
+    /// Time since a flow showed an answer from the upstream.
+    std::chrono::milliseconds answered_ago{0};
 
     friend auto operator<=>(const upstream_load&, const upstream_load&) = default;
 };
--- a/include/galenabay/peers/peer_view.hpp
+++ b/include/galenabay/peers/peer_view.hpp
@@ -59,7 +59,8 @@
     std::optional<base::endpoint> with_newer_upstreams(std::uint64_t revision, base::random_source& random,
                                                        base::time_point now) const;
 
-    /// Sum of what the live hosts put on each upstream.
+    /// Sum of what the live hosts put on each upstream, with the latest answer that any
+    /// of them saw.
     std::unordered_map<steer::upstream_token, upstream_load> total_loads(base::time_point now) const;
     /// How many live hosts call an upstream silent.
     std::unordered_map<steer::upstream_token, std::size_t> silence_votes(base::time_point now) const;
--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,10 @@
     /// Gap between two ticks that shows that this process did not run: packets that
     /// waited meanwhile say nothing about upstreams.
     base::duration pause_limit = std::chrono::milliseconds{350};
+    /// Time without an answer at any host before flows are reset: an upstream that fails
+    /// some requests still answers others within it, and each host has told of answers
+    /// by then.
+    base::duration reset_silence = std::chrono::milliseconds{1'500};
     /// How long the silence that other hosts report counts: two of their statuses.
     base::duration vote_time = std::chrono::milliseconds{1'000};
     /// How long a closed flow is remembered, for copies of its last packets.
@@ -78,10 +83,17 @@
     outcome on_upstream(const upstream_entry& entry, base::time_point now);
     outcome on_upstream_removed(const std::string& id, std::uint64_t revision, base::time_point now);
     void on_store_failure(base::time_point now) { registry_.store_failed(now); }
-    /// The load that the other hosts put on an upstream, and how many of them call it
-    /// silent.
-    void on_remote_view(upstream_token token, std::uint32_t flows, std::uint32_t open_requests,
-                        std::size_t silence_votes, base::time_point now);
+    /// What the other hosts see of an upstream.
+    struct remote_view
+    {
+        std::uint32_t flows = 0;
+        std::uint32_t open_requests = 0;
+        /// Hosts that call the upstream silent.
+        std::size_t silence_votes = 0;
+        /// Since the last answer that any of them saw; nothing when none has flows there.
+        std::optional<base::duration> answered_ago;
+    };
+    void on_remote_view(upstream_token token, const remote_view& seen, base::time_point now);
 
     /// Decides one packet.
     steering_decision on_packet(const packet_head& head, base::time_point now);
@@ -112,6 +124,8 @@
     /// Looks for openings that were not answered in time.
     void check_openings(base::time_point now);
     void note_silence(upstream_incarnation& upstream, base::time_point now);
+    /// True when no flow through any host showed an answer for `reset_silence`.
+    bool is_silent_everywhere(const upstream_incarnation& upstream, base::time_point now) const;
     /// True when other hosts confirm what this host's flows show.
     bool is_confirmed_silent(const upstream_incarnation& upstream, base::time_point now) const;
     bool is_most_answering(base::time_point since, base::time_point now);
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -50,6 +50,8 @@
     /// Load that the other hosts report: their flows and open requests.
     std::uint32_t remote_flows = 0;
     std::uint32_t remote_requests = 0;
+    /// Last time that a flow through another host showed an answer, as far as known.
+    base::time_point remote_progress{};
 
     /// Last time that a flow showed an answer from the upstream.
     base::time_point last_progress{};
--- a/schema/edge.capnp
+++ b/schema/edge.capnp
@@ -11,6 +11,8 @@
   token @0 :UInt32;
   flows @1 :UInt32;
   openRequests @2 :UInt32;
+  answeredMsAgo @3 :UInt32;
+  # Time since a flow of the host showed an answer from the upstream.
 }
 
 struct HostStatus {
--- a/src/edge/packet_duty_peers.cpp
+++ b/src/edge/packet_duty_peers.cpp
@@ -68,9 +68,15 @@
         {
             const auto load = loads.find(upstream.token);
             const auto vote = votes.find(upstream.token);
-            const auto sum = load == loads.end() ? peers::upstream_load{} : load->second;
-            steerer_.on_remote_view(upstream.token, sum.flows, sum.open_requests,
-                                    vote == votes.end() ? 0 : vote->second, now);
+            steer::steerer::remote_view seen;
+            seen.silence_votes = vote == votes.end() ? 0 : vote->second;
+            if (load != loads.end())
+            {
+                seen.flows = load->second.flows;
+                seen.open_requests = load->second.open_requests;
+                seen.answered_ago = load->second.answered_ago;
+            }
+            steerer_.on_remote_view(upstream.token, seen, now);
         });
 }
 
@@ -114,8 +120,12 @@
         {
             if (upstream.flows > 0)
             {
+                const auto answered_ago = now - upstream.last_progress;
                 own.loads.push_back(
-                    {.token = upstream.token, .flows = upstream.flows, .open_requests = upstream.open_requests});
+                    {.token = upstream.token,
+                     .flows = upstream.flows,
+                     .open_requests = upstream.open_requests,
+                     .answered_ago = std::chrono::duration_cast<std::chrono::milliseconds>(answered_ago)});
             }
             if (!upstream.ended && steerer_.is_avoided_here(upstream, now))
             {
--- a/src/peers/message_codec.cpp
+++ b/src/peers/message_codec.cpp
@@ -101,6 +101,7 @@
         loads[i].setToken(from.loads[i].token);
         loads[i].setFlows(from.loads[i].flows);
         loads[i].setOpenRequests(from.loads[i].open_requests);
+        loads[i].setAnsweredMsAgo(static_cast<std::uint32_t>(from.loads[i].answered_ago.count()));
     }
     auto silent = out.initSilent(static_cast<unsigned>(from.silent.size()));
     for (unsigned i = 0; i < silent.size(); ++i)
@@ -123,8 +124,10 @@
                        .silent = {}};
     for (const auto load : in.getLoads())
     {
-        status.loads.push_back(
-            {.token = load.getToken(), .flows = load.getFlows(), .open_requests = load.getOpenRequests()});
+        status.loads.push_back({.token = load.getToken(),
+                                .flows = load.getFlows(),
+                                .open_requests = load.getOpenRequests(),
+                                .answered_ago = std::chrono::milliseconds{load.getAnsweredMsAgo()}});
     }
     for (const auto token : in.getSilent())
     {
--- a/src/peers/peer_view.cpp
+++ b/src/peers/peer_view.cpp
@@ -136,8 +136,12 @@
         }
         for (const auto& load : other.status.loads)
         {
-            auto& total = totals[load.token];
+            const auto heard_ago = std::chrono::duration_cast<std::chrono::milliseconds>(now - other.heard_at);
+            const auto answered_ago = load.answered_ago + heard_ago;
+            const auto [row, is_first] = totals.try_emplace(load.token);
+            auto& total = row->second;
             total.token = load.token;
+            total.answered_ago = is_first ? answered_ago : std::min(total.answered_ago, answered_ago);
             total.flows += load.flows;
             total.open_requests += load.open_requests;
         }
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -99,19 +99,22 @@
     return now < upstream.silent_until;
 }
 
-void steerer::on_remote_view(upstream_token token, std::uint32_t flows, std::uint32_t open_requests,
-                             std::size_t silence_votes, base::time_point now)
+void steerer::on_remote_view(upstream_token token, const remote_view& seen, base::time_point now)
 {
     auto* upstream = registry_.find(token);
     if (upstream == nullptr)
     {
         return;
     }
-    upstream->remote_flows = flows;
-    upstream->remote_requests = open_requests;
-    upstream->silence_votes = silence_votes;
+    upstream->remote_flows = seen.flows;
+    upstream->remote_requests = seen.open_requests;
+    upstream->silence_votes = seen.silence_votes;
+    if (seen.answered_ago)
+    {
+        upstream->remote_progress = std::max(upstream->remote_progress, now - *seen.answered_ago);
+    }
     // What this host sees itself goes before what others say.
-    if (silence_votes > 0 && now - upstream->last_progress >= options_.silence_limit)
+    if (seen.silence_votes > 0 && now - upstream->last_progress >= options_.silence_limit)
     {
         upstream->avoid_until = std::max(upstream->avoid_until, now + options_.vote_time);
     }
@@ -316,12 +319,19 @@
     }
     // A host whose own link drops packets sees silence too: what other hosts see tells
     // the two apart. Without others, most upstreams being silent does.
-    return peer_count_ > 0 ? upstream.silence_votes > 0 : is_most_answering(flow.sent_at, now);
+    return peer_count_ > 0 ? upstream.silence_votes > 0 && is_silent_everywhere(upstream, now)
+                           : is_most_answering(flow.sent_at, now);
 }
 
 bool steerer::is_confirmed_silent(const upstream_incarnation& upstream, base::time_point now) const
 {
-    return is_silent(upstream, now) && upstream.silence_votes >= options_.confirming_votes;
+    return is_silent(upstream, now) && upstream.silence_votes >= options_.confirming_votes &&
+           is_silent_everywhere(upstream, now);
+}
+
+bool steerer::is_silent_everywhere(const upstream_incarnation& upstream, base::time_point now) const
+{
+    return now - std::max(upstream.last_progress, upstream.remote_progress) >= options_.reset_silence;
 }
 
 bool steerer::is_most_answering(base::time_point since, base::time_point now)
