--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,10 @@
 export CCACHE_BASEDIR ?= $(CURDIR)
 export CCACHE_NOHASHDIR ?= 1
 
-.PHONY: packages configure build test test-asan demo bench soak torture capacity format format-check lint generate clean
+FIRST ?= 1
+SOAK_JOBS ?= 3
+
+.PHONY: packages configure build test test-asan demo bench soak edge-soak torture capacity format format-check lint generate clean
 
 packages:
 	@scripts/install_packages.sh
@@ -31,7 +34,9 @@
 	@$(MAKE) --no-print-directory test PRESET=asan
 
 demo: build
-	@scripts/demo.sh $(SITE) $(HOSTS)
+	@if [ "$(SITE)" = platform ]; then \
+	  $(BUILD)/bin/edge_soak --program $(BUILD)/bin/galena_edged --hosts $(HOSTS) --no-faults --duration 20; \
+	else scripts/demo.sh $(SITE) $(HOSTS); fi
 
 bench: build
 	@scripts/run_benches.sh $(BUILD)/bin | tee build/bench.txt; \
@@ -40,6 +45,10 @@
 soak: build
 	@scripts/soak.sh $(SEED) $(DURATION)
 
+# Real galena_edged processes with faults: SEEDS runs of DURATION seconds from seed FIRST.
+edge-soak: build
+	@scripts/edge_soak.sh $(BUILD)/bin $(FIRST) $(SEEDS) $(DURATION) $(SOAK_JOBS)
+
 torture: build
 	@scripts/torture.sh $(BUILD)/bin $(SEEDS)
 
--- /dev/null
+++ b/tools/edge_soak/caller_fleet.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "ledger.hpp"
+#include "upstream_fleet.hpp"
+#include "wire_packet.hpp"
+
+#include <galenabay/base/random.hpp>
+
+#include <functional>
+#include <vector>
+
+namespace galenabay::edge_soak
+{
+
+/// Callers with long flows that send one request after another, and the platform's
+/// routers, which hand each packet to a host in rotation by a hash. One thread.
+class caller_fleet
+{
+public:
+    /// Hosts that the routers use now.
+    using rotation = std::function<std::vector<base::endpoint>()>;
+
+    caller_fleet(std::size_t callers, address_block block, std::uint16_t port, upstream_fleet& upstreams, ledger& seen,
+                 rotation hosts, std::uint64_t seed);
+
+    /// Handles arrived packets and sends what is due.
+    void run(double now);
+
+private:
+    enum class phase
+    {
+        idle,
+        opening,
+        open,
+    };
+
+    struct caller
+    {
+        std::uint32_t address = 0;
+        std::uint16_t source_port = 0;
+        std::uint16_t service_port = 0;
+        phase state = phase::idle;
+        std::uint32_t token = 0;
+        std::uint32_t sequence = 0;
+        std::uint32_t acknowledged = 0;
+        std::uint64_t request = 0;
+        double asked_at = 0;
+        double next_send = 0;
+        double opened_at = 0;
+        double lifetime = 0;
+        std::uint32_t copies = 0;
+        bool waiting = false;
+    };
+
+    static constexpr double deadline_s = 3.0;
+    static constexpr double first_repeat_s = 0.2;
+    static constexpr double longest_repeat_s = 1.6;
+
+    void begin(caller& self, double now);
+    void ask(caller& self, double now);
+    void fail(caller& self, double now);
+    void send(const caller& self, std::uint8_t flags, bool with_request);
+    void on_packet(const wire_packet& packet, double now);
+    void on_reset(caller& self, const wire_packet& packet, double now);
+    void send_due(caller& self, double now);
+    steer::flow_key flow_of(const caller& self) const;
+
+    address_block block_;
+    upstream_fleet& upstreams_;
+    ledger& seen_;
+    rotation hosts_;
+    std::vector<base::endpoint> in_rotation_;
+    base::random_source random_;
+    std::vector<net::udp_socket> sockets_;
+    std::vector<caller> callers_;
+    std::vector<net::packet> buffers_;
+    std::uint64_t next_request_ = 0;
+};
+
+} // namespace galenabay::edge_soak
--- /dev/null
+++ b/tools/edge_soak/fault_plan.cpp
@@ -0,0 +1,180 @@
+#include "fault_plan.hpp"
+
+#include <csignal>
+
+#include <array>
+
+namespace galenabay::edge_soak
+{
+
+namespace
+{
+
+/// Three heartbeats of 1.2 s: how long a crashed upstream stays registered.
+constexpr double registration_life_s = 3.6;
+constexpr double drain_time_s = 3.5;
+constexpr std::size_t fewest_upstreams = 3;
+
+} // namespace
+
+std::string configuration_text(std::uint64_t version, std::size_t extra)
+{
+    std::string routes =
+        R"({"name":"feed","host":"198.18.0.1","path-prefix":"/8443/","type":"idempotent","service":"feed"},)"
+        R"({"name":"vault","host":"198.18.0.1","path-prefix":"/8080/","type":"download","service":"vault"})";
+    for (std::size_t i = 0; i < extra; ++i)
+    {
+        routes += R"(,{"name":"x)" + std::to_string(i) + R"(","host":"198.18.1.1","path-prefix":"/)" +
+                  std::to_string(1000 + i) + R"(/","type":"idempotent","service":"feed"})";
+    }
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
+           R"(],"services":[],"limits":{"idle-timeout-ms":15000}})";
+}
+
+fault_plan::fault_plan(host_processes& hosts, store_stand_in& store, upstream_fleet& upstreams, ledger& seen,
+                       std::uint64_t seed)
+    : hosts_{hosts}, store_{store}, upstreams_{upstreams}, seen_{seen}, random_{seed}
+{
+}
+
+void fault_plan::run(double now, double last_fault_s)
+{
+    while (!due_.empty() && due_.begin()->first <= now)
+    {
+        const auto action = std::move(due_.begin()->second);
+        due_.erase(due_.begin());
+        action(now);
+    }
+    if (now >= next_fault_ && now < last_fault_s)
+    {
+        next_fault_ = now + 0.3 + 2.5 * random_.unit();
+        begin_fault(now);
+    }
+}
+
+void fault_plan::begin_fault(double now)
+{
+    switch (random_.below(9))
+    {
+    case 0:
+    case 1:
+    case 2:
+        host_fault(now);
+        break;
+    case 3:
+        store_fault_for(now, std::array{store_fault::busy, store_fault::silent, store_fault::slow}[random_.below(3)],
+                        "store_away");
+        break;
+    case 4:
+        ++seen_.faults["store_compacted"];
+        store_.compact();
+        break;
+    case 5:
+        ++seen_.faults["configuration"];
+        change_configuration();
+        break;
+    default:
+        upstream_fault(now);
+        break;
+    }
+}
+
+void fault_plan::host_fault(double now)
+{
+    const auto host = random_.below(hosts_.size());
+    switch (random_.below(4))
+    {
+    case 0:
+        ++seen_.faults["host_killed"];
+        hosts_.expect_end(host);
+        hosts_.signal(host, SIGKILL);
+        break;
+    case 1:
+        ++seen_.faults["host_stopped"];
+        hosts_.expect_end(host);
+        hosts_.signal(host, SIGTERM);
+        break;
+    case 2:
+        ++seen_.faults["host_paused"];
+        hosts_.signal(host, SIGSTOP);
+        later(now + 0.2 + 2.0 * random_.unit(), [this, host](double) { hosts_.signal(host, SIGCONT); });
+        break;
+    default:
+        ++seen_.faults["host_reloaded"];
+        hosts_.write_settings(host);
+        hosts_.signal(host, SIGHUP);
+        break;
+    }
+}
+
+void fault_plan::store_fault_for(double now, store_fault fault, const char* name)
+{
+    ++seen_.faults[name];
+    store_.set_fault(fault);
+    later(now + 0.5 + 4.0 * random_.unit(), [this](double) { store_.set_fault(store_fault::none); });
+}
+
+std::size_t fault_plan::draw_upstream()
+{
+    std::vector<std::size_t> alive;
+    for (std::size_t i = 0; i < upstreams_.size(); ++i)
+    {
+        if (upstreams_.at(i).alive && !upstreams_.at(i).draining)
+        {
+            alive.push_back(i);
+        }
+    }
+    return alive.size() <= fewest_upstreams ? upstreams_.size() : alive[random_.below(alive.size())];
+}
+
+void fault_plan::upstream_fault(double now)
+{
+    const auto index = draw_upstream();
+    if (index == upstreams_.size())
+    {
+        return;
+    }
+    const auto service = upstreams_.at(index).service;
+    const auto data_centre = upstreams_.at(index).data_centre;
+    switch (random_.below(4))
+    {
+    case 0:
+        ++seen_.faults["upstream_crashed"];
+        upstreams_.crash(index);
+        later(now + registration_life_s, [this, index](double) { upstreams_.unregister(index); });
+        later(now + registration_life_s + 1,
+              [this, service, data_centre](double) { upstreams_.start(service, data_centre); });
+        break;
+    case 1:
+        ++seen_.faults["upstream_restarted"];
+        upstreams_.crash(index);
+        later(now + 0.5, [this, index](double) { upstreams_.restart(index); });
+        break;
+    case 2:
+        ++seen_.faults["upstream_drained"];
+        upstreams_.start(service, data_centre);
+        upstreams_.drain(index, now);
+        later(now + 2 * drain_time_s,
+              [this, index](double)
+              {
+                  upstreams_.crash(index);
+                  upstreams_.unregister(index);
+              });
+        break;
+    default:
+        ++seen_.faults["address_reused"];
+        upstreams_.crash(index);
+        later(now + 2,
+              [this, index, service](double) { upstreams_.replace(index, service == "feed" ? "vault" : "feed"); });
+        later(now + 2.5, [this, service, data_centre](double) { upstreams_.start(service, data_centre); });
+        break;
+    }
+}
+
+void fault_plan::change_configuration()
+{
+    version_ += 1 + random_.below(4);
+    store_.put("config", "main", configuration_text(version_, random_.below(60)));
+}
+
+} // namespace galenabay::edge_soak
--- /dev/null
+++ b/tools/edge_soak/fault_plan.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "host_processes.hpp"
+#include "ledger.hpp"
+#include "store_stand_in.hpp"
+#include "upstream_fleet.hpp"
+
+#include <galenabay/base/random.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace galenabay::edge_soak
+{
+
+/// Draws faults and planned work by a seed and carries them out. One thread.
+class fault_plan
+{
+public:
+    fault_plan(host_processes& hosts, store_stand_in& store, upstream_fleet& upstreams, ledger& seen,
+               std::uint64_t seed);
+
+    /// Carries out what is due. No new fault begins after `last_fault_s`.
+    void run(double now, double last_fault_s);
+
+private:
+    using step = std::function<void(double)>;
+
+    void later(double at, step action) { due_.emplace(at, std::move(action)); }
+    void begin_fault(double now);
+    void host_fault(double now);
+    void store_fault_for(double now, store_fault fault, const char* name);
+    void upstream_fault(double now);
+    void change_configuration();
+    std::size_t draw_upstream();
+
+    host_processes& hosts_;
+    store_stand_in& store_;
+    upstream_fleet& upstreams_;
+    ledger& seen_;
+    base::random_source random_;
+    std::multimap<double, step> due_;
+    double next_fault_ = 4;
+    std::uint64_t version_ = 1;
+};
+
+/// The operator's configuration: one feed, one vault, and `extra` routes beside them.
+std::string configuration_text(std::uint64_t version, std::size_t extra);
+
+} // namespace galenabay::edge_soak
--- /dev/null
+++ b/tools/edge_soak/host_processes.cpp
@@ -0,0 +1,163 @@
+#include "host_processes.hpp"
+
+#include <galenabay/base/invariant.hpp>
+#include <galenabay/net/http_session.hpp>
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+
+namespace galenabay::edge_soak
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto probe_interval = 500ms;
+constexpr auto probe_timeout = 200ms;
+constexpr int misses_to_leave = 2;
+constexpr double restart_delay_s = 0.5;
+
+} // namespace
+
+host_processes::host_processes(std::string program, std::string directory, std::size_t count,
+                               const base::endpoint& store, address_block block)
+    : program_{std::move(program)}, directory_{std::move(directory)}, store_{store}, block_{block}, hosts_(count),
+      misses_(count, misses_to_leave)
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        hosts_[i].data_centre = i % 3;
+        write_settings(i);
+        start(i);
+    }
+    prober_ = std::thread{[this] { probe(); }};
+}
+
+host_processes::~host_processes()
+{
+    stop_.store(true);
+    prober_.join();
+    for (auto& host : hosts_)
+    {
+        if (host.process > 0)
+        {
+            ::kill(host.process, SIGCONT);
+            ::kill(host.process, SIGKILL);
+            ::waitpid(host.process, nullptr, 0);
+        }
+    }
+}
+
+base::endpoint host_processes::address_of(std::size_t host, std::uint16_t port) const
+{
+    return base::endpoint::make_v4(block_.hosts() + static_cast<std::uint32_t>(host), port);
+}
+
+std::string host_processes::file(std::size_t host, const char* suffix) const
+{
+    return directory_ + "/host-" + std::to_string(host) + suffix;
+}
+
+void host_processes::write_settings(std::size_t host) const
+{
+    std::ofstream out{file(host, ".yaml"), std::ios::trunc};
+    out << "node: \"host-" << host << "\"\nzone: \"zone-" << hosts_[host].data_centre << "\"\nbind-addrs:\n"
+        << "  datagram-addr: \"" << address_of(host, ports_.packets).to_string() << "\"\n"
+        << "  readiness-addr: \"" << address_of(host, ports_.readiness).to_string() << "\"\n"
+        << "port-range:\n  - " << ports_.peers << "\n  - " << ports_.peers + 9 << "\nseeds: []\n"
+        << "bounds:\n  config-ms: 3000\n  grace-s: 6\n  flow-ttl-s: 60\n"
+        << "platform:\n  address: \"" << store_.to_string() << "\"\n";
+}
+
+void host_processes::start(std::size_t host)
+{
+    const auto settings = file(host, ".yaml");
+    const auto log = file(host, ".log");
+    const auto metrics = std::to_string(ports_.metrics);
+    const pid_t process = ::fork();
+    GALENABAY_INVARIANT(process >= 0);
+    if (process == 0)
+    {
+        const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+        ::dup2(out, STDOUT_FILENO);
+        ::dup2(out, STDERR_FILENO);
+        ::execl(program_.c_str(), program_.c_str(), "--settings", settings.c_str(), "--metrics-port", metrics.c_str(),
+                static_cast<char*>(nullptr));
+        ::_exit(127);
+    }
+    hosts_[host].process = process;
+    hosts_[host].end_expected = false;
+}
+
+bool host_processes::signal(std::size_t host, int number)
+{
+    return hosts_[host].process > 0 && ::kill(hosts_[host].process, number) == 0;
+}
+
+std::size_t host_processes::restart_ended(double now)
+{
+    std::size_t unexpected = 0;
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+    {
+        auto& host = hosts_[i];
+        if (host.process > 0 && ::waitpid(host.process, nullptr, WNOHANG) == host.process)
+        {
+            unexpected += host.end_expected ? 0 : 1;
+            host.process = -1;
+            host.start_at = now + restart_delay_s;
+        }
+        if (host.process < 0 && now >= host.start_at)
+        {
+            start(i);
+        }
+    }
+    return unexpected;
+}
+
+void host_processes::probe()
+{
+    while (!stop_.load())
+    {
+        for (std::size_t i = 0; i < hosts_.size() && !stop_.load(); ++i)
+        {
+            auto session = net::http_session::make(address_of(i, ports_.readiness), probe_timeout);
+            const auto answer = session.call({.step = "probe",
+                                              .method = "GET",
+                                              .path = "/readyz",
+                                              .body = {},
+                                              .expected = {},
+                                              .timeout = probe_timeout,
+                                              .max_response = 4096});
+            const std::lock_guard lock{mutex_};
+            misses_[i] = answer ? 0 : misses_[i] + 1;
+        }
+        std::this_thread::sleep_for(probe_interval);
+    }
+}
+
+std::vector<base::endpoint> host_processes::rotation() const
+{
+    const std::lock_guard lock{mutex_};
+    std::vector<base::endpoint> ready;
+    std::vector<base::endpoint> all;
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+    {
+        all.push_back(address_of(i, ports_.packets));
+        if (misses_[i] < misses_to_leave)
+        {
+            ready.push_back(all.back());
+        }
+    }
+    return ready.size() * 2 < all.size() ? all : ready;
+}
+
+} // namespace galenabay::edge_soak
--- /dev/null
+++ b/tools/edge_soak/host_processes.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "address_block.hpp"
+
+#include <galenabay/base/endpoint.hpp>
+
+#include <sys/types.h>
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace galenabay::edge_soak
+{
+
+/// Ports of the hosts; each host has an address of its own.
+struct host_ports
+{
+    std::uint16_t packets = 29100;
+    std::uint16_t readiness = 29101;
+    std::uint16_t peers = 29110;
+    std::uint16_t metrics = 29102;
+};
+
+/// Real `galena_edged` processes, ended by their ids, and the routers' view of them:
+/// each is asked for /readyz twice a second and leaves the rotation after two misses.
+class host_processes
+{
+public:
+    /// `directory` takes settings and logs.
+    host_processes(std::string program, std::string directory, std::size_t count, const base::endpoint& store,
+                   address_block block);
+    host_processes(const host_processes&) = delete;
+    host_processes& operator=(const host_processes&) = delete;
+    ~host_processes();
+
+    void start(std::size_t host);
+    /// Sends a signal to a running host; false when it does not run.
+    bool signal(std::size_t host, int number);
+    /// Writes the settings file again.
+    void write_settings(std::size_t host) const;
+    /// Notes hosts that ended and starts them again, as the platform does. Returns how
+    /// many ended without being asked to.
+    std::size_t restart_ended(double now);
+    /// A kill or stop was asked for; its end is no fault.
+    void expect_end(std::size_t host) { hosts_[host].end_expected = true; }
+
+    std::size_t size() const { return hosts_.size(); }
+    std::vector<base::endpoint> rotation() const;
+
+private:
+    struct host_process
+    {
+        pid_t process = -1;
+        bool end_expected = false;
+        double start_at = 0;
+        std::size_t data_centre = 0;
+    };
+
+    void probe();
+    base::endpoint address_of(std::size_t host, std::uint16_t port) const;
+    std::string file(std::size_t host, const char* suffix) const;
+
+    std::string program_;
+    std::string directory_;
+    base::endpoint store_;
+    address_block block_;
+    host_ports ports_;
+    std::vector<host_process> hosts_;
+    std::atomic<bool> stop_{false};
+    mutable std::mutex mutex_;
+    std::vector<int> misses_;
+    std::thread prober_;
+};
+
+} // namespace galenabay::edge_soak
--- /dev/null
+++ b/tools/edge_soak/ledger.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <cstdio>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace galenabay::edge_soak
+{
+
+/// What was seen at both ends, and the promises that were broken. One thread.
+class ledger
+{
+public:
+    void violation(const std::string& promise, double seconds, const std::string& detail)
+    {
+        ++violations_[promise];
+        std::printf("violation promise=%s at=%.3f %s\n", promise.c_str(), seconds, detail.c_str());
+        std::fflush(stdout);
+    }
+
+    /// A request reached work at an upstream. True the first time.
+    bool ran(std::uint64_t request) { return ++runs_[request] == 1; }
+
+    std::uint64_t asked = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t flows = 0;
+    std::uint64_t resets = 0;
+    std::map<std::string, std::uint64_t> faults;
+
+    std::uint64_t violations() const
+    {
+        std::uint64_t sum = 0;
+        for (const auto& [promise, count] : violations_)
+        {
+            sum += count;
+        }
+        return sum;
+    }
+
+    void print(std::uint64_t seed, std::uint64_t store_calls) const
+    {
+        std::printf("seed=%llu asked=%llu answered=%llu failed=%llu flows=%llu resets=%llu store_calls=%llu\nfaults",
+                    static_cast<unsigned long long>(seed), static_cast<unsigned long long>(asked),
+                    static_cast<unsigned long long>(answered), static_cast<unsigned long long>(failed),
+                    static_cast<unsigned long long>(flows), static_cast<unsigned long long>(resets),
+                    static_cast<unsigned long long>(store_calls));
+        for (const auto& [name, count] : faults)
+        {
+            std::printf(" %s=%llu", name.c_str(), static_cast<unsigned long long>(count));
+        }
+        std::printf("\nviolations=%llu\n", static_cast<unsigned long long>(violations()));
+    }
+
+private:
+    std::map<std::string, std::uint64_t> violations_;
+    std::unordered_map<std::uint64_t, std::uint64_t> runs_;
+};
+
+} // namespace galenabay::edge_soak
--- /dev/null
+++ b/tools/edge_soak/store_stand_in.cpp
@@ -0,0 +1,288 @@
+#include "store_stand_in.hpp"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/URI.h>
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace galenabay::edge_soak
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr int max_threads = 200;
+constexpr std::size_t page_size = 50;
+constexpr auto slow_answer = 500ms;
+constexpr auto longest_silence = 3'000ms;
+
+std::string object_text(const std::string& name, const std::string& spec, std::uint64_t revision)
+{
+    return R"({"meta":{"name":")" + name + R"(","revision":)" + std::to_string(revision) + R"(},"spec":)" +
+           (spec.empty() ? "null" : spec) + "}";
+}
+
+class handler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit handler(store_stand_in& store) : store_{store} {}
+
+    // NOLINTNEXTLINE(readability-identifier-naming): overrides a library function
+    void handleRequest(HTTPServerRequest& request, HTTPServerResponse& response) override
+    {
+        std::string body;
+        Poco::StreamCopier::copyToString(request.stream(), body);
+        const auto answer = store_.handle(request.getMethod(), request.getURI(), body);
+        if (answer.lost)
+        {
+            static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket().shutdown();
+            return;
+        }
+        response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
+        response.setContentType("application/json");
+        response.setKeepAlive(true);
+        response.sendBuffer(answer.body.data(), answer.body.size());
+    }
+
+private:
+    store_stand_in& store_;
+};
+
+class handler_factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit handler_factory(store_stand_in& store) : store_{store} {}
+    // NOLINTNEXTLINE(readability-identifier-naming): overrides a library function
+    Poco::Net::HTTPRequestHandler* createRequestHandler(const HTTPServerRequest&) override
+    {
+        return new handler{store_};
+    }
+
+private:
+    store_stand_in& store_;
+};
+
+} // namespace
+
+class store_stand_in::server
+{
+public:
+    server(const base::endpoint& local, store_stand_in& store)
+        : threads_{4, max_threads}, http_{new handler_factory{store}, threads_,
+                                          Poco::Net::ServerSocket{Poco::Net::SocketAddress{local.to_string()}},
+                                          params()}
+    {
+        http_.start();
+    }
+    ~server() { http_.stopAll(true); }
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+
+private:
+    static Poco::Net::HTTPServerParams::Ptr params()
+    {
+        Poco::Net::HTTPServerParams::Ptr made = new Poco::Net::HTTPServerParams;
+        made->setMaxThreads(max_threads);
+        made->setMaxQueued(max_threads);
+        made->setKeepAlive(true);
+        made->setMaxKeepAliveRequests(0);
+        return made;
+    }
+
+    Poco::ThreadPool threads_;
+    Poco::Net::HTTPServer http_;
+};
+
+store_stand_in::store_stand_in(const base::endpoint& local) : server_{std::make_unique<server>(local, *this)} {}
+
+store_stand_in::~store_stand_in()
+{
+    {
+        const std::lock_guard lock{mutex_};
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    server_.reset();
+}
+
+void store_stand_in::put(const std::string& kind, const std::string& name, const std::string& spec)
+{
+    const std::lock_guard lock{mutex_};
+    put_locked(kind, name, spec);
+}
+
+void store_stand_in::put_locked(const std::string& kind, const std::string& name, const std::string& spec)
+{
+    auto& stored = objects_[kind][name];
+    if (stored.revision != 0 && stored.spec == spec)
+    {
+        return;
+    }
+    stored = {.spec = spec, .revision = ++revision_};
+    events_.push_back({revision_, kind, R"({"deleted":false,"object":)" + object_text(name, spec, revision_) + "}"});
+    changed_.notify_all();
+}
+
+void store_stand_in::remove(const std::string& kind, const std::string& name)
+{
+    const std::lock_guard lock{mutex_};
+    if (objects_[kind].erase(name) > 0)
+    {
+        ++revision_;
+        events_.push_back({revision_, kind, R"({"deleted":true,"object":)" + object_text(name, "", revision_) + "}"});
+        changed_.notify_all();
+    }
+}
+
+void store_stand_in::set_fault(store_fault fault)
+{
+    const std::lock_guard lock{mutex_};
+    fault_ = fault;
+    changed_.notify_all();
+}
+
+store_fault store_stand_in::fault() const
+{
+    const std::lock_guard lock{mutex_};
+    return fault_;
+}
+
+void store_stand_in::compact()
+{
+    const std::lock_guard lock{mutex_};
+    events_.clear();
+    oldest_ = revision_;
+    changed_.notify_all();
+}
+
+std::uint64_t store_stand_in::calls() const
+{
+    const std::lock_guard lock{mutex_};
+    return calls_;
+}
+
+store_stand_in::answer store_stand_in::handle(const std::string& method, const std::string& uri,
+                                              const std::string& body)
+{
+    {
+        std::unique_lock lock{mutex_};
+        ++calls_;
+        if (fault_ == store_fault::silent)
+        {
+            changed_.wait_for(lock, longest_silence, [&] { return stopping_ || fault_ != store_fault::silent; });
+            return {.status = 0, .body = {}, .lost = true};
+        }
+        if (fault_ == store_fault::slow)
+        {
+            changed_.wait_for(lock, slow_answer, [&] { return stopping_; });
+        }
+        if (fault_ == store_fault::busy)
+        {
+            return {.status = 503, .body = "{}"};
+        }
+    }
+    const Poco::URI parsed{uri};
+    std::vector<std::string> path;
+    parsed.getPathSegments(path);
+    if (path.size() < 2 || path.front() != "objects")
+    {
+        return {.status = 404, .body = "{}"};
+    }
+    std::map<std::string, std::string> query;
+    for (const auto& [key, value] : parsed.getQueryParameters())
+    {
+        query[key] = value;
+    }
+    if (method != "GET")
+    {
+        return write(method, path[1], path.size() > 2 ? path[2] : "", body);
+    }
+    return query.contains("watch") ? watch(path[1], std::stoull(query["watch"]), std::stoull(query["wait-ms"]))
+                                   : list(path[1], query["after"]);
+}
+
+store_stand_in::answer store_stand_in::list(const std::string& kind, const std::string& after)
+{
+    const std::lock_guard lock{mutex_};
+    const auto& stored = objects_[kind];
+    std::string items;
+    std::size_t count = 0;
+    auto next = stored.upper_bound(after);
+    for (; next != stored.end() && count < page_size; ++next, ++count)
+    {
+        items += (count == 0 ? "" : ",") + object_text(next->first, next->second.spec, next->second.revision);
+    }
+    return {.status = 200,
+            .body = R"({"items":[)" + items + R"(],"more":)" + (next == stored.end() ? "false" : "true") +
+                    R"(,"current-rev":)" + std::to_string(revision_) + "}"};
+}
+
+store_stand_in::answer store_stand_in::watch(const std::string& kind, std::uint64_t revision, std::uint64_t wait_ms)
+{
+    std::unique_lock lock{mutex_};
+    const auto is_news = [&](const event& one) { return one.revision > revision && one.kind == kind; };
+    const auto begun_fault = fault_;
+    changed_.wait_for(lock, std::chrono::milliseconds{wait_ms},
+                      [&]
+                      {
+                          return stopping_ || revision < oldest_ || fault_ != begun_fault ||
+                                 std::any_of(events_.begin(), events_.end(), is_news);
+                      });
+    if (stopping_ || (fault_ != begun_fault && fault_ != store_fault::slow))
+    {
+        return {.status = 0, .body = {}, .lost = true};
+    }
+    if (revision < oldest_)
+    {
+        return {.status = 410, .body = "{}"};
+    }
+    std::string found;
+    for (const auto& one : events_)
+    {
+        found += is_news(one) ? (found.empty() ? "" : ",") + one.text : "";
+    }
+    return {.status = 200, .body = R"({"events":[)" + found + R"(],"current-rev":)" + std::to_string(revision_) + "}"};
+}
+
+store_stand_in::answer store_stand_in::write(const std::string& method, const std::string& kind,
+                                             const std::string& name, const std::string& body)
+{
+    if (method == "DELETE")
+    {
+        remove(kind, name);
+        return {.status = 200, .body = "{}"};
+    }
+    rapidjson::Document document;
+    document.Parse(body.c_str());
+    rapidjson::StringBuffer spec;
+    rapidjson::Writer<rapidjson::StringBuffer> writer{spec};
+    document["spec"].Accept(writer);
+    const std::string written = document["meta"]["name"].GetString();
+    const std::lock_guard lock{mutex_};
+    if (method == "POST" && objects_[kind].contains(written))
+    {
+        return {.status = 409, .body = "{}"};
+    }
+    put_locked(kind, written, spec.GetString());
+    return {.status = 200, .body = "{}"};
+}
+
+} // namespace galenabay::edge_soak
--- /dev/null
+++ b/tools/edge_soak/upstream_fleet.cpp
@@ -0,0 +1,278 @@
+#include "upstream_fleet.hpp"
+
+#include <galenabay/base/invariant.hpp>
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+
+namespace galenabay::edge_soak
+{
+
+namespace
+{
+
+constexpr std::uint16_t upstream_port = 29000;
+/// Within this time of draining or stopping new flows may still arrive.
+constexpr double drain_bound_s = 3.0;
+
+std::string hex(std::uint64_t number)
+{
+    std::array<char, 20> text{};
+    std::snprintf(text.data(), text.size(), "%08llx", static_cast<unsigned long long>(number));
+    return text.data();
+}
+
+} // namespace
+
+upstream_fleet::upstream_fleet(store_stand_in& store, ledger& seen, address_block block, std::uint16_t caller_port,
+                               std::uint64_t seed)
+    : store_{store}, seen_{seen}, block_{block}, caller_port_{caller_port}, random_{seed}, buffers_(net::batch_size)
+{
+}
+
+std::size_t upstream_fleet::start(const std::string& service, const std::string& data_centre)
+{
+    const auto address =
+        base::endpoint::make_v4(block_.upstreams() + static_cast<std::uint32_t>(sockets_.size()), upstream_port);
+    auto socket = net::udp_socket::bind(address);
+    GALENABAY_INVARIANT(socket.has_value());
+    sockets_.push_back(std::move(socket.value()));
+    auto entry = std::make_unique<upstream>();
+    entry->number = ++next_number_;
+    entry->id = "i-" + hex(entry->number);
+    entry->born = next_birth_ += 1000;
+    entry->service = service;
+    entry->data_centre = data_centre;
+    entry->address = address;
+    write(*entry);
+    socket_of_.push_back(sockets_.size() - 1);
+    upstreams_.push_back(std::move(entry));
+    return upstreams_.size() - 1;
+}
+
+void upstream_fleet::write(const upstream& entry)
+{
+    store_.put("servers", entry.id,
+               R"({"service":")" + entry.service + R"(","address":")" + entry.address.to_string() + R"(","zone":")" +
+                   entry.data_centre + R"(","version":"v1","max-concurrency":3,"state":")" +
+                   (entry.draining ? "draining" : "ready") + R"(","warmup-left-ms":0,"sequence":1,"born":)" +
+                   std::to_string(entry.born) + "}");
+}
+
+void upstream_fleet::crash(std::size_t index)
+{
+    upstreams_[index]->alive = false;
+    upstreams_[index]->flows.clear();
+}
+
+void upstream_fleet::unregister(std::size_t index)
+{
+    store_.remove("servers", upstreams_[index]->id);
+}
+
+void upstream_fleet::restart(std::size_t index)
+{
+    auto next = std::make_unique<upstream>(*upstreams_[index]);
+    next->born = next_birth_ += 1000;
+    next->alive = true;
+    next->draining = false;
+    next->flows.clear();
+    write(*next);
+    upstreams_[index] = std::move(next);
+}
+
+void upstream_fleet::replace(std::size_t index, const std::string& service)
+{
+    crash(index);
+    unregister(index);
+    auto heir = std::make_unique<upstream>(*upstreams_[index]);
+    heir->number = ++next_number_;
+    heir->id = "i-" + hex(heir->number);
+    heir->born = next_birth_ += 1000;
+    heir->service = service;
+    heir->alive = true;
+    heir->draining = false;
+    write(*heir);
+    socket_of_.push_back(socket_of_[index]);
+    upstreams_.push_back(std::move(heir));
+}
+
+void upstream_fleet::drain(std::size_t index, double now)
+{
+    upstreams_[index]->draining = true;
+    upstreams_[index]->draining_since = now;
+    write(*upstreams_[index]);
+}
+
+bool upstream_fleet::holds(std::size_t index, const steer::flow_key& flow) const
+{
+    const auto& self = *upstreams_[index];
+    const auto found = self.flows.find(flow);
+    return self.alive && found != self.flows.end() && found->second.open && !found->second.closed;
+}
+
+std::size_t upstream_fleet::holder_of(const steer::flow_key& flow) const
+{
+    for (std::size_t i = 0; i < upstreams_.size(); ++i)
+    {
+        if (holds(i, flow))
+        {
+            return i;
+        }
+    }
+    return upstreams_.size();
+}
+
+std::size_t upstream_fleet::live_at(std::size_t socket) const
+{
+    for (std::size_t i = 0; i < upstreams_.size(); ++i)
+    {
+        if (socket_of_[i] == socket && upstreams_[i]->alive)
+        {
+            return i;
+        }
+    }
+    return upstreams_.size();
+}
+
+void upstream_fleet::receive(double now)
+{
+    std::array<net::packet*, net::batch_size> batch{};
+    for (std::size_t i = 0; i < batch.size(); ++i)
+    {
+        batch[i] = &buffers_[i];
+    }
+    for (std::size_t socket = 0; socket < sockets_.size(); ++socket)
+    {
+        const auto got = net::receive_batch(sockets_[socket].descriptor(), batch);
+        for (std::size_t i = 0; i < got.received; ++i)
+        {
+            const auto payload = batch[i]->payload();
+            handle(socket, {reinterpret_cast<const unsigned char*>(payload.data()), payload.size()}, now);
+        }
+    }
+}
+
+void upstream_fleet::handle(std::size_t socket, std::span<const unsigned char> bytes, double now)
+{
+    constexpr std::size_t number_size = 8;
+    const auto index = live_at(socket);
+    if (bytes.size() < number_size || index == upstreams_.size())
+    {
+        return;
+    }
+    const auto number = boost::endian::endian_load<std::uint64_t, number_size, boost::endian::order::big>(bytes.data());
+    const auto packet = wire_packet::decode(bytes.subspan(number_size));
+    auto& self = *upstreams_[index];
+    if (!packet || number != self.number)
+    {
+        return;
+    }
+    if (packet->sum != wire_packet::end_sum)
+    {
+        seen_.violation("unchanged_packet", now, "upstream=" + self.id);
+    }
+    packet->has(flag_opening) ? open(self, *packet, now) : serve(self, *packet, now);
+}
+
+void upstream_fleet::open(upstream& self, const wire_packet& packet, double now)
+{
+    const bool is_feed = packet.target_port == 8443;
+    if (is_feed != (self.service == "feed"))
+    {
+        seen_.violation("other_service", now, "upstream=" + self.id + " service=" + self.service);
+        return;
+    }
+    if (self.draining && now - self.draining_since > drain_bound_s && store_.fault() == store_fault::none)
+    {
+        seen_.violation("new_flow_on_draining", now, "upstream=" + self.id);
+    }
+    auto& flow = self.flows[packet.flow()];
+    if (flow.sequence == 0)
+    {
+        flow.sequence = static_cast<std::uint32_t>(random_.below(1U << 30U)) + 1;
+        flow.expected = packet.sequence + 1;
+    }
+    flow.token = packet.token;
+    reply(self, packet, flag_opening | flag_acknowledging, flow, std::nullopt);
+}
+
+void upstream_fleet::serve(upstream& self, const wire_packet& packet, double now)
+{
+    const auto found = self.flows.find(packet.flow());
+    if (found == self.flows.end())
+    {
+        if (const auto holder = holder_of(packet.flow()); holder != upstreams_.size())
+        {
+            seen_.violation("flow_moved", now, "from=" + upstreams_[holder]->id + " to=" + self.id);
+        }
+        reply(self, packet, flag_aborting, {}, std::nullopt);
+        return;
+    }
+    auto& flow = found->second;
+    flow.token = packet.token;
+    if (!flow.open && packet.acknowledged == flow.sequence + 1)
+    {
+        flow.open = true;
+        ++flow.sequence;
+    }
+    if (packet.has(flag_closing) || packet.has(flag_aborting))
+    {
+        flow.closed = true;
+        reply(self, packet, flag_acknowledging, flow, std::nullopt);
+        return;
+    }
+    if (!packet.request || !flow.open)
+    {
+        return;
+    }
+    const auto before = flow.sequence;
+    if (packet.sequence == flow.expected)
+    {
+        flow.expected += packet.size();
+        if (!seen_.ran(*packet.request))
+        {
+            seen_.violation("request_ran_twice", now, "upstream=" + self.id);
+        }
+        flow.sequence += packet.size();
+        auto answered = flow;
+        answered.sequence = before;
+        reply(self, packet, flag_acknowledging, answered, packet.request);
+        return;
+    }
+    // A copy of a request that was answered: the answer once more.
+    auto again = flow;
+    again.sequence = before - packet.size();
+    reply(self, packet, flag_acknowledging, again, packet.request);
+}
+
+void upstream_fleet::reply(const upstream& self, const wire_packet& to, std::uint8_t flags,
+                           const upstream::held_flow& flow, std::optional<std::uint64_t> request)
+{
+    const wire_packet answer{.source = to.target,
+                             .target = to.source,
+                             .source_port = to.target_port,
+                             .target_port = to.source_port,
+                             .token = flow.token,
+                             .flags = flags,
+                             .sum = wire_packet::end_sum,
+                             .sequence = flow.sequence,
+                             .acknowledged = flow.expected,
+                             .request = request};
+    const auto bytes = answer.encode();
+    net::packet datagram;
+    datagram.assign(std::as_bytes(std::span{bytes}));
+    datagram.peer = base::endpoint::make_v4(to.source, caller_port_);
+    const std::array<net::packet*, 1> single{&datagram};
+    for (std::size_t i = 0; i < upstreams_.size(); ++i)
+    {
+        if (upstreams_[i].get() == &self)
+        {
+            net::send_batch(sockets_[socket_of_[i]].descriptor(), single);
+            return;
+        }
+    }
+}
+
+} // namespace galenabay::edge_soak
--- /dev/null
+++ b/tools/edge_soak/wire_packet.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <galenabay/steer/packet_head.hpp>
+
+#include <boost/endian/conversion.hpp>
+
+#include <cstdint>
+#include <cstring>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace galenabay::edge_soak
+{
+
+constexpr std::uint8_t flag_closing = 1;
+constexpr std::uint8_t flag_opening = 16;
+constexpr std::uint8_t flag_aborting = 32;
+constexpr std::uint8_t flag_acknowledging = 64;
+
+/// A packet as callers and upstreams exchange it. Its data is the number of a
+/// request, or nothing. `sum` only tells the ends' packets from a host's resets.
+struct wire_packet
+{
+    static constexpr std::size_t head_size = 31;
+    static constexpr std::uint32_t end_sum = 0x5a5a5a5a;
+
+    std::uint32_t source = 0;
+    std::uint32_t target = 0;
+    std::uint16_t source_port = 0;
+    std::uint16_t target_port = 0;
+    std::uint32_t token = 0;
+    std::uint8_t flags = 0;
+    std::uint32_t sum = end_sum;
+    std::uint32_t sequence = 0;
+    std::uint32_t acknowledged = 0;
+    std::optional<std::uint64_t> request;
+
+    bool has(std::uint8_t flag) const noexcept { return (flags & flag) != 0; }
+    std::uint32_t size() const noexcept { return request ? sizeof(std::uint64_t) : 0; }
+
+    /// The flow, when a caller sent the packet.
+    steer::flow_key flow() const
+    {
+        return {.caller_address = source,
+                .service_address = target,
+                .caller_port = source_port,
+                .service_port = target_port};
+    }
+
+    std::vector<unsigned char> encode() const
+    {
+        std::vector<unsigned char> bytes(head_size + size());
+        put(bytes, 0, static_cast<std::uint16_t>(size()));
+        put(bytes, 2, source);
+        put(bytes, 6, target);
+        put(bytes, 10, source_port);
+        put(bytes, 12, target_port);
+        put(bytes, 14, token);
+        put(bytes, 18, flags);
+        put(bytes, 19, sum);
+        put(bytes, 23, sequence);
+        put(bytes, 27, acknowledged);
+        if (request)
+        {
+            put(bytes, head_size, *request);
+        }
+        return bytes;
+    }
+
+    static std::optional<wire_packet> decode(std::span<const unsigned char> bytes)
+    {
+        if (bytes.size() < head_size)
+        {
+            return std::nullopt;
+        }
+        wire_packet packet{.source = get<std::uint32_t>(bytes, 2),
+                           .target = get<std::uint32_t>(bytes, 6),
+                           .source_port = get<std::uint16_t>(bytes, 10),
+                           .target_port = get<std::uint16_t>(bytes, 12),
+                           .token = get<std::uint32_t>(bytes, 14),
+                           .flags = get<std::uint8_t>(bytes, 18),
+                           .sum = get<std::uint32_t>(bytes, 19),
+                           .sequence = get<std::uint32_t>(bytes, 23),
+                           .acknowledged = get<std::uint32_t>(bytes, 27),
+                           .request = {}};
+        if (bytes.size() >= head_size + sizeof(std::uint64_t))
+        {
+            packet.request = get<std::uint64_t>(bytes, head_size);
+        }
+        return packet;
+    }
+
+private:
+    template <typename T> static void put(std::vector<unsigned char>& bytes, std::size_t at, T value)
+    {
+        boost::endian::endian_store<T, sizeof(T), boost::endian::order::big>(bytes.data() + at, value);
+    }
+    template <typename T> static T get(std::span<const unsigned char> bytes, std::size_t at)
+    {
+        return boost::endian::endian_load<T, sizeof(T), boost::endian::order::big>(bytes.data() + at);
+    }
+};
+
+} // namespace galenabay::edge_soak
