Log lines are written by a thread of their own

Cause: a reader of standard output that stalls would have stopped the packet thread. Change: events put lines into a bounded queue; a full one leaves lines out and counts them. Test: a_writer_that_blocks_delays_nobody_and_lines_beyond_the_bound_are_counted.

--- a/daemons/galena_balancerd.cpp
+++ b/daemons/galena_balancerd.cpp
@@ -75,6 +75,7 @@
     if (!started)
     {
         log_event{log_level::error, "start_failed"}.with(started.error());
+        galenabay::base::flush_log();
         return exit_failure;
     }
     log_event{log_level::info, "started"}.with("address", settings.address.address_string());
@@ -92,6 +93,7 @@
         .with("open_requests", summary.open_requests)
         .with("took_ms", summary.took.count() / 1000);
     // A thread may still wait for an answer of the platform; the process does not.
+    galenabay::base::flush_log();
     std::cout.flush();
     std::quick_exit(exit_ok);
 }
--- a/daemons/galena_edged.cpp
+++ b/daemons/galena_edged.cpp
@@ -127,6 +127,7 @@
     if (!started)
     {
         log_event{log_level::error, "start_failed"}.with(started.error());
+        galenabay::base::flush_log();
         return exit_failure;
     }
     log_event{log_level::info, "started"}
@@ -137,6 +138,7 @@
     const auto took = started.value().drain();
     log_event{log_level::info, "stopped"}.with("took_ms", took.count());
     // A thread may still wait for an answer of the store; the process does not.
+    galenabay::base::flush_log();
     std::cout.flush();
     std::_Exit(exit_ok);
 }
--- a/include/galenabay/base/log.hpp
+++ b/include/galenabay/base/log.hpp
@@ -2,6 +2,7 @@
 
 #include <galenabay/base/error.hpp>
 
+#include <chrono>
 #include <concepts>
 #include <string>
 #include <string_view>
@@ -19,8 +20,14 @@
 
 /// Starts logging to standard output: one line of key=value pairs per event.
 /// `host` and `data_centre` are written on every line. Thread-safe afterwards.
+///
+/// From then on lines are written by a thread of their own: an event only puts its line
+/// into a bounded queue, and a full queue leaves lines out rather than wait.
 void configure_log(std::string host, std::string data_centre, log_level lowest);
 
+/// Waits until the queued lines are written, at most `limit`. For the end of a process.
+void flush_log(std::chrono::milliseconds limit = std::chrono::milliseconds{200});
+
 /// Changes the lowest level that is written. Thread-safe.
 void set_log_level(log_level lowest);
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,3 +1,5 @@
+#include "log_queue.hpp"
+
 #include <galenabay/base/log.hpp>
 
 #include <easylogging++.h>
@@ -16,6 +18,14 @@
 std::string common_pairs;
 std::atomic<log_level> lowest_level{log_level::info};
 
+/// Null until `configure_log`; never destroyed, because threads log until the end.
+std::atomic<log_queue*> queue{nullptr};
+
+void write_line(const std::string& line)
+{
+    LOG(INFO) << line;
+}
+
 const char* name_of(log_level level)
 {
     switch (level)
@@ -63,6 +73,18 @@
     settings.setGlobally(el::ConfigurationType::Format, "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
     el::Loggers::reconfigureLogger("default", settings);
     set_log_level(lowest);
+    if (queue.load() == nullptr)
+    {
+        queue.store(new log_queue{write_line});
+    }
+}
+
+void flush_log(std::chrono::milliseconds limit)
+{
+    if (auto* const lines = queue.load(); lines != nullptr)
+    {
+        lines->flush(limit);
+    }
 }
 
 void set_log_level(log_level lowest)
@@ -77,10 +99,16 @@
 
 log_event::~log_event()
 {
-    if (level_ >= lowest_level.load(std::memory_order_relaxed))
+    if (level_ < lowest_level.load(std::memory_order_relaxed))
+    {
+        return;
+    }
+    if (auto* const lines = queue.load(); lines != nullptr)
     {
-        LOG(INFO) << line_;
+        lines->push(std::move(line_));
+        return;
     }
+    write_line(line_);
 }
 
 log_event& log_event::with(std::string_view key, std::string_view value)
--- /dev/null
+++ b/src/base/log_queue.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace galenabay::base
+{
+
+/// Bounded queue of log lines with a thread that writes them. Thread-safe; a push never
+/// waits for the writer.
+class log_queue
+{
+public:
+    /// Lines that wait at most: some seconds of a busy host's lines.
+    static constexpr std::size_t max_lines = 2'000;
+
+    explicit log_queue(std::function<void(const std::string&)> write);
+    log_queue(const log_queue&) = delete;
+    log_queue& operator=(const log_queue&) = delete;
+    /// Writes what is queued.
+    ~log_queue();
+
+    /// Leaves the line out when the queue is full; the next line that is written is
+    /// preceded by one that says how many were.
+    void push(std::string line);
+
+    /// Waits until everything is written, at most `limit`.
+    void flush(std::chrono::milliseconds limit);
+
+private:
+    void run();
+
+    std::function<void(const std::string&)> write_;
+    std::mutex mutex_;
+    std::condition_variable filled_;
+    std::condition_variable emptied_;
+    std::deque<std::string> lines_;
+    std::uint64_t left_out_ = 0;
+    bool writing_ = false;
+    bool stop_ = false;
+    std::thread writer_;
+};
+
+} // namespace galenabay::base
--- /dev/null
+++ b/tests/base/log_queue_test.cpp
@@ -0,0 +1,60 @@
+// Before CppUTest, which redefines new.
+#include <future>
+
+#include "../../src/base/log_queue.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <vector>
+
+using namespace galenabay;
+using namespace std::chrono_literals;
+
+TEST_GROUP(log_queue){};
+
+TEST(log_queue, writes_lines_in_order)
+{
+    std::vector<std::string> written;
+    {
+        base::log_queue queue{[&](const std::string& line) { written.push_back(line); }};
+        for (int i = 0; i < 100; ++i)
+        {
+            queue.push(std::to_string(i));
+        }
+        queue.flush(10s);
+        LONGS_EQUAL(100, written.size());
+    }
+    STRCMP_EQUAL("99", written.back().c_str());
+}
+
+TEST(log_queue, a_writer_that_blocks_delays_nobody_and_lines_beyond_the_bound_are_counted)
+{
+    std::promise<void> release;
+    auto released = release.get_future().share();
+    std::vector<std::string> written;
+    {
+        base::log_queue queue{[&, released](const std::string& line)
+                              {
+                                  released.wait();
+                                  written.push_back(line);
+                              }};
+        constexpr std::size_t more = 500;
+        for (std::size_t i = 0; i < 2 * base::log_queue::max_lines + more; ++i)
+        {
+            queue.push("line");
+        }
+        release.set_value();
+        queue.push("last");
+        queue.flush(10s);
+    }
+    // What one batch and one full queue hold, and at most a line for each that tells of others.
+    CHECK(written.size() >= base::log_queue::max_lines);
+    CHECK(written.size() <= 2 * base::log_queue::max_lines + 3);
+    bool counted = false;
+    for (const auto& line : written)
+    {
+        counted = counted || line.find("log_lines_left_out") != std::string::npos;
+    }
+    CHECK(counted);
+}
