Signals are blocked before the log's thread starts

Ruled out: a broken invariant or exception (no line in the host's log). Change: block first, in both daemons.

--- a/daemons/galena_balancerd.cpp
+++ b/daemons/galena_balancerd.cpp
@@ -69,8 +69,9 @@
 
 int serve(const std::string& file, const galenabay::config::host_settings& settings)
 {
-    galenabay::base::configure_log(settings.name, settings.data_centre, settings.log_level);
+    // Before the log's thread starts, which inherits the mask.
     const sigset_t handled = block_signals();
+    galenabay::base::configure_log(settings.name, settings.data_centre, settings.log_level);
     auto started = galenabay::daemon::balancer::start(settings);
     if (!started)
     {
--- a/daemons/galena_edged.cpp
+++ b/daemons/galena_edged.cpp
@@ -121,8 +121,9 @@
 
 int serve(const std::string& file, const galenabay::adapter::settings& settings, std::uint16_t metrics_port)
 {
-    galenabay::base::configure_log(settings.host, settings.data_centre, log_level::info);
+    // Before the log's thread starts, which inherits the mask.
     const sigset_t handled = block_signals();
+    galenabay::base::configure_log(settings.host, settings.data_centre, log_level::info);
     auto started = galenabay::edge::edge_host::start(settings, metrics_port);
     if (!started)
     {
