--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -57,7 +57,6 @@
     base::time_point last_progress{};
     /// Packets sent again by callers since then.
     std::uint32_t repeats = 0;
-    base::time_point first_repeat{};
     /// Opening packets without an answer since then.
     std::uint32_t unanswered = 0;
     /// This host's flows showed silence; it counts until then.
--- a/src/steer/upstream_evidence.hpp
+++ b/src/steer/upstream_evidence.hpp
@@ -21,10 +21,7 @@
                         base::duration avoid_time)
 {
     constexpr std::uint32_t enough_repeats = 2;
-    if (upstream.repeats++ == 0)
-    {
-        upstream.first_repeat = now;
-    }
+    ++upstream.repeats;
     if (upstream.repeats >= enough_repeats && now - upstream.last_progress >= silence_limit)
     {
         upstream.silent_until = now + avoid_time;
