Spare the store: state from informed hosts, stale first lists

Ruled out: the watchers' own watches (about 600).

Change: a host that is behind reads from one that is ahead, and from the store when that fails; the first lists and the look for the own entry go with allow-stale; entries stay over a stop and are removed by the first live host after a minute of silence; a host listens 700 ms before it may watch, and hosts take turns of 600 ms for a vacancy. steady_now() and the blocking of signals stand once, in base.

--- a/daemons/galena_balancerd.cpp
+++ b/daemons/galena_balancerd.cpp
@@ -1,4 +1,5 @@
 #include <galenabay/base/log.hpp>
+#include <galenabay/base/process_signals.hpp>
 #include <galenabay/config/host_settings.hpp>
 #include <galenabay/daemon/balancer.hpp>
 
@@ -39,19 +40,6 @@
     return described;
 }
 
-/// Blocks the handled signals in this thread and those it starts.
-sigset_t block_signals()
-{
-    sigset_t handled;
-    sigemptyset(&handled);
-    sigaddset(&handled, SIGTERM);
-    sigaddset(&handled, SIGINT);
-    sigaddset(&handled, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &handled, nullptr);
-    std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c)
-    return handled;
-}
-
 void reload(const std::string& file, galenabay::daemon::balancer& running)
 {
     const auto settings = galenabay::config::load_host_settings(file);
@@ -70,7 +58,7 @@
 int serve(const std::string& file, const galenabay::config::host_settings& settings)
 {
     // Before the log's thread starts, which inherits the mask.
-    const sigset_t handled = block_signals();
+    const sigset_t handled = galenabay::base::block_process_signals();
     galenabay::base::configure_log(settings.name, settings.data_centre, settings.log_level);
     auto started = galenabay::daemon::balancer::start(settings);
     if (!started)
--- a/daemons/galena_edged.cpp
+++ b/daemons/galena_edged.cpp
@@ -1,4 +1,5 @@
 #include <galenabay/base/log.hpp>
+#include <galenabay/base/process_signals.hpp>
 #include <galenabay/edge/edge_host.hpp>
 #include <platform/settings.hpp>
 
@@ -52,19 +53,6 @@
     return described;
 }
 
-/// Blocks the handled signals in this thread and those it starts.
-sigset_t block_signals()
-{
-    sigset_t handled;
-    sigemptyset(&handled);
-    sigaddset(&handled, SIGTERM);
-    sigaddset(&handled, SIGINT);
-    sigaddset(&handled, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &handled, nullptr);
-    std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c)
-    return handled;
-}
-
 /// Tells versions of a file apart by size and time of its last change.
 class file_watch
 {
@@ -122,7 +110,7 @@
 int serve(const std::string& file, const galenabay::adapter::settings& settings, std::uint16_t metrics_port)
 {
     // Before the log's thread starts, which inherits the mask.
-    const sigset_t handled = block_signals();
+    const sigset_t handled = galenabay::base::block_process_signals();
     galenabay::base::configure_log(settings.host, settings.data_centre, log_level::info);
     auto started = galenabay::edge::edge_host::start(settings, metrics_port);
     if (!started)
--- a/include/galenabay/peers/peer_view.hpp
+++ b/include/galenabay/peers/peer_view.hpp
@@ -21,9 +21,18 @@
     /// Hosts of a data centre that watch the store for all. The watchers of other
     /// data centres tell this one too, so one is enough.
     std::size_t followers_per_data_centre = 1;
+    /// After its start a host listens for so long before it watches: longer than the
+    /// interval of statuses, so that it has heard a watcher if there is one.
+    base::duration listening_time = std::chrono::milliseconds{700};
+    /// How long a host that could watch is waited for before the next one does: longer
+    /// than the interval of statuses.
+    base::duration turn = std::chrono::milliseconds{600};
+    /// Hosts that are waited for at most: with `silence_limit` and `listening_time` a
+    /// vacancy ends within the 3 s of the configuration bound.
+    std::size_t longest_queue = 2;
     /// Three statuses may be lost before a host counts as silent.
     base::duration silence_limit = std::chrono::milliseconds{1'600};
-    /// How long the address of a silent host is kept.
+    /// How long the address of a silent host is kept, and with it its entry in the store.
     base::duration address_memory = std::chrono::seconds{60};
 };
 
@@ -31,7 +40,7 @@
 ///
 /// Every host ranks the hosts of its data centre in the same way, so that the one
 /// that watches the store needs no election: a host watches while too few that rank
-/// before it say that they do.
+/// before it say that they do, and begins when those before it have had their turn.
 class peer_view
 {
 public:
@@ -41,11 +50,13 @@
     bool on_status(const host_status& status, const base::endpoint& from, base::time_point now);
     /// The store names a host and its address.
     void on_listed(const std::string& name, const base::endpoint& address, base::time_point now);
-    /// Forgets hosts that have been silent for long.
-    void expire(base::time_point now);
+    /// Forgets hosts that have been silent for long. Returns their names when their
+    /// entries are this host's to remove: it ranks first of the live hosts, and hears
+    /// most of those that it knows, so that it isn't itself cut off.
+    std::vector<std::string> expire(base::time_point now);
 
-    /// True when this host should watch the store.
-    bool should_follow(base::time_point now) const;
+    /// Decides anew whether this host should watch the store.
+    bool update_following(base::time_point now);
 
     /// Addresses of the hosts of this data centre, or of all others. A host whose data
     /// centre is unknown belongs to both.
@@ -80,10 +91,18 @@
     template <typename Predicate>
     std::optional<base::endpoint> draw(Predicate is_wanted, base::random_source& random, base::time_point now) const;
 
+    /// Live hosts of this data centre that stay and rank before this one.
+    template <typename Predicate> std::size_t count_before(Predicate is_counted, base::time_point now) const;
+    bool is_first(base::time_point now) const;
+
     std::string name_;
     std::string data_centre_;
     peer_options options_;
     std::unordered_map<std::string, peer> peers_;
+    bool follows_ = false;
+    std::optional<base::time_point> started_;
+    /// Since when too few hosts watch.
+    std::optional<base::time_point> vacant_since_;
 };
 
 } // namespace galenabay::peers
--- a/src/daemon/balancer.cpp
+++ b/src/daemon/balancer.cpp
@@ -14,6 +14,7 @@
 
 #include <galenabay/base/hash.hpp>
 #include <galenabay/base/log.hpp>
+#include <galenabay/base/steady_clock.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -88,17 +89,17 @@
 
     stop_summary stop()
     {
-        const auto began = steady_now();
+        const auto began = base::steady_now();
         state_.leaving.store(true);
-        while (steady_now() - began < settings_.stop_timeout)
+        while (base::steady_now() - began < settings_.stop_timeout)
         {
             std::this_thread::sleep_for(stop_poll_interval);
-            if (steady_now() - began > announce_time && state_.open_requests.load() == 0)
+            if (base::steady_now() - began > announce_time && state_.open_requests.load() == 0)
             {
                 break;
             }
         }
-        const stop_summary summary{state_.open_requests.load(), steady_now() - began};
+        const stop_summary summary{state_.open_requests.load(), base::steady_now() - began};
         end_serving();
         return summary;
     }
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -3,6 +3,7 @@
 #include "counting_stream.hpp"
 
 #include <galenabay/base/log.hpp>
+#include <galenabay/base/steady_clock.hpp>
 #include <galenabay/config/codec.hpp>
 #include <galenabay/dispatch/dispatcher.hpp>
 #include <galenabay/revision/watcher.hpp>
@@ -126,13 +127,13 @@
     const auto found = contacts_.find(host);
     if (found == contacts_.end())
     {
-        carry_out(follower_.on_peer_failure(host, steady_now()), steady_now());
+        carry_out(follower_.on_peer_failure(host, base::steady_now()), base::steady_now());
         return;
     }
     auto fetching = found->second.link->fetch_revision(after).then(
         [this, host](std::vector<std::byte> bytes)
         {
-            const auto now = steady_now();
+            const auto now = base::steady_now();
             const auto offered = config::decode_update(follower_.current(), bytes);
             if (offered)
             {
@@ -145,7 +146,7 @@
         [this, host](kj::Exception&&)
         {
             metrics_.add(metric::revision_failed_fetches);
-            carry_out(follower_.on_peer_failure(host, steady_now()), steady_now());
+            carry_out(follower_.on_peer_failure(host, base::steady_now()), base::steady_now());
         });
     tasks_->add(kj::mv(fetching));
 }
@@ -389,13 +390,13 @@
     auto receiver = address->listen();
     capnp::TwoPartyServer server{kj::heap<peer_server>(static_cast<peer_handler&>(*this))};
     tasks_->add(accept_loop(*receiver, server));
-    started_ = steady_now();
+    started_ = base::steady_now();
     members_.on_platform_list(configured_peers(settings_), started_);
     auto& timer = io.provider->getTimer();
     while (!state_.stop.load(std::memory_order_relaxed))
     {
         timer.afterDelay(tick_interval).wait(io.waitScope);
-        tick(steady_now());
+        tick(base::steady_now());
     }
     tasks_ = nullptr;
     contacts_.clear();
--- a/src/daemon/control_peers.cpp
+++ b/src/daemon/control_peers.cpp
@@ -3,6 +3,7 @@
 #include "control_duty.hpp"
 
 #include <algorithm>
+#include <galenabay/base/steady_clock.hpp>
 #include <utility>
 
 namespace galenabay::daemon
@@ -37,7 +38,7 @@
 
 std::vector<membership::host_report> control_duty::known_reports() const
 {
-    return members_.reports(steady_now());
+    return members_.reports(base::steady_now());
 }
 
 bool control_duty::on_heartbeat(const membership::host_report& report, const std::vector<flow::flow_record>& records)
@@ -52,7 +53,7 @@
 
 void control_duty::hear(const membership::host_report& report, const std::vector<flow::flow_record>& records)
 {
-    const auto now = steady_now();
+    const auto now = base::steady_now();
     if (members_.on_report(report, now))
     {
         heard_[report.name] = report;
--- a/src/daemon/decide_duty.cpp
+++ b/src/daemon/decide_duty.cpp
@@ -1,6 +1,7 @@
 #include "decide_duty.hpp"
 
 #include <galenabay/base/log.hpp>
+#include <galenabay/base/steady_clock.hpp>
 
 #include <chrono>
 #include <utility>
@@ -151,12 +152,12 @@
 {
     while (!state_.stop.load(std::memory_order_relaxed))
     {
-        if (work(steady_now()))
+        if (work(base::steady_now()))
         {
             continue;
         }
         links_.decide_waker.prepare();
-        if (work(steady_now()))
+        if (work(base::steady_now()))
         {
             links_.decide_waker.cancel();
             continue;
--- a/src/daemon/platform_duty.cpp
+++ b/src/daemon/platform_duty.cpp
@@ -1,5 +1,6 @@
 #include "platform_duty.hpp"
 
+#include <galenabay/base/steady_clock.hpp>
 #include <galenabay/platform/object_client.hpp>
 
 #include <chrono>
@@ -34,10 +35,10 @@
 
 void platform_duty::wait_for_budget()
 {
-    while (!budget_.take(steady_now()) && !state_.stop.load(std::memory_order_relaxed))
+    while (!budget_.take(base::steady_now()) && !state_.stop.load(std::memory_order_relaxed))
     {
         metrics_.add(metric::platform_throttled);
-        std::this_thread::sleep_for(budget_.wait(steady_now()));
+        std::this_thread::sleep_for(budget_.wait(base::steady_now()));
     }
 }
 
--- a/src/daemon/thread_state.hpp
+++ b/src/daemon/thread_state.hpp
@@ -26,11 +26,4 @@
     std::atomic<std::uint64_t> open_requests{0};
 };
 
-/// Time on the line that decision logic works on.
-inline base::time_point steady_now()
-{
-    const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
-    return base::time_point{std::chrono::duration_cast<base::duration>(since_boot)};
-}
-
 } // namespace galenabay::daemon
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -7,6 +7,7 @@
 
 #include <galenabay/base/hash.hpp>
 #include <galenabay/base/log.hpp>
+#include <galenabay/base/steady_clock.hpp>
 #include <galenabay/net/status_server.hpp>
 
 #include <algorithm>
@@ -36,8 +37,9 @@
 /// Left of the stop bound for the end of the process.
 constexpr milliseconds exit_reserve{800};
 constexpr milliseconds drain_step{50};
-/// Much less than the time until the routers have moved on.
-constexpr milliseconds unregister_timeout{300};
+/// Twenty hosts that ask at once fill a link of 10 Mbit/s for a second; the store has
+/// a hundred times that.
+constexpr std::size_t max_told_bytes = 64U << 10U;
 
 /// Differs between hosts and starts; nothing that must be agreed on depends on it.
 std::uint64_t make_seed(const adapter::settings& settings)
@@ -55,11 +57,29 @@
 net::status_answer answer_peer(const std::string& path, const shared_state& state)
 {
     const auto known = state.snapshot();
-    if (path != peer_state_path || !known)
+    if (!known)
+    {
+        return {status_unavailable, "not ready"};
+    }
+    peers::edge_state told;
+    if (path == peer_state_path(adapter::object_kind::configuration))
+    {
+        told.configuration = known->configuration;
+    }
+    else if (path == peer_state_path(adapter::object_kind::upstreams))
+    {
+        told.upstreams = known->upstreams;
+    }
+    else
     {
         return {status_not_found, "not found"};
     }
-    return {status_ok, peers::encode(*known)};
+    auto body = peers::encode(told);
+    if (body.size() > max_told_bytes)
+    {
+        return {status_unavailable, "too large: read the store"};
+    }
+    return {status_ok, std::move(body)};
 }
 
 net::status_answer answer(const std::string& path, const shared_state& state, const edge_metrics& metrics)
@@ -139,13 +159,12 @@
     milliseconds drain()
     {
         state_.draining.store(true);
-        unregister();
         metrics_.ready.Set(0);
-        const auto begun = steady_now();
+        const auto begun = base::steady_now();
         const auto limit = std::max<base::duration>(settings_.stop_bound - exit_reserve, milliseconds{0});
         const auto is_quiet = [&](base::time_point now)
         { return now.time_since_epoch() - base::duration{state_.last_packet_us.load()} >= quiet_time; };
-        for (auto now = begun; now - begun < limit; now = steady_now())
+        for (auto now = begun; now - begun < limit; now = base::steady_now())
         {
             if (now - begun >= routers_move_on && is_quiet(now))
             {
@@ -153,22 +172,10 @@
             }
             std::this_thread::sleep_for(drain_step);
         }
-        return std::chrono::duration_cast<milliseconds>(steady_now() - begun);
+        return std::chrono::duration_cast<milliseconds>(base::steady_now() - begun);
     }
 
 private:
-    /// Hosts that start later need not write to this one. A failure is harmless: its
-    /// address is forgotten when it stays silent.
-    void unregister()
-    {
-        auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, unregister_timeout);
-        metrics_.store_calls(adapter::object_kind::hosts).Increment();
-        if (const auto removed = client.remove_host(settings_.host); !removed)
-        {
-            log_event{log_level::warning, "unregister_failed"}.with(removed.error());
-        }
-    }
-
     adapter::settings settings_;
     shared_state state_;
     edge_metrics metrics_;
--- a/src/edge/packet_duty.cpp
+++ b/src/edge/packet_duty.cpp
@@ -1,6 +1,7 @@
 #include "packet_duty.hpp"
 
 #include <galenabay/base/log.hpp>
+#include <galenabay/base/steady_clock.hpp>
 #include <platform/packet_head.hpp>
 
 #include <poll.h>
@@ -56,7 +57,7 @@
 
 void packet_duty::run()
 {
-    hold_until_ = steady_now() + start_hold;
+    hold_until_ = base::steady_now() + start_hold;
     while (!state_.stopping())
     {
         wait();
@@ -64,12 +65,12 @@
         {
             drain(ring);
         }
-        if (!is_holding(steady_now()))
+        if (!is_holding(base::steady_now()))
         {
-            receive(steady_now());
+            receive(base::steady_now());
         }
-        exchange_with_peers(steady_now());
-        if (const auto now = steady_now(); now >= next_tick_)
+        exchange_with_peers(base::steady_now());
+        if (const auto now = base::steady_now(); now >= next_tick_)
         {
             tick(now);
         }
@@ -79,11 +80,11 @@
 void packet_duty::wait()
 {
     waker_.prepare();
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(next_tick_ - steady_now());
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(next_tick_ - base::steady_now());
     const bool has_updates =
         std::any_of(updates_.begin(), updates_.end(), [](const update_ring& ring) { return ring.size() > 0; });
     const auto timeout = has_updates ? 0 : std::max<std::int64_t>(left.count(), 0);
-    const short awaited = is_holding(steady_now()) ? 0 : POLLIN;
+    const short awaited = is_holding(base::steady_now()) ? 0 : POLLIN;
     std::array<pollfd, 3> entries{pollfd{socket_.descriptor(), awaited, 0}, pollfd{waker_.descriptor(), POLLIN, 0},
                                   pollfd{peers_.descriptor(), POLLIN, 0}};
     if (poll(entries.data(), entries.size(), static_cast<int>(timeout)) > 0 && entries[1].revents != 0)
@@ -106,7 +107,7 @@
     const auto end = std::partition(batch.begin(), batch.begin() + static_cast<std::ptrdiff_t>(got.received),
                                     [&](net::packet* datagram) { return decide(*datagram, now); });
     send({batch.begin(), end});
-    metrics_.handling_time.Observe(seconds_between(now, steady_now()));
+    metrics_.handling_time.Observe(seconds_between(now, base::steady_now()));
 }
 
 bool packet_duty::decide(net::packet& datagram, base::time_point now)
@@ -190,6 +191,7 @@
     }
     next_summary_ = now + summary_interval;
     log_.summarize();
+    state_.request_removal(peers_.expire(now));
     metrics_.upstreams.Set(static_cast<double>(steerer_.registry().size()));
     metrics_.peers.Set(static_cast<double>(peers_.view().live_count(now)));
     metrics_.flows.Set(static_cast<double>(steerer_.flow_count()));
--- a/src/edge/packet_duty.hpp
+++ b/src/edge/packet_duty.hpp
@@ -75,7 +75,7 @@
     void spread(const store_update& update, std::uint64_t previous_revision);
     void exchange_with_peers(base::time_point now);
     void use_remote_view(base::time_point now);
-    /// Reads the store when another host knows more.
+    /// Reads from another host that knows more.
     void catch_up(base::time_point now);
     peers::host_status status(base::time_point now);
     void publish_snapshot();
@@ -101,6 +101,7 @@
     std::uint64_t silences_told_ = 0;
     base::time_point next_urgent_{};
     base::time_point next_remote_view_{};
+    base::time_point next_configuration_read_{};
     /// Since when another host knows more.
     std::optional<base::time_point> behind_since_;
     net::waker waker_;
--- a/src/edge/packet_duty_updates.cpp
+++ b/src/edge/packet_duty_updates.cpp
@@ -1,6 +1,7 @@
 #include "packet_duty.hpp"
 
 #include <galenabay/base/log.hpp>
+#include <galenabay/base/steady_clock.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -29,7 +30,7 @@
 {
     if (update.what == store_update::kind::failure)
     {
-        steerer_.on_store_failure(steady_now());
+        steerer_.on_store_failure(base::steady_now());
         return;
     }
     if (update.what == store_update::kind::peer_state)
@@ -41,7 +42,7 @@
         if (!object.fault.empty())
         {
             metrics_.refused_objects.Increment();
-            log_.refused(object, update.revision, steady_now());
+            log_.refused(object, update.revision, base::steady_now());
         }
     }
     switch (update.objects_of)
@@ -57,7 +58,7 @@
         break;
     }
     snapshot_due_ = true;
-    metrics_.adoption_time.Observe(seconds_between(update.at, steady_now()));
+    metrics_.adoption_time.Observe(seconds_between(update.at, base::steady_now()));
     note_ready();
 }
 
@@ -76,7 +77,7 @@
     {
         if (object.host)
         {
-            peers_.on_listed(object.name, *object.host, steady_now());
+            peers_.on_listed(object.name, *object.host, base::steady_now());
         }
     }
 }
@@ -88,9 +89,9 @@
         adopt(update.state->configuration, update.revision);
     }
     const auto& upstreams = update.state->upstreams;
-    if (upstreams.revision > upstreams_revision_)
+    if (update.objects_of == adapter::object_kind::upstreams && upstreams.revision > upstreams_revision_)
     {
-        const auto now = steady_now();
+        const auto now = base::steady_now();
         follow_up(steerer_.on_upstream_list(upstreams.entries, upstreams.revision, now), upstreams.revision, now);
         upstreams_revision_ = upstreams.revision;
     }
@@ -119,14 +120,14 @@
         if (object.configuration)
         {
             adopt(*object.configuration, update.revision);
-            peers_.send_status(status(steady_now()), true, steady_now());
+            peers_.send_status(status(base::steady_now()), true, base::steady_now());
         }
     }
 }
 
 void packet_duty::apply_upstreams(const store_update& update)
 {
-    const auto now = steady_now();
+    const auto now = base::steady_now();
     const auto previous_revision = upstreams_revision_;
     for (const auto& object : update.objects)
     {
@@ -178,7 +179,7 @@
 
 void packet_duty::apply_changes(const peers::upstream_changes& changes)
 {
-    const auto now = steady_now();
+    const auto now = base::steady_now();
     for (const auto& entry : changes.entries)
     {
         follow_up(steerer_.on_upstream(entry, now), entry.revision, now);
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -97,7 +97,6 @@
         next_others_ = now + others_interval;
         send(bytes, view_.addresses(false));
     }
-    view_.expire(now);
 }
 
 void peer_link::send_changes(const peers::upstream_changes& changes)
--- a/src/edge/peer_link.hpp
+++ b/src/edge/peer_link.hpp
@@ -24,6 +24,10 @@
     int descriptor() const noexcept { return socket_.descriptor(); }
     const peers::peer_view& view() const noexcept { return view_; }
 
+    /// As `peer_view::expire` and `peer_view::update_following`.
+    std::vector<std::string> expire(base::time_point now) { return view_.expire(now); }
+    bool update_following(base::time_point now) { return view_.update_following(now); }
+
     void on_listed(const std::string& name, const base::endpoint& address, base::time_point now);
 
     /// Reads what has arrived; passes changes on and returns true when a status did.
--- a/src/edge/peer_paths.hpp
+++ b/src/edge/peer_paths.hpp
@@ -1,9 +1,16 @@
 #pragma once
 
+#include <platform/store_objects.hpp>
+
+#include <string>
+
 namespace galenabay::edge
 {
 
-/// Path under which a host serves all that it knows of the store to other hosts.
-constexpr const char* peer_state_path = "/state";
+/// Path under which a host serves what it knows of one kind of objects to other hosts.
+inline std::string peer_state_path(adapter::object_kind kind)
+{
+    return std::string{"/state/"} + adapter::name_of(kind);
+}
 
 } // namespace galenabay::edge
--- a/src/edge/registration_duty.cpp
+++ b/src/edge/registration_duty.cpp
@@ -1,8 +1,10 @@
 #include "registration_duty.hpp"
 
 #include <galenabay/base/log.hpp>
+#include <galenabay/base/steady_clock.hpp>
 #include <platform/store_client.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace galenabay::edge
@@ -18,7 +20,10 @@
 constexpr milliseconds answer_timeout{1'000};
 /// Pause between tries: hosts that are listed already find this one by its messages,
 /// so that nothing urgent depends on it.
-constexpr milliseconds retry_pause{1'000};
+constexpr base::duration retry_pause = milliseconds{1'000};
+/// How often a host looks whether its entry is still there, and for hosts that it has
+/// not heard of: rare enough to cost next to nothing.
+constexpr base::duration refresh_interval = std::chrono::seconds{60};
 
 } // namespace
 
@@ -39,43 +44,87 @@
     while (!state_.stopping())
     {
         const auto done = register_and_list();
-        if (done)
+        if (!done)
         {
-            return;
+            metrics_.store_failures(adapter::object_kind::hosts).Increment();
+            log_event{log_level::warning, "registration_failed"}.with(done.error());
+        }
+        const auto next = base::steady_now() + (done ? refresh_interval : retry_pause);
+        for (auto now = base::steady_now(); now < next && !state_.stopping(); now = base::steady_now())
+        {
+            remove_entries(state_.wait_for_removals(std::chrono::ceil<milliseconds>(next - now)));
         }
-        metrics_.store_failures(adapter::object_kind::hosts).Increment();
-        log_event{log_level::warning, "registration_failed"}.with(done.error());
-        std::this_thread::sleep_for(retry_pause);
     }
 }
 
 base::result<void> registration_duty::register_and_list()
 {
     auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, answer_timeout);
-    metrics_.store_calls(adapter::object_kind::hosts).Increment();
-    BOOST_OUTCOME_TRY(client.put_host(name_, address_));
-    store_update update{.what = store_update::kind::list,
-                        .objects_of = adapter::object_kind::hosts,
-                        .objects = {},
-                        .revision = 0,
-                        .state = {},
-                        .at = {}};
+    BOOST_OUTCOME_TRY(hosts, list_hosts(client, adapter::read_freshness::may_be_stale));
+    if (!is_registered(hosts))
+    {
+        metrics_.store_calls(adapter::object_kind::hosts).Increment();
+        BOOST_OUTCOME_TRY(client.put_host(name_, address_));
+        // Of two hosts that start together, the one that writes last finds the other.
+        BOOST_OUTCOME_TRY(latest, list_hosts(client, adapter::read_freshness::latest));
+        hosts = std::move(latest);
+        log_event{log_level::info, "registered"}.with("address", address_.to_string()).with("hosts", hosts.size());
+    }
+    pass_on(std::move(hosts));
+    return base::outcome::success();
+}
+
+base::result<std::vector<adapter::store_object>> registration_duty::list_hosts(adapter::store_client& client,
+                                                                               adapter::read_freshness freshness)
+{
+    std::vector<adapter::store_object> hosts;
     for (bool more = true; more;)
     {
         metrics_.store_calls(adapter::object_kind::hosts).Increment();
-        BOOST_OUTCOME_TRY(page, client.list(update.objects.empty() ? "" : update.objects.back().name));
+        BOOST_OUTCOME_TRY(page, client.list(hosts.empty() ? "" : hosts.back().name, freshness));
         more = page.more && !page.objects.empty();
-        update.revision = page.revision;
-        update.objects.insert(update.objects.end(), page.objects.begin(), page.objects.end());
+        hosts.insert(hosts.end(), page.objects.begin(), page.objects.end());
     }
-    update.at = steady_now();
-    log_event{log_level::info, "registered"}
-        .with("address", address_.to_string())
-        .with("hosts", update.objects.size())
-        .with("revision", update.revision);
-    updates_.push(std::make_shared<const store_update>(std::move(update)));
+    return hosts;
+}
+
+bool registration_duty::is_registered(const std::vector<adapter::store_object>& hosts) const
+{
+    return std::any_of(hosts.begin(), hosts.end(),
+                       [&](const adapter::store_object& entry)
+                       { return entry.name == name_ && entry.host == address_; });
+}
+
+void registration_duty::pass_on(std::vector<adapter::store_object> hosts)
+{
+    updates_.push(std::make_shared<const store_update>(store_update{.what = store_update::kind::list,
+                                                                    .objects_of = adapter::object_kind::hosts,
+                                                                    .objects = std::move(hosts),
+                                                                    .revision = 0,
+                                                                    .state = {},
+                                                                    .at = base::steady_now()}));
     consumer_.notify();
-    return base::outcome::success();
+}
+
+void registration_duty::remove_entries(const std::vector<std::string>& lost)
+{
+    if (lost.empty())
+    {
+        return;
+    }
+    auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, answer_timeout);
+    for (const auto& name : lost)
+    {
+        metrics_.store_calls(adapter::object_kind::hosts).Increment();
+        if (const auto removed = client.remove_host(name); !removed)
+        {
+            // The entry is listed again and tried again.
+            metrics_.store_failures(adapter::object_kind::hosts).Increment();
+            log_event{log_level::warning, "host_entry_kept"}.with("name", name).with(removed.error());
+            continue;
+        }
+        log_event{log_level::info, "host_entry_removed"}.with("name", name);
+    }
 }
 
 } // namespace galenabay::edge
--- a/src/edge/registration_duty.hpp
+++ b/src/edge/registration_duty.hpp
@@ -6,15 +6,19 @@
 
 #include <galenabay/net/waker.hpp>
 
+#include <platform/store_client.hpp>
+
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace galenabay::edge
 {
 
-/// Writes this host's address into the platform's store and reads those of the
-/// others, once at the start, on a thread of its own. Hosts that start later write
-/// to those that they find, so no host needs to read again.
+/// Keeps this host's address in the platform's store, reads those of the others and
+/// removes those of lost hosts, on a thread of its own. A host that finds its entry
+/// from an earlier start leaves it as it is; hosts that start later write to those that
+/// they find.
 class registration_duty
 {
 public:
@@ -28,6 +32,11 @@
 private:
     void run();
     base::result<void> register_and_list();
+    base::result<std::vector<adapter::store_object>> list_hosts(adapter::store_client& client,
+                                                                adapter::read_freshness freshness);
+    bool is_registered(const std::vector<adapter::store_object>& hosts) const;
+    void pass_on(std::vector<adapter::store_object> hosts);
+    void remove_entries(const std::vector<std::string>& lost);
 
     std::string name_;
     base::endpoint address_;
--- a/src/edge/shared_state.hpp
+++ b/src/edge/shared_state.hpp
@@ -9,10 +9,13 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <iterator>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace galenabay::edge
 {
@@ -28,7 +31,7 @@
     /// Configuration and upstreams are known.
     std::atomic<bool> ready{false};
     /// This host watches the store for its data centre.
-    std::atomic<bool> follows{true};
+    std::atomic<bool> follows{false};
     /// Time of the last packet, in microseconds of the steady clock.
     std::atomic<std::int64_t> last_packet_us{0};
 
@@ -47,27 +50,21 @@
                answers_[index(adapter::object_kind::upstreams)].load();
     }
 
-    /// Asks for one read of a kind although this host does not watch. `peer` has newer
-    /// state, for the case that the store can't be read.
+    /// Asks for one read of a kind although this host does not watch; `peer` has newer
+    /// state.
     void request_read(adapter::object_kind kind, const base::endpoint& peer)
     {
         {
             const std::lock_guard lock{mutex_};
-            requested_[index(kind)] = true;
-            peer_ = peer;
+            informed_[index(kind)] = peer;
         }
         changed_.notify_all();
     }
-    bool take_read_request(adapter::object_kind kind)
-    {
-        const std::lock_guard lock{mutex_};
-        return std::exchange(requested_[index(kind)], false);
-    }
     /// The host that had newer state at the last request; each is asked once.
-    std::optional<base::endpoint> take_informed_peer()
+    std::optional<base::endpoint> take_read_request(adapter::object_kind kind)
     {
         const std::lock_guard lock{mutex_};
-        return std::exchange(peer_, std::nullopt);
+        return std::exchange(informed_[index(kind)], std::nullopt);
     }
 
     /// Sleeps until a read is requested, this host is to follow the store or the
@@ -75,7 +72,28 @@
     void wait_for_work(adapter::object_kind kind, std::chrono::milliseconds limit)
     {
         std::unique_lock lock{mutex_};
-        changed_.wait_for(lock, limit, [&] { return stop_.load() || follows.load() || requested_[index(kind)]; });
+        changed_.wait_for(lock, limit, [&] { return stop_.load() || follows.load() || informed_[index(kind)]; });
+    }
+    /// Asks for the removal of the entries of lost hosts.
+    void request_removal(std::vector<std::string> lost)
+    {
+        if (lost.empty())
+        {
+            return;
+        }
+        {
+            const std::lock_guard lock{mutex_};
+            lost_.insert(lost_.end(), std::make_move_iterator(lost.begin()), std::make_move_iterator(lost.end()));
+        }
+        changed_.notify_all();
+    }
+    /// Sleeps until entries are to be removed or the process stops, at most `limit`;
+    /// returns the names of the entries.
+    std::vector<std::string> wait_for_removals(std::chrono::milliseconds limit)
+    {
+        std::unique_lock lock{mutex_};
+        changed_.wait_for(lock, limit, [&] { return stop_.load() || !lost_.empty(); });
+        return std::exchange(lost_, {});
     }
     void wake()
     {
@@ -114,19 +132,12 @@
     std::array<std::atomic<bool>, kinds> answers_{};
     mutable std::mutex mutex_;
     std::condition_variable changed_;
-    std::array<bool, kinds> requested_{};
-    std::optional<base::endpoint> peer_;
+    std::array<std::optional<base::endpoint>, kinds> informed_{};
+    std::vector<std::string> lost_;
     base::endpoint store_;
     std::shared_ptr<const peers::edge_state> snapshot_;
 };
 
-/// Time on the line that decision logic works on.
-inline base::time_point steady_now()
-{
-    const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
-    return base::time_point{std::chrono::duration_cast<base::duration>(since_boot)};
-}
-
 /// Seconds between two times, for histograms.
 inline double seconds_between(base::time_point from, base::time_point to)
 {
--- a/src/edge/store_duty.cpp
+++ b/src/edge/store_duty.cpp
@@ -3,6 +3,7 @@
 #include "peer_paths.hpp"
 
 #include <galenabay/base/log.hpp>
+#include <galenabay/base/steady_clock.hpp>
 #include <galenabay/net/http_session.hpp>
 #include <galenabay/peers/message_codec.hpp>
 
@@ -31,13 +32,28 @@
 constexpr milliseconds idle_step{1'000};
 /// A single read does not wait for changes.
 constexpr milliseconds single_read_wait{1};
-constexpr std::size_t max_state_bytes = 4U << 20U;
+/// Upper bound of what another host tells; it tells no more than 64 KiB.
+constexpr std::size_t max_state_bytes = 1U << 20U;
+/// Longest wait for another host, which is 1 ms away: with the read of the store that
+/// follows a failure it stays below the 3 s of the configuration bound.
+constexpr milliseconds peer_timeout{500};
 
 milliseconds to_milliseconds(base::duration time)
 {
     return std::chrono::duration_cast<milliseconds>(time);
 }
 
+/// Revision of the latest change among the objects of a page.
+std::uint64_t last_change_of(const adapter::store_page& page)
+{
+    std::uint64_t last = 0;
+    for (const auto& object : page.objects)
+    {
+        last = std::max(last, object.revision);
+    }
+    return last;
+}
+
 } // namespace
 
 store_duty::store_duty(adapter::object_kind kind, store_watch_options options, std::uint64_t seed, shared_state& state,
@@ -65,12 +81,17 @@
         }
         const auto call = watch_.next();
         const bool follows = call.what == store_call::kind::list || state_.follows.load();
-        if (!follows && !state_.take_read_request(kind_))
+        if (!follows || watch_.failures() > 0)
         {
-            state_.wait_for_work(kind_, idle_step);
-            continue;
+            const auto informed = state_.take_read_request(kind_);
+            const bool is_told = informed && read_from_peer(*informed);
+            if (!follows && (!informed || is_told))
+            {
+                state_.wait_for_work(kind_, idle_step);
+                continue;
+            }
         }
-        if (const auto now = steady_now(); now < call.at)
+        if (const auto now = base::steady_now(); now < call.at)
         {
             std::this_thread::sleep_for(std::min<base::duration>(call.at - now, sleep_step));
             continue;
@@ -84,47 +105,41 @@
     metrics_.store_calls(kind_).Increment();
     if (call.what == store_call::kind::list)
     {
-        on_list(call, client.list(call.after));
+        using adapter::read_freshness;
+        on_list(call,
+                client.list(call.after, call.may_be_stale ? read_freshness::may_be_stale : read_freshness::latest));
     }
     else
     {
         on_watch(client.watch(call.revision, to_milliseconds(watch_wait)));
     }
     state_.store_answers(kind_).store(watch_.failures() == 0);
-    if (watch_.failures() > 0)
-    {
-        ask_peer();
-    }
 }
 
-void store_duty::ask_peer()
+bool store_duty::read_from_peer(const base::endpoint& peer)
 {
-    const auto peer = state_.take_informed_peer();
-    if (!peer)
-    {
-        return;
-    }
-    const auto answer = net::http_session::make(*peer, answer_timeout)
-                            .call({.step = "ask_peer",
+    const auto answer = net::http_session::make(peer, peer_timeout)
+                            .call({.step = "read_from_peer",
                                    .method = "GET",
-                                   .path = peer_state_path,
+                                   .path = peer_state_path(kind_),
                                    .body = {},
                                    .expected = {},
-                                   .timeout = answer_timeout,
+                                   .timeout = peer_timeout,
                                    .max_response = max_state_bytes});
     if (!answer)
     {
-        log_event{log_level::warning, "peer_lost"}.with(answer.error());
-        return;
+        log_event{log_level::warning, "peer_lost"}.with("kind", name_of(kind_)).with(answer.error());
+        return false;
     }
     auto state = peers::decode_state(answer.value().body);
     if (!state)
     {
-        log_event{log_level::warning, "peer_state_refused"}.with("address", peer->to_string()).with(state.error());
-        return;
+        log_event{log_level::warning, "peer_state_refused"}.with("address", peer.to_string()).with(state.error());
+        return false;
     }
     log_event{log_level::info, "peer_state"}
-        .with("address", peer->to_string())
+        .with("kind", name_of(kind_))
+        .with("address", peer.to_string())
         .with("version", state.value().configuration.version)
         .with("revision", state.value().upstreams.revision);
     pass_on({.what = store_update::kind::peer_state,
@@ -132,7 +147,8 @@
              .objects = {},
              .revision = state.value().upstreams.revision,
              .state = std::make_shared<const peers::edge_state>(std::move(state.value())),
-             .at = steady_now()});
+             .at = base::steady_now()});
+    return true;
 }
 
 void store_duty::on_list(const store_call& call, const base::result<adapter::store_page>& answer)
@@ -149,13 +165,15 @@
     }
     listed_.insert(listed_.end(), page.objects.begin(), page.objects.end());
     const bool regained = watch_.failures() > 0;
-    const auto now = steady_now();
-    if (watch_.on_page(page.revision, page.last_name, page.more, now))
+    const auto now = base::steady_now();
+    // A stale page is only known to show the changes of its own objects.
+    const auto revision = call.may_be_stale ? last_change_of(page) : page.revision;
+    if (watch_.on_page(revision, page.last_name, page.more, now))
     {
         log_event{log_level::info, regained ? "store_regained" : "store_listed"}
             .with("kind", name_of(kind_))
             .with("objects", listed_.size())
-            .with("revision", page.revision);
+            .with("revision", revision);
         pass_on({.what = store_update::kind::list,
                  .objects_of = kind_,
                  .objects = std::exchange(listed_, {}),
@@ -180,7 +198,7 @@
             .with("failures", watch_.failures())
             .with("revision", page.revision);
     }
-    const auto now = steady_now();
+    const auto now = base::steady_now();
     watch_.on_changes(page.revision, !page.objects.empty(), now);
     if (!page.objects.empty())
     {
@@ -197,7 +215,7 @@
 {
     metrics_.store_failures(kind_).Increment();
     const bool first = watch_.failures() == 0;
-    const auto now = steady_now();
+    const auto now = base::steady_now();
     watch_.on_failure(failure.code(), now);
     if (failure.code() == base::error_code::stale)
     {
--- a/src/edge/store_duty.hpp
+++ b/src/edge/store_duty.hpp
@@ -28,8 +28,9 @@
 private:
     void run();
     void perform(adapter::store_client& client, const store_call& call, base::duration watch_wait);
-    /// Asks a host that is better informed while the store can't be read.
-    void ask_peer();
+    /// Reads from a host that is better informed, which spares the store; false when
+    /// it did not tell.
+    bool read_from_peer(const base::endpoint& peer);
     void on_list(const store_call& call, const base::result<adapter::store_page>& answer);
     void on_watch(const base::result<adapter::store_page>& answer);
     void on_failure(const base::error& failure);
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -8,6 +8,7 @@
 store_call store_watch::next() const
 {
     return {.what = listed_ ? store_call::kind::watch : store_call::kind::list,
+            .may_be_stale = may_be_stale_,
             .after = after_,
             .revision = revision_,
             .at = not_before_};
@@ -42,6 +43,7 @@
     if (code == base::error_code::stale)
     {
         listed_ = false;
+        may_be_stale_ = false;
         after_.clear();
         not_before_ = now;
         return;
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -34,6 +34,8 @@
     };
 
     kind what = kind::list;
+    /// List: an answer that is seconds old is good enough.
+    bool may_be_stale = false;
     /// List: the page after this name.
     std::string after;
     /// Watch: changes after this revision.
@@ -43,7 +45,8 @@
 };
 
 /// Decides how one kind of objects is read and followed: a complete list first, then
-/// watches from its revision; a new list when the history is gone. Pure.
+/// watches from its revision; a new list when the history is gone. The first list may
+/// be stale, since a watch or a better informed host brings what it lacks. Pure.
 class store_watch
 {
 public:
@@ -51,7 +54,8 @@
 
     store_call next() const;
 
-    /// A page of the list was read. True when the list is complete.
+    /// A page of the list was read that shows the store at `revision` or later. True
+    /// when the list is complete.
     bool on_page(std::uint64_t revision, const std::string& last_name, bool more, base::time_point now);
     /// A watch was answered.
     void on_changes(std::uint64_t revision, bool any, base::time_point now);
@@ -65,6 +69,7 @@
     store_watch_options options_;
     base::random_source random_;
     bool listed_ = false;
+    bool may_be_stale_ = true;
     std::uint64_t list_revision_ = 0;
     std::uint64_t revision_ = 0;
     std::string after_;
--- a/src/peers/peer_view.cpp
+++ b/src/peers/peer_view.cpp
@@ -51,16 +51,30 @@
         return;
     }
     const auto [known, is_new] = peers_.try_emplace(name);
-    if (is_new || !is_live(known->second, now))
+    const bool has_moved = known->second.address != address;
+    if (is_new || (has_moved && !is_live(known->second, now)))
     {
         known->second.address = address;
         known->second.heard_at = now;
     }
 }
 
-void peer_view::expire(base::time_point now)
-{
-    std::erase_if(peers_, [&](const auto& row) { return now - row.second.heard_at >= options_.address_memory; });
+std::vector<std::string> peer_view::expire(base::time_point now)
+{
+    const bool hears_most = live_count(now) * 2 > peers_.size();
+    std::vector<std::string> lost;
+    std::erase_if(peers_,
+                  [&](const auto& row)
+                  {
+                      const auto& [name, other] = row;
+                      if (now - other.heard_at < options_.address_memory)
+                      {
+                          return false;
+                      }
+                      lost.push_back(name);
+                      return true;
+                  });
+    return hears_most && is_first(now) ? lost : std::vector<std::string>{};
 }
 
 bool peer_view::is_live(const peer& other, base::time_point now) const
@@ -68,7 +82,7 @@
     return other.heard && now - other.heard_at < options_.silence_limit;
 }
 
-bool peer_view::should_follow(base::time_point now) const
+template <typename Predicate> std::size_t peer_view::count_before(Predicate is_counted, base::time_point now) const
 {
     const auto own_rank = rank_of(name_);
     const auto before = std::count_if(peers_.begin(), peers_.end(),
@@ -76,10 +90,36 @@
                                       {
                                           const auto& [name, other] = row;
                                           return is_live(other, now) && other.status.data_centre == data_centre_ &&
-                                                 other.status.follows_store && !other.status.leaving &&
-                                                 rank_of(name) < own_rank;
+                                                 !other.status.leaving && rank_of(name) < own_rank &&
+                                                 is_counted(other.status);
                                       });
-    return static_cast<std::size_t>(before) < options_.followers_per_data_centre;
+    return static_cast<std::size_t>(before);
+}
+
+bool peer_view::is_first(base::time_point now) const
+{
+    const auto own_rank = rank_of(name_);
+    return std::none_of(peers_.begin(), peers_.end(),
+                        [&](const auto& row) { return is_live(row.second, now) && rank_of(row.first) < own_rank; });
+}
+
+bool peer_view::update_following(base::time_point now)
+{
+    started_ = started_.value_or(now);
+    const auto followers = count_before([](const host_status& status) { return status.follows_store; }, now);
+    if (followers >= options_.followers_per_data_centre)
+    {
+        vacant_since_.reset();
+        follows_ = false;
+        return follows_;
+    }
+    vacant_since_ = vacant_since_.value_or(now);
+    const auto candidates = count_before([](const host_status&) { return true; }, now);
+    const auto queue = std::min(candidates, options_.longest_queue);
+    const auto turns = options_.turn * static_cast<std::int64_t>(queue);
+    const auto turn_at = std::max(*vacant_since_, *started_ + options_.listening_time) + turns;
+    follows_ = follows_ || now >= turn_at;
+    return follows_;
 }
 
 std::vector<base::endpoint> peer_view::addresses(bool own_data_centre) const
--- /dev/null
+++ b/tests/edge/shared_state_test.cpp
@@ -0,0 +1,36 @@
+#include "../../src/edge/shared_state.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace galenabay;
+using namespace galenabay::edge;
+using adapter::object_kind;
+using namespace std::chrono_literals;
+
+TEST_GROUP(shared_state)
+{
+    shared_state state{base::endpoint::make_v4(0x0ac80107, 8169)};
+    base::endpoint peer = base::endpoint::make_v4(0x0a010001, 7720);
+};
+
+TEST(shared_state, a_read_request_names_the_informed_host_once_and_for_its_kind_only)
+{
+    state.request_read(object_kind::configuration, peer);
+    CHECK_FALSE(state.take_read_request(object_kind::upstreams).has_value());
+    CHECK(state.take_read_request(object_kind::configuration) == peer);
+    CHECK_FALSE(state.take_read_request(object_kind::configuration).has_value());
+}
+
+TEST(shared_state, removals_are_handed_over_once_and_nothing_waits_for_none)
+{
+    state.request_removal({});
+    CHECK(state.wait_for_removals(1ms).empty());
+    state.request_removal({"edge-1", "edge-2"});
+    LONGS_EQUAL(2, state.wait_for_removals(10s).size());
+    CHECK(state.wait_for_removals(1ms).empty());
+}
+
+TEST(shared_state, a_host_does_not_follow_the_store_before_it_decided_to)
+{
+    CHECK_FALSE(state.follows.load());
+}
--- a/tests/edge/store_watch_test.cpp
+++ b/tests/edge/store_watch_test.cpp
@@ -78,3 +78,14 @@
     constexpr auto answer_timeout = 1s;
     CHECK(options.watch_wait + answer_timeout < configuration_bound);
 }
+
+TEST(store_watch, only_the_first_list_may_be_stale)
+{
+    CHECK(watch.next().may_be_stale);
+    watch.on_failure(base::error_code::unavailable, now);
+    CHECK(watch.next().may_be_stale);
+    list_everything(40);
+    watch.on_failure(base::error_code::stale, now);
+    CHECK(watch.next().what == store_call::kind::list);
+    CHECK_FALSE(watch.next().may_be_stale);
+}
--- a/tools/caller_load/main.cpp
+++ b/tools/caller_load/main.cpp
@@ -11,6 +11,7 @@
 #include "summary.hpp"
 
 #include <boost/program_options.hpp>
+#include <galenabay/base/steady_clock.hpp>
 
 #include <poll.h>
 
@@ -30,6 +31,7 @@
 namespace options = boost::program_options;
 using namespace galenabay::stand_in;
 using galenabay::base::duration;
+using galenabay::base::steady_now;
 using galenabay::base::time_point;
 
 constexpr int exit_ok = 0;
--- a/tools/edge_soak/store_stand_in.hpp
+++ b/tools/edge_soak/store_stand_in.hpp
@@ -2,6 +2,7 @@
 
 #include <galenabay/base/endpoint.hpp>
 
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -68,7 +69,7 @@
     };
     class server;
 
-    answer list(const std::string& kind, const std::string& after);
+    answer list(const std::string& kind, const std::string& after, bool may_be_stale);
     answer watch(const std::string& kind, std::uint64_t revision, std::uint64_t wait_ms);
     answer write(const std::string& method, const std::string& kind, const std::string& name, const std::string& body);
     void put_locked(const std::string& kind, const std::string& name, const std::string& spec);
@@ -76,6 +77,9 @@
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, std::map<std::string, object>> objects_;
+    /// What calls that may be stale get.
+    std::map<std::string, std::map<std::string, object>> copy_;
+    std::chrono::steady_clock::time_point copied_at_{};
     std::vector<event> events_;
     std::uint64_t revision_ = 1;
     std::uint64_t oldest_ = 0;
--- a/tools/upstream_stub/main.cpp
+++ b/tools/upstream_stub/main.cpp
@@ -4,6 +4,7 @@
 #include "upstream.hpp"
 
 #include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/steady_clock.hpp>
 
 #include <boost/program_options.hpp>
 
@@ -24,9 +25,9 @@
 
 namespace options = boost::program_options;
 using galenabay::base::endpoint;
+using galenabay::base::steady_now;
 using galenabay::stand_in::datagram_socket;
 using galenabay::stand_in::run_log;
-using galenabay::stand_in::steady_now;
 using galenabay::stand_in::stub_kind;
 using galenabay::stand_in::stub_settings;
 using galenabay::stand_in::upstream;
