Connect to suspected upstreams before their flows are reset

Ruled out: a slow start of hosts (20 ms until started, 14 to 90 ms until ready); the 1.7 s without any host after the loss of all power is the restart's delay.

Change: a thread connects to an upstream after the third copy of a packet or an unanswered opening packet, or when another host could not connect. A refusal resets its flows at once; two attempts without an answer do when another host failed too; an accepted connection keeps flows from being reset for silence. The log names the reason and token of each reset flow. The soak's upstreams accept connections, and some lose part of the callers' data.

--- a/include/galenabay/peers/host_status.hpp
+++ b/include/galenabay/peers/host_status.hpp
@@ -43,6 +43,8 @@
     std::vector<upstream_load> loads;
     /// Upstreams that answer none of the host's flows.
     std::vector<steer::upstream_token> silent;
+    /// Upstreams that lately took no connection of the host.
+    std::vector<steer::upstream_token> unreachable;
 
     friend auto operator<=>(const host_status&, const host_status&) = default;
 };
--- a/include/galenabay/peers/peer_view.hpp
+++ b/include/galenabay/peers/peer_view.hpp
@@ -73,8 +73,13 @@
     /// Sum of what the live hosts put on each upstream, with the latest answer that any
     /// of them saw.
     std::unordered_map<steer::upstream_token, upstream_load> total_loads(base::time_point now) const;
-    /// How many live hosts call an upstream silent.
-    std::unordered_map<steer::upstream_token, std::size_t> silence_votes(base::time_point now) const;
+    /// How many live hosts call an upstream silent, and how many could not connect to it.
+    struct upstream_votes
+    {
+        std::size_t silent = 0;
+        std::size_t unreachable = 0;
+    };
+    std::unordered_map<steer::upstream_token, upstream_votes> votes(base::time_point now) const;
 
     std::size_t live_count(base::time_point now) const;
 
--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -6,6 +6,7 @@
 #include <galenabay/steer/packet_head.hpp>
 #include <galenabay/steer/route_table.hpp>
 #include <galenabay/steer/steering_decision.hpp>
+#include <galenabay/steer/upstream_probe.hpp>
 #include <galenabay/steer/upstream_registry.hpp>
 
 #include <cstddef>
@@ -13,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace galenabay::steer
@@ -48,6 +50,16 @@
     /// some requests still answers others within it, and each host has told of answers
     /// by then.
     base::duration reset_silence = std::chrono::milliseconds{1'500};
+    /// Attempts to connect that must go unanswered before flows are reset; fewer when
+    /// `confirming_votes` hosts find the upstream silent too.
+    std::uint32_t unreachable_limit = 2;
+    /// Pause between two series of attempts to connect to one upstream, so that an
+    /// overloaded one gets few.
+    base::duration probe_pause = std::chrono::milliseconds{1'000};
+    /// Time after which an attempt without a result counts as lost: many of its timeouts.
+    base::duration probe_lifetime = std::chrono::milliseconds{2'000};
+    /// How long an accepted connection shows that the upstream runs.
+    base::duration reachable_time = std::chrono::milliseconds{2'000};
     /// How long the silence that other hosts report counts: two of their statuses.
     base::duration vote_time = std::chrono::milliseconds{1'000};
     /// How long a closed flow is remembered, for copies of its last packets.
@@ -73,7 +85,7 @@
     {
         std::vector<upstream_registry::change> changes;
         /// Flows that can't go on.
-        std::vector<flow_reset> resets;
+        std::vector<lost_flow> resets;
     };
 
     /// False when a version that is as new or newer is in force.
@@ -90,11 +102,17 @@
         std::uint32_t open_requests = 0;
         /// Hosts that call the upstream silent.
         std::size_t silence_votes = 0;
+        /// Hosts that could not connect to the upstream.
+        std::size_t unreachable_votes = 0;
         /// Since the last answer that any of them saw; nothing when none has flows there.
         std::optional<base::duration> answered_ago;
     };
     void on_remote_view(upstream_token token, const remote_view& seen, base::time_point now);
 
+    /// Attempts to connect that were asked for since the last call.
+    std::vector<probe_request> take_probe_requests() { return std::exchange(probe_requests_, {}); }
+    outcome on_probe(upstream_token token, probe_result result, base::time_point now);
+
     /// Decides one packet.
     steering_decision on_packet(const packet_head& head, base::time_point now);
     /// To be called every `tick_interval`.
@@ -108,6 +126,8 @@
     std::uint64_t silence_count() const noexcept { return silence_count_; }
     /// True when this host's own flows show that the upstream answers none of them.
     bool is_silent(const upstream_incarnation& upstream, base::time_point now) const;
+    /// True when an attempt of this host to connect to the upstream failed lately.
+    bool is_unreachable(const upstream_incarnation& upstream, base::time_point now) const;
     /// True when this host's new flows go elsewhere because of what its own flows show.
     bool is_avoided_here(const upstream_incarnation& upstream, base::time_point now) const;
     const route_table& routes() const noexcept { return routes_; }
@@ -124,6 +144,10 @@
     /// Looks for openings that were not answered in time.
     void check_openings(base::time_point now);
     void note_silence(upstream_incarnation& upstream, base::time_point now);
+    /// Asks for an attempt to connect unless one was made lately.
+    void suspect(upstream_incarnation& upstream, base::time_point now);
+    /// True when failed attempts are not due to this host's own link.
+    bool is_unreachable_for_others(const upstream_incarnation& upstream, base::time_point now);
     /// True when no flow through any host showed an answer for `reset_silence`.
     bool is_silent_everywhere(const upstream_incarnation& upstream, base::time_point now) const;
     /// True when other hosts confirm what this host's flows show.
@@ -131,7 +155,7 @@
     bool is_most_answering(base::time_point since, base::time_point now);
     bool should_reset(const flow_state& flow, const upstream_incarnation& upstream, base::time_point now);
     /// Removes the upstream's flows and returns the resets that tell their callers.
-    void reset_flows(const upstream_incarnation& ended, std::vector<flow_reset>& resets);
+    void reset_flows(const upstream_incarnation& ended, steering_reason reason, std::vector<lost_flow>& resets);
     outcome follow_up(std::vector<upstream_registry::change> changes);
     void release(flow_state& flow);
     void forget_old_flows(base::time_point now);
@@ -141,6 +165,7 @@
     route_table routes_;
     upstream_registry registry_;
     bool has_upstreams_ = false;
+    std::vector<probe_request> probe_requests_;
     std::unique_ptr<flow_table> flows_;
     std::unique_ptr<opening_queue> openings_;
     std::size_t peer_count_ = 0;
--- a/include/galenabay/steer/steering_decision.hpp
+++ b/include/galenabay/steer/steering_decision.hpp
@@ -58,4 +58,14 @@
     friend auto operator<=>(const steering_decision&, const steering_decision&) = default;
 };
 
+/// A flow that can't go on, found without a packet of it.
+struct lost_flow
+{
+    flow_reset reset;
+    /// Of the flow's upstream.
+    upstream_token token = 0;
+    /// `upstream_ended` or `upstream_silent`.
+    steering_reason reason = steering_reason::upstream_ended;
+};
+
 } // namespace galenabay::steer
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -61,10 +61,27 @@
     std::uint32_t unanswered = 0;
     /// This host's flows showed silence; it counts until then.
     base::time_point silent_until{};
-    /// Other hosts whose flows show silence.
+    /// Other hosts whose flows show silence, and those that could not connect.
     std::size_t silence_votes = 0;
+    std::size_t unreachable_votes = 0;
     /// New flows avoid the upstream until then, by own evidence or that of others.
     base::time_point avoid_until{};
+
+    /// Attempts to connect, made while flows show that something may be wrong.
+    struct
+    {
+        bool pending = false;
+        /// When the first of a series began.
+        base::time_point begun_at{};
+        /// Attempts of the series that got no answer.
+        std::uint32_t unreachable = 0;
+        /// No new series before then.
+        base::time_point not_before{};
+        /// Last time that an attempt failed.
+        base::time_point failed_at{};
+        /// Last time that the upstream accepted a connection.
+        base::time_point reached_at{};
+    } probes;
 };
 
 /// Which upstreams there are, from the registrations in the platform's store.
--- a/schema/edge.capnp
+++ b/schema/edge.capnp
@@ -32,6 +32,8 @@
   silent @8 :List(UInt32);
   # Tokens of upstreams that answer none of the host's flows.
   leaving @9 :Bool;
+  unreachable @10 :List(UInt32);
+  # Tokens of upstreams that lately took no connection of the host.
 }
 
 struct UpstreamEntry {
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -50,6 +50,12 @@
     {
         decisions_[i] = &decided.Add({{"reason", name_of(static_cast<steer::steering_reason>(i))}});
     }
+    auto& probed =
+        prometheus::BuildCounter().Name("galenabay_probes_total").Help("Attempts to connect").Register(registry_);
+    for (std::size_t i = 0; i < probes_.size(); ++i)
+    {
+        probes_[i] = &probed.Add({{"result", name_of(static_cast<steer::probe_result>(i))}});
+    }
     auto& calls = prometheus::BuildCounter().Name("galenabay_store_calls_total").Help("Calls").Register(registry_);
     auto& failures =
         prometheus::BuildCounter().Name("galenabay_store_failures_total").Help("Failed calls").Register(registry_);
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <galenabay/steer/steering_decision.hpp>
+#include <galenabay/steer/upstream_probe.hpp>
 #include <platform/store_objects.hpp>
 
 #include <prometheus/counter.h>
@@ -27,6 +28,7 @@
     {
         return *decisions_[static_cast<std::size_t>(reason)];
     }
+    prometheus::Counter& probes(steer::probe_result result) { return *probes_[static_cast<std::size_t>(result)]; }
     prometheus::Counter& store_calls(adapter::object_kind kind) { return *store_calls_[index(kind)]; }
     prometheus::Counter& store_failures(adapter::object_kind kind) { return *store_failures_[index(kind)]; }
 
@@ -38,6 +40,7 @@
 
     prometheus::Registry registry_;
     std::array<prometheus::Counter*, steer::steering_reason_count> decisions_{};
+    std::array<prometheus::Counter*, 3> probes_{};
     std::array<prometheus::Counter*, 3> store_calls_{};
     std::array<prometheus::Counter*, 3> store_failures_{};
 
--- a/src/edge/packet_duty.cpp
+++ b/src/edge/packet_duty.cpp
@@ -30,9 +30,8 @@
 packet_duty::packet_duty(net::udp_socket socket, net::udp_socket peers, identity self, std::uint64_t seed,
                          shared_state& state, edge_metrics& metrics)
     : socket_{std::move(socket)}, state_{state}, metrics_{metrics}, steerer_{{.data_centre = self.data_centre}, seed},
-      self_{std::move(self)}, random_{base::mix(seed, 1)}, peers_{std::move(peers),
-                                                                  peers::peer_view{self_.name, self_.data_centre},
-                                                                  metrics},
+      self_{std::move(self)}, random_{base::mix(seed, 1)},
+      peers_{std::move(peers), peers::peer_view{self_.name, self_.data_centre}, metrics}, probes_{state, waker_},
       buffers_(net::batch_size)
 {
 }
@@ -70,6 +69,7 @@
             receive(base::steady_now());
         }
         exchange_with_peers(base::steady_now());
+        exchange_probes(base::steady_now());
         if (const auto now = base::steady_now(); now >= next_tick_)
         {
             tick(now);
@@ -82,6 +82,7 @@
     waker_.prepare();
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(next_tick_ - base::steady_now());
     const bool has_updates =
+        probes_.has_answers() ||
         std::any_of(updates_.begin(), updates_.end(), [](const update_ring& ring) { return ring.size() > 0; });
     const auto timeout = has_updates ? 0 : std::max<std::int64_t>(left.count(), 0);
     const short awaited = is_holding(base::steady_now()) ? 0 : POLLIN;
@@ -161,15 +162,15 @@
     send_resets(learned.resets, now);
 }
 
-void packet_duty::send_resets(const std::vector<steer::flow_reset>& resets, base::time_point now)
+void packet_duty::send_resets(const std::vector<steer::lost_flow>& resets, base::time_point now)
 {
-    for (const auto& reset : resets)
+    for (const auto& lost : resets)
     {
         metrics_.resets.Increment();
-        log_.reset(reset, now);
+        log_.reset(lost, now);
         auto& datagram = buffers_.front();
-        datagram.peer = base::endpoint::make_v4(reset.flow.caller_address, socket_.local().port());
-        if (datagram.assign(adapter::encode_reset(reset)))
+        datagram.peer = base::endpoint::make_v4(lost.reset.flow.caller_address, socket_.local().port());
+        if (datagram.assign(adapter::encode_reset(lost.reset)))
         {
             const std::array<net::packet*, 1> single{&datagram};
             send(single);
--- a/src/edge/packet_duty.hpp
+++ b/src/edge/packet_duty.hpp
@@ -2,6 +2,7 @@
 
 #include "edge_metrics.hpp"
 #include "peer_link.hpp"
+#include "probe_duty.hpp"
 #include "shared_state.hpp"
 #include "steering_log.hpp"
 #include "store_update.hpp"
@@ -66,7 +67,7 @@
     void apply_configuration(const store_update& update);
     void apply_upstreams(const store_update& update);
     void follow_up(const steer::steerer::outcome& learned, std::uint64_t revision, base::time_point now);
-    void send_resets(const std::vector<steer::flow_reset>& resets, base::time_point now);
+    void send_resets(const std::vector<steer::lost_flow>& resets, base::time_point now);
     void apply_hosts(const store_update& update);
     void apply_peer_state(const store_update& update);
     void apply_changes(const peers::upstream_changes& changes);
@@ -74,6 +75,8 @@
     /// Passes on what a watch told.
     void spread(const store_update& update, std::uint64_t previous_revision);
     void exchange_with_peers(base::time_point now);
+    /// Hands attempts to connect to the probe thread and takes what they showed.
+    void exchange_probes(base::time_point now);
     void use_remote_view(base::time_point now);
     /// Reads from another host that knows more.
     void catch_up(base::time_point now);
@@ -105,6 +108,7 @@
     /// Since when another host knows more.
     std::optional<base::time_point> behind_since_;
     net::waker waker_;
+    probe_duty probes_;
     std::vector<net::packet> buffers_;
     base::time_point hold_until_{};
     base::time_point next_tick_{};
--- a/src/edge/packet_duty_peers.cpp
+++ b/src/edge/packet_duty_peers.cpp
@@ -55,6 +55,28 @@
     peers_.send_status(status(now), false, now);
 }
 
+void packet_duty::exchange_probes(base::time_point now)
+{
+    for (const auto& request : steerer_.take_probe_requests())
+    {
+        if (!probes_.ask(request))
+        {
+            log_event{log_level::warning, "probe_left_out"}.with("address", request.address.to_string());
+        }
+    }
+    probe_answer answer;
+    while (probes_.take(answer))
+    {
+        const auto learned = steerer_.on_probe(answer.token, answer.result, now);
+        metrics_.probes(answer.result).Increment();
+        if (const auto* upstream = steerer_.registry().find(answer.token); upstream != nullptr)
+        {
+            log_.probe(*upstream, answer.result, learned.resets.size(), now);
+        }
+        follow_up(learned, 0, now);
+    }
+}
+
 void packet_duty::use_remote_view(base::time_point now)
 {
     if (now < next_remote_view_)
@@ -64,14 +86,18 @@
     next_remote_view_ = now + remote_view_interval;
     steerer_.set_peer_count(peers_.view().live_count(now));
     const auto loads = peers_.view().total_loads(now);
-    const auto votes = peers_.view().silence_votes(now);
+    const auto votes = peers_.view().votes(now);
     steerer_.registry().for_each(
         [&](const steer::upstream_incarnation& upstream)
         {
             const auto load = loads.find(upstream.token);
             const auto vote = votes.find(upstream.token);
             steer::steerer::remote_view seen;
-            seen.silence_votes = vote == votes.end() ? 0 : vote->second;
+            if (vote != votes.end())
+            {
+                seen.silence_votes = vote->second.silent;
+                seen.unreachable_votes = vote->second.unreachable;
+            }
             if (load != loads.end())
             {
                 seen.flows = load->second.flows;
@@ -117,7 +143,8 @@
                            .configuration_version = steerer_.routes().version(),
                            .upstreams_revision = upstreams_revision_,
                            .loads = {},
-                           .silent = {}};
+                           .silent = {},
+                           .unreachable = {}};
     steerer_.registry().for_each(
         [&](const steer::upstream_incarnation& upstream)
         {
@@ -134,6 +161,10 @@
             {
                 own.silent.push_back(upstream.token);
             }
+            if (!upstream.ended && steerer_.is_unreachable(upstream, now))
+            {
+                own.unreachable.push_back(upstream.token);
+            }
         });
     return own;
 }
--- /dev/null
+++ b/src/edge/probe_duty.cpp
@@ -0,0 +1,134 @@
+#include "probe_duty.hpp"
+
+#include <galenabay/base/steady_clock.hpp>
+
+#include <poll.h>
+
+#include <algorithm>
+
+namespace galenabay::edge
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using connection_state = net::connection_attempt::state;
+
+/// Longest wait for a connection: many times the 2 ms there and back, and more than a
+/// tenth of a second for which an upstream's host with a quota may not run.
+constexpr base::duration connect_timeout = milliseconds{250};
+/// Longest sleep without an attempt, so that a stop is noticed.
+constexpr base::duration idle_step = milliseconds{1'000};
+/// Connections opened at once; the rest wait in the ring.
+constexpr std::size_t max_attempts = 64;
+
+steer::probe_result result_of(connection_state state)
+{
+    switch (state)
+    {
+    case connection_state::connected:
+        return steer::probe_result::reachable;
+    case connection_state::refused:
+        return steer::probe_result::refused;
+    case connection_state::pending:
+    case connection_state::failed:
+        break;
+    }
+    return steer::probe_result::unreachable;
+}
+
+} // namespace
+
+probe_duty::probe_duty(shared_state& state, net::waker& consumer)
+    : state_{state}, consumer_{consumer}, thread_{[this] { run(); }}
+{
+}
+
+probe_duty::~probe_duty()
+{
+    waker_.notify();
+    thread_.join();
+}
+
+bool probe_duty::ask(const steer::probe_request& request)
+{
+    const bool taken = requests_.push(request);
+    waker_.notify();
+    return taken;
+}
+
+void probe_duty::run()
+{
+    while (!state_.stopping())
+    {
+        begin_attempts(base::steady_now());
+        wait(base::steady_now());
+        end_attempts(base::steady_now());
+    }
+}
+
+void probe_duty::begin_attempts(base::time_point now)
+{
+    steer::probe_request request;
+    while (attempts_.size() < max_attempts && requests_.pop(request))
+    {
+        attempts_.push_back({.token = request.token,
+                             .connection = net::connection_attempt::begin(request.address),
+                             .until = now + connect_timeout});
+    }
+}
+
+void probe_duty::wait(base::time_point now)
+{
+    waker_.prepare();
+    if (requests_.size() > 0 && attempts_.size() < max_attempts)
+    {
+        waker_.cancel();
+        return;
+    }
+    auto until = now + idle_step;
+    std::vector<pollfd> entries{pollfd{waker_.descriptor(), POLLIN, 0}};
+    for (const auto& one : attempts_)
+    {
+        const bool has_ended = one.connection.descriptor() < 0;
+        until = std::min(until, has_ended ? now : one.until);
+        entries.push_back({one.connection.descriptor(), POLLOUT, 0});
+    }
+    const auto left = std::chrono::ceil<milliseconds>(until - now).count();
+    if (poll(entries.data(), entries.size(), static_cast<int>(std::max<std::int64_t>(left, 0))) > 0 &&
+        entries.front().revents != 0)
+    {
+        waker_.clear();
+    }
+    waker_.cancel();
+    for (std::size_t i = 0; i < attempts_.size(); ++i)
+    {
+        if (entries[i + 1].revents != 0)
+        {
+            attempts_[i].connection.look();
+        }
+    }
+}
+
+void probe_duty::end_attempts(base::time_point now)
+{
+    const auto has_ended = [&](const attempt& one)
+    { return one.connection.last_state() != connection_state::pending || now >= one.until; };
+    bool any = false;
+    for (const auto& one : attempts_)
+    {
+        // The packet thread forgets an attempt whose answer is lost to a full ring
+        // after the series' pause.
+        any =
+            (has_ended(one) && answers_.push({.token = one.token, .result = result_of(one.connection.last_state())})) ||
+            any;
+    }
+    std::erase_if(attempts_, has_ended);
+    if (any)
+    {
+        consumer_.notify();
+    }
+}
+
+} // namespace galenabay::edge
--- a/src/edge/steering_log.cpp
+++ b/src/edge/steering_log.cpp
@@ -12,6 +12,7 @@
 
 using base::log_event;
 using base::log_level;
+using std::chrono::milliseconds;
 
 std::string text_of(const steer::flow_key& flow)
 {
@@ -74,11 +75,33 @@
         .with("revision", revision);
 }
 
-void steering_log::reset(const steer::flow_reset& reset, base::time_point now)
+void steering_log::probe(const steer::upstream_incarnation& upstream, steer::probe_result result, std::size_t resets,
+                         base::time_point now)
+{
+    if (!probes_.allow(now))
+    {
+        return;
+    }
+    const auto ago = [&](base::time_point then)
+    { return std::chrono::duration_cast<milliseconds>(now - then).count(); };
+    log_event line{log_level::info, "probe"};
+    line.with("id", upstream.entry.id).with("token", upstream.token).with("result", name_of(result));
+    line.with("attempt_ms", ago(upstream.probes.begun_at)).with("votes", upstream.silence_votes);
+    if (upstream.last_progress != base::time_point{})
+    {
+        line.with("answered_ms", ago(upstream.last_progress));
+    }
+    line.with("resets", resets);
+}
+
+void steering_log::reset(const steer::lost_flow& lost, base::time_point now)
 {
     if (resets_.allow(now))
     {
-        log_event{log_level::info, "flow_reset"}.with("flow", text_of(reset.flow)).with("reason", "upstream_ended");
+        log_event{log_level::info, "flow_reset"}
+            .with("flow", text_of(lost.reset.flow))
+            .with("reason", name_of(lost.reason))
+            .with("token", lost.token);
     }
 }
 
@@ -101,6 +124,7 @@
     }
     write_left_out("upstream", upstreams_);
     write_left_out("flow_reset", resets_);
+    write_left_out("probe", probes_);
     write_left_out("object_refused", refused_);
 }
 
--- a/src/edge/steering_log.hpp
+++ b/src/edge/steering_log.hpp
@@ -19,7 +19,10 @@
     void packet(const steer::packet_head& head, const steer::steering_decision& decision, std::uint64_t version,
                 base::time_point now);
     void upstream(const steer::upstream_registry::change& change, std::uint64_t revision, base::time_point now);
-    void reset(const steer::flow_reset& reset, base::time_point now);
+    /// An attempt to connect to an upstream, with the flows that were reset for it.
+    void probe(const steer::upstream_incarnation& upstream, steer::probe_result result, std::size_t resets,
+               base::time_point now);
+    void reset(const steer::lost_flow& lost, base::time_point now);
     void refused(const adapter::store_object& object, std::uint64_t revision, base::time_point now);
     /// Writes how many lines were left out since the last call.
     void summarize();
@@ -33,6 +36,7 @@
         make_limiters(std::make_index_sequence<steer::steering_reason_count>{});
     log_limiter upstreams_{lines_per_second, line_burst};
     log_limiter resets_{lines_per_second, line_burst};
+    log_limiter probes_{lines_per_second, line_burst};
     log_limiter refused_{lines_per_second, line_burst};
 
     template <std::size_t... I> static std::array<log_limiter, sizeof...(I)> make_limiters(std::index_sequence<I...>)
--- a/src/peers/message_codec.cpp
+++ b/src/peers/message_codec.cpp
@@ -108,6 +108,11 @@
     {
         silent.set(i, from.silent[i]);
     }
+    auto unreachable = out.initUnreachable(static_cast<unsigned>(from.unreachable.size()));
+    for (unsigned i = 0; i < unreachable.size(); ++i)
+    {
+        unreachable.set(i, from.unreachable[i]);
+    }
 }
 
 host_status read_status(schema::HostStatus::Reader in)
@@ -121,7 +126,8 @@
                        .configuration_version = in.getConfigurationVersion(),
                        .upstreams_revision = in.getUpstreamsRevision(),
                        .loads = {},
-                       .silent = {}};
+                       .silent = {},
+                       .unreachable = {}};
     for (const auto load : in.getLoads())
     {
         status.loads.push_back({.token = load.getToken(),
@@ -133,6 +139,10 @@
     {
         status.silent.push_back(token);
     }
+    for (const auto token : in.getUnreachable())
+    {
+        status.unreachable.push_back(token);
+    }
     return status;
 }
 
--- a/src/peers/peer_view.cpp
+++ b/src/peers/peer_view.cpp
@@ -189,9 +189,9 @@
     return totals;
 }
 
-std::unordered_map<steer::upstream_token, std::size_t> peer_view::silence_votes(base::time_point now) const
+std::unordered_map<steer::upstream_token, peer_view::upstream_votes> peer_view::votes(base::time_point now) const
 {
-    std::unordered_map<steer::upstream_token, std::size_t> votes;
+    std::unordered_map<steer::upstream_token, upstream_votes> votes;
     for (const auto& [name, other] : peers_)
     {
         if (!is_live(other, now))
@@ -200,7 +200,11 @@
         }
         for (const auto token : other.status.silent)
         {
-            ++votes[token];
+            ++votes[token].silent;
+        }
+        for (const auto token : other.status.unreachable)
+        {
+            ++votes[token].unreachable;
         }
     }
     return votes;
--- a/src/steer/flow_table.hpp
+++ b/src/steer/flow_table.hpp
@@ -11,6 +11,11 @@
 namespace galenabay::steer
 {
 
+/// Repeats of one packet after which its upstream counts as silent for the flow: the
+/// caller has then waited 200 ms and 400 ms, and a live upstream has acknowledged the
+/// first repeat.
+constexpr std::uint8_t silent_repeats = 2;
+
 /// What this host saw of a flow. A hint only: tokens steer, so a flow that is
 /// missing here is steered all the same.
 struct flow_state
--- a/src/steer/names.cpp
+++ b/src/steer/names.cpp
@@ -1,5 +1,6 @@
 #include <galenabay/base/hash.hpp>
 #include <galenabay/steer/steering_decision.hpp>
+#include <galenabay/steer/upstream_probe.hpp>
 
 namespace galenabay::steer
 {
@@ -48,6 +49,20 @@
     return "unknown";
 }
 
+const char* name_of(probe_result result)
+{
+    switch (result)
+    {
+    case probe_result::reachable:
+        return "reachable";
+    case probe_result::refused:
+        return "refused";
+    case probe_result::unreachable:
+        return "unreachable";
+    }
+    return "unknown";
+}
+
 } // namespace galenabay::steer
 
 std::size_t std::hash<galenabay::steer::flow_key>::operator()(const galenabay::steer::flow_key& key) const noexcept
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -17,9 +17,6 @@
 namespace
 {
 
-/// Repeats of one packet after which its upstream counts as silent for the flow:
-/// the caller has then waited 200 ms and 400 ms.
-constexpr std::uint8_t silent_repeats = 2;
 /// How often flows are looked through for old ones.
 constexpr base::duration sweep_interval = std::chrono::seconds{1};
 
@@ -94,32 +91,6 @@
     return follow_up({registry_.remove(id, revision, now)});
 }
 
-bool steerer::is_silent(const upstream_incarnation& upstream, base::time_point now) const
-{
-    return now < upstream.silent_until;
-}
-
-void steerer::on_remote_view(upstream_token token, const remote_view& seen, base::time_point now)
-{
-    auto* upstream = registry_.find(token);
-    if (upstream == nullptr)
-    {
-        return;
-    }
-    upstream->remote_flows = seen.flows;
-    upstream->remote_requests = seen.open_requests;
-    upstream->silence_votes = seen.silence_votes;
-    if (seen.answered_ago)
-    {
-        upstream->remote_progress = std::max(upstream->remote_progress, now - *seen.answered_ago);
-    }
-    // What this host sees itself goes before what others say.
-    if (seen.silence_votes > 0 && now - upstream->last_progress >= options_.silence_limit)
-    {
-        upstream->avoid_until = std::max(upstream->avoid_until, now + options_.vote_time);
-    }
-}
-
 steerer::outcome steerer::follow_up(std::vector<upstream_registry::change> changes)
 {
     outcome learned;
@@ -132,7 +103,7 @@
         learned.changes.push_back(change);
         if (change.kind == upstream_change::ended)
         {
-            reset_flows(*change.incarnation, learned.resets);
+            reset_flows(*change.incarnation, steering_reason::upstream_ended, learned.resets);
         }
     }
     if (std::any_of(changes.begin(), changes.end(),
@@ -143,14 +114,14 @@
             {
                 if (incarnation.ended && incarnation.flows > 0)
                 {
-                    reset_flows(incarnation, learned.resets);
+                    reset_flows(incarnation, steering_reason::upstream_ended, learned.resets);
                 }
             });
     }
     return learned;
 }
 
-void steerer::reset_flows(const upstream_incarnation& ended, std::vector<flow_reset>& resets)
+void steerer::reset_flows(const upstream_incarnation& ended, steering_reason reason, std::vector<lost_flow>& resets)
 {
     flows_->erase_if(
         [&](const flow_key& key, flow_state& flow)
@@ -161,7 +132,8 @@
             }
             if (!flow.closing)
             {
-                resets.push_back({.flow = key, .sequence = flow.acknowledged});
+                resets.push_back(
+                    {.reset = {.flow = key, .sequence = flow.acknowledged}, .token = ended.token, .reason = reason});
             }
             release(flow);
             return true;
@@ -278,73 +250,11 @@
     {
         ++flow.repeats;
         note_silence(upstream, now);
-    }
-}
-
-bool steerer::is_avoided_here(const upstream_incarnation& upstream, base::time_point now) const
-{
-    return is_silent(upstream, now) || (upstream.unanswered > 0 && is_avoided(upstream, now));
-}
-
-void steerer::check_openings(base::time_point now)
-{
-    openings_->take_older(now - options_.opening_limit,
-                          [&](const opening_queue::opening& sent)
-                          {
-                              const auto* flow = flows_->find(sent.flow);
-                              auto* upstream = registry_.find(sent.token);
-                              if (flow == nullptr || upstream == nullptr || flow->established ||
-                                  flow->token != sent.token || upstream->last_progress > sent.sent_at)
-                              {
-                                  return;
-                              }
-                              silence_count_ += note_unanswered(*upstream, now, options_.avoid_time) ? 1 : 0;
-                          });
-}
-
-void steerer::note_silence(upstream_incarnation& upstream, base::time_point now)
-{
-    const bool before = is_silent(upstream, now);
-    note_repeat(upstream, now, options_.silence_limit, options_.avoid_time);
-    silence_count_ += is_silent(upstream, now) && !before ? 1 : 0;
-}
-
-bool steerer::should_reset(const flow_state& flow, const upstream_incarnation& upstream, base::time_point now)
-{
-    const auto enough_repeats = is_confirmed_silent(upstream, now) ? 1 : silent_repeats;
-    if (flow.closing || flow.repeats < enough_repeats || !is_silent(upstream, now) ||
-        upstream.last_progress > flow.sent_at)
-    {
-        return false;
-    }
-    // A host whose own link drops packets sees silence too: what other hosts see tells
-    // the two apart. Without others, most upstreams being silent does.
-    return peer_count_ > 0 ? upstream.silence_votes > 0 && is_silent_everywhere(upstream, now)
-                           : is_most_answering(flow.sent_at, now);
-}
-
-bool steerer::is_confirmed_silent(const upstream_incarnation& upstream, base::time_point now) const
-{
-    return is_silent(upstream, now) && upstream.silence_votes >= options_.confirming_votes &&
-           is_silent_everywhere(upstream, now);
-}
-
-bool steerer::is_silent_everywhere(const upstream_incarnation& upstream, base::time_point now) const
-{
-    return now - std::max(upstream.last_progress, upstream.remote_progress) >= options_.reset_silence;
-}
-
-bool steerer::is_most_answering(base::time_point since, base::time_point now)
-{
-    std::size_t silent = 0;
-    std::size_t answering = 0;
-    registry_.for_each(
-        [&](const upstream_incarnation& other)
+        if (flow.repeats >= silent_repeats)
         {
-            silent += !other.ended && is_avoided(other, now) ? 1 : 0;
-            answering += !other.ended && !is_avoided(other, now) && other.last_progress > since ? 1 : 0;
-        });
-    return answering >= silent;
+            suspect(upstream, now);
+        }
+    }
 }
 
 steering_decision steerer::on_unrouted(const packet_head& head) const
@@ -427,6 +337,7 @@
 {
     if (now - last_tick_ > options_.pause_limit)
     {
+        // Attempts to connect that ended meanwhile show nothing either.
         registry_.for_each([&](upstream_incarnation& upstream) { note_progress(upstream, now); });
     }
     last_tick_ = now;
@@ -442,7 +353,7 @@
         {
             if (!upstream.ended && upstream.flows > 0 && is_confirmed_silent(upstream, now))
             {
-                reset_flows(upstream, learned.resets);
+                reset_flows(upstream, steering_reason::upstream_silent, learned.resets);
             }
         });
     return learned;
--- a/tests/peers/message_codec_test.cpp
+++ b/tests/peers/message_codec_test.cpp
@@ -34,7 +34,8 @@
             .configuration_version = 7,
             .upstreams_revision = 12,
             .loads = {{.token = 9, .flows = 3, .open_requests = 1}},
-            .silent = {9, 10}};
+            .silent = {9, 10},
+            .unreachable = {10}};
 }
 
 } // namespace
--- a/tests/peers/peer_view_test.cpp
+++ b/tests/peers/peer_view_test.cpp
@@ -242,7 +242,7 @@
         view.on_status(status, address_of(other), at(other == 3 ? 0s : 1s));
     }
     LONGS_EQUAL(6, view.total_loads(at(1s)).at(9).flows);
-    LONGS_EQUAL(3, view.silence_votes(at(1s)).at(4));
+    LONGS_EQUAL(3, view.votes(at(1s)).at(4).silent);
     LONGS_EQUAL(4, view.total_loads(at(2s)).at(9).flows);
-    LONGS_EQUAL(2, view.silence_votes(at(2s)).at(4));
+    LONGS_EQUAL(2, view.votes(at(2s)).at(4).silent);
 }
--- a/tests/steer/steerer_test.cpp
+++ b/tests/steer/steerer_test.cpp
@@ -79,7 +79,7 @@
     host.core.on_packet(data(1, token_of(before), 1, 777), at(10ms));
     const auto learned = host.core.on_upstream(make_upstream("i-1", 1, 2000), at(1s));
     LONGS_EQUAL(1, learned.resets.size());
-    LONGS_EQUAL(777, learned.resets.front().sequence);
+    LONGS_EQUAL(777, learned.resets.front().reset.sequence);
     const auto late = host.core.on_packet(data(2, token_of(before), 1, 888), at(2s));
     check_action(steering_action::reset, late);
     LONGS_EQUAL(888, late.reset.sequence);
--- a/tools/edge_soak/fault_plan.cpp
+++ b/tools/edge_soak/fault_plan.cpp
@@ -136,8 +136,13 @@
     }
     const auto service = upstreams_.at(index).service;
     const auto data_centre = upstreams_.at(index).data_centre;
-    switch (random_.below(4))
+    switch (random_.below(5))
     {
+    case 4:
+        ++seen_.faults["upstream_grey"];
+        upstreams_.set_lost_share(index, 0.3 + 0.5 * random_.unit());
+        later(now + 1.0 + 4.0 * random_.unit(), [this, index](double) { upstreams_.set_lost_share(index, 0); });
+        break;
     case 0:
         ++seen_.faults["upstream_crashed"];
         upstreams_.crash(index);
--- a/tools/edge_soak/upstream_fleet.cpp
+++ b/tools/edge_soak/upstream_fleet.cpp
@@ -38,6 +38,7 @@
     auto socket = net::udp_socket::bind(address);
     GALENABAY_INVARIANT(socket.has_value());
     sockets_.push_back(std::move(socket.value()));
+    listeners_.emplace_back();
     auto entry = std::make_unique<upstream>();
     entry->number = ++next_number_;
     entry->id = "i-" + hex(entry->number);
@@ -136,8 +137,31 @@
     return upstreams_.size();
 }
 
+void upstream_fleet::accept_connections()
+{
+    for (std::size_t socket = 0; socket < sockets_.size(); ++socket)
+    {
+        auto& listener = listeners_[socket];
+        if (live_at(socket) == upstreams_.size())
+        {
+            listener.reset();
+            continue;
+        }
+        if (!listener)
+        {
+            const Poco::Net::SocketAddress local{sockets_[socket].local().to_string()};
+            listener = std::make_unique<Poco::Net::ServerSocket>(local);
+        }
+        while (listener->poll(Poco::Timespan{0}, Poco::Net::Socket::SELECT_READ))
+        {
+            listener->acceptConnection();
+        }
+    }
+}
+
 void upstream_fleet::receive(double now)
 {
+    accept_connections();
     std::array<net::packet*, net::batch_size> batch{};
     for (std::size_t i = 0; i < batch.size(); ++i)
     {
@@ -223,7 +247,7 @@
         reply(self, packet, flag_acknowledging, flow, std::nullopt);
         return;
     }
-    if (!packet.request || !flow.open)
+    if (!packet.request || !flow.open || random_.unit() < self.lost_share)
     {
         return;
     }
--- a/tools/edge_soak/upstream_fleet.hpp
+++ b/tools/edge_soak/upstream_fleet.hpp
@@ -9,6 +9,8 @@
 #include <galenabay/net/packet.hpp>
 #include <galenabay/net/udp_socket.hpp>
 
+#include <Poco/Net/ServerSocket.h>
+
 #include <memory>
 #include <set>
 #include <string>
@@ -38,6 +40,8 @@
     base::endpoint address;
     bool draining = false;
     bool alive = true;
+    /// Part of the callers' data that is lost on the way in.
+    double lost_share = 0;
     /// Seconds of the run at which it began to drain or came up.
     double draining_since = 0;
     std::unordered_map<steer::flow_key, held_flow> flows;
@@ -59,6 +63,8 @@
     /// Its address is taken by a new upstream of another service.
     void replace(std::size_t index, const std::string& service);
     void drain(std::size_t index, double now);
+    /// Loses part of the callers' data, while connections to it work.
+    void set_lost_share(std::size_t index, double share) { upstreams_[index]->lost_share = share; }
     void unregister(std::size_t index);
 
     /// Handles the datagrams that have arrived.
@@ -79,6 +85,8 @@
     void reply(const upstream& self, const wire_packet& to, std::uint8_t flags, const upstream::held_flow& flow,
                std::optional<std::uint64_t> request);
     std::size_t live_at(std::size_t socket) const;
+    /// Accepts connections for the sockets that have a live upstream, and for no others.
+    void accept_connections();
 
     store_stand_in& store_;
     ledger& seen_;
@@ -86,6 +94,7 @@
     std::uint16_t caller_port_;
     base::random_source random_;
     std::vector<net::udp_socket> sockets_;
+    std::vector<std::unique_ptr<Poco::Net::ServerSocket>> listeners_;
     std::vector<std::unique_ptr<upstream>> upstreams_;
     std::vector<std::size_t> socket_of_;
     std::vector<net::packet> buffers_;
