--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -48,6 +48,15 @@
     return base::mix(base::hash_text(settings.host), now);
 }
 
+/// A silent connection to the store must be noticed well within the time in which a
+/// configuration has to be in force.
+store_watch_options watch_options(const adapter::settings& settings)
+{
+    store_watch_options options;
+    options.watch_wait = std::min(options.watch_wait, settings.config_bound / 2);
+    return options;
+}
+
 std::uint64_t unix_microseconds()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -106,9 +115,14 @@
 {
 public:
     implementation(const adapter::settings& settings, net::udp_socket socket, net::udp_socket peers)
-        : settings_{settings}, state_{settings.store},
-          packets_{std::move(socket),   std::move(peers), {settings.host, settings.data_centre, unix_microseconds()},
-                   make_seed(settings), state_,           metrics_}
+        : settings_{settings}, state_{settings.store}, packets_{
+                                                           std::move(socket),
+                                                           std::move(peers),
+                                                           {settings.host, settings.data_centre, unix_microseconds()},
+                                                           settings.flow_age_limit,
+                                                           make_seed(settings),
+                                                           state_,
+                                                           metrics_}
     {
     }
     implementation(const implementation&) = delete;
@@ -135,8 +149,8 @@
         for (const auto kind : {adapter::object_kind::configuration, adapter::object_kind::upstreams})
         {
             followers_.push_back(std::make_unique<store_duty>(
-                kind, store_watch_options{}, base::mix(make_seed(settings_), static_cast<std::uint64_t>(kind)), state_,
-                metrics_, packets_.updates(kind), packets_.waker()));
+                kind, watch_options(settings_), base::mix(make_seed(settings_), static_cast<std::uint64_t>(kind)),
+                state_, metrics_, packets_.updates(kind), packets_.waker()));
         }
         registration_ =
             std::make_unique<registration_duty>(settings_.host, settings_.peers, state_, metrics_,
--- a/src/edge/packet_duty.cpp
+++ b/src/edge/packet_duty.cpp
@@ -27,9 +27,11 @@
 
 } // namespace
 
-packet_duty::packet_duty(net::udp_socket socket, net::udp_socket peers, identity self, std::uint64_t seed,
-                         shared_state& state, edge_metrics& metrics)
-    : socket_{std::move(socket)}, state_{state}, metrics_{metrics}, steerer_{{.data_centre = self.data_centre}, seed},
+packet_duty::packet_duty(net::udp_socket socket, net::udp_socket peers, identity self, base::duration flow_age_limit,
+                         std::uint64_t seed, shared_state& state, edge_metrics& metrics)
+    : socket_{std::move(socket)}, state_{state}, metrics_{metrics}, steerer_{{.data_centre = self.data_centre,
+                                                                              .registry = {.memory = flow_age_limit}},
+                                                                             seed},
       self_{std::move(self)}, random_{base::mix(seed, 1)},
       peers_{std::move(peers), peers::peer_view{self_.name, self_.data_centre}, metrics}, probes_{state, waker_},
       buffers_(net::batch_size)
--- a/src/edge/packet_duty.hpp
+++ b/src/edge/packet_duty.hpp
@@ -39,8 +39,9 @@
     };
 
     /// `socket` receives the routers' datagrams, `peers` those of the other hosts.
-    packet_duty(net::udp_socket socket, net::udp_socket peers, identity self, std::uint64_t seed, shared_state& state,
-                edge_metrics& metrics);
+    /// `flow_age_limit`: age at which a flow may be discarded.
+    packet_duty(net::udp_socket socket, net::udp_socket peers, identity self, base::duration flow_age_limit,
+                std::uint64_t seed, shared_state& state, edge_metrics& metrics);
     packet_duty(const packet_duty&) = delete;
     packet_duty& operator=(const packet_duty&) = delete;
     ~packet_duty();
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -13,7 +13,7 @@
 /// Times that govern how one kind of objects is followed.
 struct store_watch_options
 {
-    /// How long a watch waits at the store. With the answer timeout this is the
+    /// How long a watch waits at the store at most. With the answer timeout this is the
     /// longest that a silent connection goes unnoticed; the sum stays below the
     /// 3 s within which a configuration must be in force.
     base::duration watch_wait = std::chrono::milliseconds{1'500};
