--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -146,12 +146,8 @@
     void note_silence(upstream_incarnation& upstream, base::time_point now);
     /// Asks for an attempt to connect unless one was made lately.
     void suspect(upstream_incarnation& upstream, base::time_point now);
-    /// Attempts that must go unanswered.
-    std::uint32_t unreachable_limit(const upstream_incarnation& upstream) const;
     /// True when failed attempts are not due to this host's own link.
-    bool is_unreachable_for_others(const upstream_incarnation& upstream);
-    /// True when the last attempts show that the upstream does not run.
-    bool is_found_down(const upstream_incarnation& upstream, base::time_point now);
+    bool is_unreachable_for_others(const upstream_incarnation& upstream, base::time_point now);
     /// True when no flow through any host showed an answer for `reset_silence`.
     bool is_silent_everywhere(const upstream_incarnation& upstream, base::time_point now) const;
     /// True when other hosts confirm what this host's flows show.
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -55,12 +55,9 @@
 
     /// Last time that a flow showed an answer from the upstream.
     base::time_point last_progress{};
-    /// Time at which the upstream certainly still answered: a flow may show an answer that
-    /// another host saw long before.
-    base::time_point certain_progress{};
-    /// Packets sent again by callers since the last answer.
+    /// Packets sent again by callers since then.
     std::uint32_t repeats = 0;
-    /// Opening packets without an answer since the last one.
+    /// Opening packets without an answer since then.
     std::uint32_t unanswered = 0;
     /// This host's flows showed silence; it counts until then.
     base::time_point silent_until{};
@@ -78,8 +75,6 @@
         base::time_point begun_at{};
         /// Attempts of the series that got no answer.
         std::uint32_t unreachable = 0;
-        /// The last one was refused.
-        bool refused = false;
         /// No new series before then.
         base::time_point not_before{};
         /// Last time that an attempt failed.
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -213,9 +213,6 @@
 
 void steerer::observe(flow_state& flow, upstream_incarnation& upstream, const packet_head& head, base::time_point now)
 {
-    // A flow that came back from another host shows an answer of some time since it
-    // was last seen here.
-    const auto certain_at = now - flow.last_seen <= options_.silence_limit ? now : flow.last_seen;
     flow.last_seen = now;
     const bool answered = is_after(head.acknowledged, flow.acknowledged) || !flow.established;
     if (answered)
@@ -223,7 +220,7 @@
         flow.established = true;
         flow.acknowledged = head.acknowledged;
         flow.repeats = 0;
-        note_progress(upstream, certain_at, now);
+        note_progress(upstream, now);
         if (flow.waiting)
         {
             flow.waiting = false;
@@ -341,7 +338,7 @@
     if (now - last_tick_ > options_.pause_limit)
     {
         // Attempts to connect that ended meanwhile show nothing either.
-        registry_.for_each([&](upstream_incarnation& upstream) { note_progress(upstream, now, now); });
+        registry_.for_each([&](upstream_incarnation& upstream) { note_progress(upstream, now); });
     }
     last_tick_ = now;
     check_openings(now);
@@ -354,8 +351,7 @@
     registry_.for_each(
         [&](const upstream_incarnation& upstream)
         {
-            if (!upstream.ended && upstream.flows > 0 &&
-                (is_confirmed_silent(upstream, now) || is_found_down(upstream, now)))
+            if (!upstream.ended && upstream.flows > 0 && is_confirmed_silent(upstream, now))
             {
                 reset_flows(upstream, steering_reason::upstream_silent, learned.resets);
             }
--- a/src/steer/steerer_silence.cpp
+++ b/src/steer/steerer_silence.cpp
@@ -82,7 +82,6 @@
     probes.pending = true;
     probes.begun_at = now;
     probes.unreachable = 0;
-    probes.refused = false;
     probe_requests_.push_back({.token = upstream.token, .address = upstream.entry.address});
 }
 
@@ -94,22 +93,31 @@
         return {};
     }
     auto& probes = upstream->probes;
-    probes.refused = result == probe_result::refused;
+    if (result != probe_result::reachable)
+    {
+        probes.failed_at = now;
+    }
     if (result == probe_result::unreachable)
     {
+        const auto limit = upstream->unreachable_votes >= options_.confirming_votes ? 1 : options_.unreachable_limit;
         // Other hosts are told after the first failure, so that they look too.
         silence_count_ += ++probes.unreachable == 1 ? 1 : 0;
-        if (probes.unreachable < unreachable_limit(*upstream))
+        if (probes.unreachable < limit)
         {
-            probes.failed_at = now;
             probe_requests_.push_back({.token = token, .address = upstream->entry.address});
             return {};
         }
     }
     probes.pending = false;
     probes.not_before = now + options_.probe_pause;
-    (result == probe_result::reachable ? probes.reached_at : probes.failed_at) = now;
-    if (!is_found_down(*upstream, now))
+    if (result == probe_result::reachable)
+    {
+        probes.reached_at = now;
+        probes.failed_at = {};
+        return {};
+    }
+    const bool has_answered = std::max(upstream->last_progress, upstream->remote_progress) >= probes.begun_at;
+    if (has_answered || (result == probe_result::unreachable && !is_unreachable_for_others(*upstream, now)))
     {
         return {};
     }
@@ -121,34 +129,15 @@
     return learned;
 }
 
-std::uint32_t steerer::unreachable_limit(const upstream_incarnation& upstream) const
-{
-    return upstream.unreachable_votes >= options_.confirming_votes ? 1 : options_.unreachable_limit;
-}
-
-bool steerer::is_found_down(const upstream_incarnation& upstream, base::time_point now)
-{
-    const auto& probes = upstream.probes;
-    const bool has_answered = upstream.certain_progress >= probes.begun_at;
-    if (has_answered || probes.reached_at >= probes.begun_at || now - probes.failed_at >= options_.avoid_time)
-    {
-        return false;
-    }
-    // The vote of another host may come after this host's last attempt.
-    return probes.refused || (probes.unreachable >= unreachable_limit(upstream) && is_unreachable_for_others(upstream));
-}
-
 bool steerer::is_unreachable(const upstream_incarnation& upstream, base::time_point now) const
 {
     const auto& probes = upstream.probes;
-    return now - probes.failed_at < options_.avoid_time && probes.reached_at < probes.failed_at &&
-           upstream.certain_progress < probes.begun_at;
+    return now - probes.failed_at < options_.avoid_time && upstream.last_progress < probes.failed_at;
 }
 
-bool steerer::is_unreachable_for_others(const upstream_incarnation& upstream)
+bool steerer::is_unreachable_for_others(const upstream_incarnation& upstream, base::time_point now)
 {
-    const auto& probes = upstream.probes;
-    return peer_count_ > 0 ? upstream.unreachable_votes > 0 : is_most_answering(probes.begun_at, probes.failed_at);
+    return peer_count_ > 0 ? upstream.unreachable_votes > 0 : is_most_answering(upstream.probes.begun_at, now);
 }
 
 bool steerer::should_reset(const flow_state& flow, const upstream_incarnation& upstream, base::time_point now)
--- a/src/steer/upstream_evidence.hpp
+++ b/src/steer/upstream_evidence.hpp
@@ -2,16 +2,13 @@
 
 #include <galenabay/steer/upstream_registry.hpp>
 
-#include <algorithm>
-
 namespace galenabay::steer
 {
 
-/// Notes that a flow showed an answer, which the upstream gave at `certain_at` or later.
-inline void note_progress(upstream_incarnation& upstream, base::time_point certain_at, base::time_point now)
+/// Notes that a flow showed an answer from the upstream.
+inline void note_progress(upstream_incarnation& upstream, base::time_point now)
 {
     upstream.last_progress = now;
-    upstream.certain_progress = std::max(upstream.certain_progress, certain_at);
     upstream.repeats = 0;
     upstream.unanswered = 0;
     upstream.silent_until = {};
--- a/tests/steer/upstream_probe_test.cpp
+++ b/tests/steer/upstream_probe_test.cpp
@@ -151,7 +151,6 @@
 {
     wait_in_vain();
     hear_votes(3, 600ms);
-    host.core.on_packet(data(2, token_of(suspect), 1, 6), at(650ms));
     host.core.on_packet(data(2, token_of(suspect), 101, 60), at(700ms));
     LONGS_EQUAL(0, resets_after(probe_result::refused, 850ms));
 }
@@ -180,31 +179,3 @@
     LONGS_EQUAL(0, resets_after(probe_result::refused, 750ms));
     LONGS_EQUAL(0, host.core.on_probe(12345, probe_result::refused, at(750ms)).resets.size());
 }
-
-TEST(upstream_probe, the_vote_of_another_host_counts_after_the_last_attempt_too)
-{
-    wait_in_vain();
-    hear_votes(0, 600ms);
-    LONGS_EQUAL(0, resets_after(probe_result::unreachable, 850ms));
-    LONGS_EQUAL(0, resets_after(probe_result::unreachable, 1100ms));
-    LONGS_EQUAL(0, host.run_until(1200ms).resets.size());
-    hear_votes(1, 1250ms);
-    LONGS_EQUAL(2, host.run_until(1500ms).resets.size());
-}
-
-TEST(upstream_probe, a_flow_that_comes_back_from_another_host_shows_no_new_answer)
-{
-    // Answered through another host long ago; its request of now waits in vain.
-    host.core.on_packet(data(4, token_of(suspect), 1, 5), at(0ms));
-    host.run_until(3s);
-    host.core.set_peer_count(8);
-    for (const auto now : {3000ms, 3200ms, 3600ms})
-    {
-        host.run_until(now);
-        host.core.on_packet(data(1, token_of(suspect), 1, 5), at(now));
-    }
-    LONGS_EQUAL(1, host.core.take_probe_requests().size());
-    host.core.on_packet(data(4, token_of(suspect), 201, 900), at(3700ms));
-    hear_votes(2, 3750ms);
-    LONGS_EQUAL(2, resets_after(probe_result::unreachable, 3850ms));
-}
