Call what the project had: token bucket, backoff, socket addresses

In the soak a vector repeated what the addresses say, identities were given in two places and datagrams were built in two. Ruled out as not the same: the YAML readers of platform/ and config (one is driven by a schema that the entry host does not link), the mains of the programs (their ends differ), names.cpp tables, generated code.

--- a/include/galenabay/net/status_server.hpp
+++ b/include/galenabay/net/status_server.hpp
@@ -10,6 +10,11 @@
 namespace galenabay::net
 {
 
+// HTTP status codes of the answers.
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
 /// Answer to one GET of the status server. Plain value.
 struct status_answer
 {
--- a/include/galenabay/peers/peer_view.hpp
+++ b/include/galenabay/peers/peer_view.hpp
@@ -93,6 +93,8 @@
     };
 
     bool is_live(const peer& other, base::time_point now) const;
+    /// Passes each live host to `visit`.
+    template <typename Visitor> void for_each_live(base::time_point now, Visitor visit) const;
     template <typename Predicate>
     std::optional<base::endpoint> draw(Predicate is_wanted, base::random_source& random, base::time_point now) const;
 
--- a/src/daemon/metrics_duty.cpp
+++ b/src/daemon/metrics_duty.cpp
@@ -11,26 +11,22 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
-
 net::status_answer answer(const std::string& path, metric_board& metrics, const thread_state& state)
 {
     if (path == "/metrics")
     {
-        return {status_ok, prometheus::TextSerializer{}.Serialize(metrics.Collect())};
+        return {net::status_ok, prometheus::TextSerializer{}.Serialize(metrics.Collect())};
     }
     if (path == "/healthz")
     {
-        return {status_ok, state.leaving.load() ? "leaving" : "ok"};
+        return {net::status_ok, state.leaving.load() ? "leaving" : "ok"};
     }
     if (path == "/readyz")
     {
         const bool ready = metrics.get(metric::ready) != 0 && !state.leaving.load();
-        return {ready ? status_ok : status_unavailable, ready ? "ready" : "not ready"};
+        return {ready ? net::status_ok : net::status_unavailable, ready ? "ready" : "not ready"};
     }
-    return {status_not_found, "not found"};
+    return {net::status_not_found, "not found"};
 }
 
 } // namespace
--- a/src/daemon/platform_duty.hpp
+++ b/src/daemon/platform_duty.hpp
@@ -8,10 +8,10 @@
 #include <galenabay/base/error.hpp>
 #include <galenabay/base/ring.hpp>
 #include <galenabay/base/time.hpp>
+#include <galenabay/base/token_bucket.hpp>
 #include <galenabay/config/accepted_revision.hpp>
 #include <galenabay/membership/host.hpp>
 #include <galenabay/platform/revision_store.hpp>
-#include <galenabay/revision/call_budget.hpp>
 
 #include <atomic>
 #include <cstdint>
@@ -136,7 +136,7 @@
     const thread_state& state_;
     std::atomic<bool> cut_{false};
     platform::revision_store store_;
-    revision::call_budget budget_;
+    base::token_bucket budget_;
     base::ring<platform_request> requests_;
     base::ring<platform_event> events_;
     waker waker_;
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -25,10 +25,6 @@
 using base::log_level;
 using std::chrono::milliseconds;
 
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
-
 /// The routers ask twice a second and move on after two misses; a packet may be on
 /// its way for some milliseconds more.
 constexpr milliseconds routers_move_on{1'300};
@@ -65,30 +61,22 @@
 
 net::status_answer answer_peer(const std::string& path, const shared_state& state)
 {
-    const auto known = state.snapshot();
-    if (!known)
-    {
-        return {status_unavailable, "not ready"};
-    }
-    peers::edge_state told;
-    if (path == peer_state_path(adapter::object_kind::configuration))
-    {
-        told.configuration = known->configuration;
-    }
-    else if (path == peer_state_path(adapter::object_kind::upstreams))
-    {
-        told.upstreams = known->upstreams;
-    }
-    else
+    for (const auto kind : {adapter::object_kind::configuration, adapter::object_kind::upstreams})
     {
-        return {status_not_found, "not found"};
-    }
-    auto body = peers::encode(told);
-    if (body.size() > max_told_bytes)
-    {
-        return {status_unavailable, "too large: read the store"};
+        if (path != peer_state_path(kind))
+        {
+            continue;
+        }
+        const auto known = state.snapshot(kind);
+        if (!known)
+        {
+            return {net::status_unavailable, "not ready"};
+        }
+        auto body = peers::encode(*known);
+        return body.size() <= max_told_bytes ? net::status_answer{net::status_ok, std::move(body)}
+                                             : net::status_answer{net::status_unavailable, "too large: read the store"};
     }
-    return {status_ok, std::move(body)};
+    return {net::status_not_found, "not found"};
 }
 
 net::status_answer answer(const std::string& path, const shared_state& state, const edge_metrics& metrics)
@@ -96,17 +84,17 @@
     if (path == "/readyz")
     {
         const bool ready = state.ready.load() && !state.draining.load();
-        return {ready ? status_ok : status_unavailable, ready ? "ready" : "not ready"};
+        return {ready ? net::status_ok : net::status_unavailable, ready ? "ready" : "not ready"};
     }
     if (path == "/healthz")
     {
-        return {status_ok, state.draining.load() ? "draining" : "ok"};
+        return {net::status_ok, state.draining.load() ? "draining" : "ok"};
     }
     if (path == "/metrics")
     {
-        return {status_ok, metrics.to_text()};
+        return {net::status_ok, metrics.to_text()};
     }
-    return {status_not_found, "not found"};
+    return {net::status_not_found, "not found"};
 }
 
 } // namespace
--- a/src/edge/log_limiter.hpp
+++ b/src/edge/log_limiter.hpp
@@ -1,49 +1,30 @@
 #pragma once
 
-#include <galenabay/base/time.hpp>
+#include <galenabay/base/token_bucket.hpp>
 
-#include <algorithm>
 #include <cstdint>
 
+#include <utility>
+
 namespace galenabay::edge
 {
 
-/// Token bucket of one kind of log line. Not thread-safe.
+/// Bounds the lines of one kind and counts those left out. Not thread-safe.
 class log_limiter
 {
 public:
     /// `per_second` lines on average, `burst` at once.
-    log_limiter(double per_second, double burst) : per_second_{per_second}, burst_{burst}, tokens_{burst} {}
+    log_limiter(std::uint32_t per_second, std::uint32_t burst) : lines_{per_second, burst} {}
 
     /// True when a line may be written now; otherwise it counts as left out.
-    bool allow(base::time_point now)
-    {
-        const auto passed = std::chrono::duration<double>(now - last_).count();
-        tokens_ = std::min(burst_, tokens_ + passed * per_second_);
-        last_ = now;
-        if (tokens_ < 1.0)
-        {
-            ++left_out_;
-            return false;
-        }
-        tokens_ -= 1.0;
-        return true;
-    }
+    bool allow(base::time_point now) { return lines_.take(now); }
 
     /// Lines left out since the last call.
-    std::uint64_t take_left_out()
-    {
-        const auto count = left_out_;
-        left_out_ = 0;
-        return count;
-    }
+    std::uint64_t take_left_out() { return lines_.refused() - std::exchange(told_, lines_.refused()); }
 
 private:
-    double per_second_;
-    double burst_;
-    double tokens_;
-    base::time_point last_{};
-    std::uint64_t left_out_ = 0;
+    base::token_bucket lines_;
+    std::uint64_t told_ = 0;
 };
 
 } // namespace galenabay::edge
--- a/src/edge/packet_duty.hpp
+++ b/src/edge/packet_duty.hpp
@@ -14,6 +14,7 @@
 
 #include <array>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
@@ -97,7 +98,8 @@
     identity self_;
     base::random_source random_;
     peer_link peers_;
-    steer::configuration configuration_;
+    /// The configuration in force, as it is told to other hosts.
+    std::shared_ptr<const peers::edge_state> configuration_;
     /// Revision of the last change of the upstreams that was applied.
     std::uint64_t upstreams_revision_ = 0;
     bool snapshot_due_ = false;
--- a/src/edge/packet_duty_peers.cpp
+++ b/src/edge/packet_duty_peers.cpp
@@ -110,11 +110,14 @@
 
 void packet_duty::catch_up(base::time_point now)
 {
-    const auto newer = peers_.view().with_newer_configuration(steerer_.routes().version(), random_, now);
-    if (newer && now >= next_configuration_read_)
+    if (now >= next_configuration_read_)
     {
-        next_configuration_read_ = now + read_pause;
-        state_.request_read(adapter::object_kind::configuration, *newer);
+        const auto newer = peers_.view().with_newer_configuration(steerer_.routes().version(), random_, now);
+        if (newer)
+        {
+            next_configuration_read_ = now + read_pause;
+            state_.request_read(adapter::object_kind::configuration, *newer);
+        }
     }
     const auto ahead = peers_.view().with_newer_upstreams(upstreams_revision_, random_, now);
     if (!ahead)
@@ -172,7 +175,6 @@
 void packet_duty::publish_snapshot()
 {
     auto state = std::make_shared<peers::edge_state>();
-    state->configuration = configuration_;
     state->upstreams.revision = upstreams_revision_;
     steerer_.registry().for_each(
         [&](const steer::upstream_incarnation& upstream)
@@ -182,7 +184,8 @@
                 state->upstreams.entries.push_back(upstream.entry);
             }
         });
-    state_.publish(std::move(state));
+    state_.publish(adapter::object_kind::configuration, configuration_);
+    state_.publish(adapter::object_kind::upstreams, std::move(state));
     snapshot_due_ = false;
 }
 
--- a/src/edge/packet_duty_updates.cpp
+++ b/src/edge/packet_duty_updates.cpp
@@ -103,7 +103,8 @@
     const bool adopted = steerer_.on_configuration(next);
     if (adopted)
     {
-        configuration_ = next;
+        configuration_ =
+            std::make_shared<const peers::edge_state>(peers::edge_state{.configuration = next, .upstreams = {}});
     }
     log_event{log_level::info, adopted ? "configuration_adopted" : "configuration_ignored"}
         .with("version", next.version)
--- a/src/edge/registration_duty.cpp
+++ b/src/edge/registration_duty.cpp
@@ -1,5 +1,7 @@
 #include "registration_duty.hpp"
 
+#include "store_watch.hpp"
+
 #include <galenabay/base/log.hpp>
 #include <galenabay/base/steady_clock.hpp>
 #include <platform/store_client.hpp>
@@ -17,7 +19,6 @@
 using base::log_level;
 using std::chrono::milliseconds;
 
-constexpr milliseconds answer_timeout{1'000};
 /// Pause between tries: hosts that are listed already find this one by its messages,
 /// so that nothing urgent depends on it.
 constexpr base::duration retry_pause = milliseconds{1'000};
@@ -59,7 +60,7 @@
 
 base::result<void> registration_duty::register_and_list()
 {
-    auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, answer_timeout);
+    auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, store_answer_timeout);
     BOOST_OUTCOME_TRY(hosts, list_hosts(client, adapter::read_freshness::may_be_stale));
     if (!is_registered(hosts))
     {
@@ -112,7 +113,7 @@
     {
         return;
     }
-    auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, answer_timeout);
+    auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, store_answer_timeout);
     for (const auto& name : lost)
     {
         metrics_.store_calls(adapter::object_kind::hosts).Increment();
--- a/src/edge/shared_state.hpp
+++ b/src/edge/shared_state.hpp
@@ -112,16 +112,17 @@
         store_ = store;
     }
 
-    /// All that the packet thread knows of the store; null before it is ready.
-    std::shared_ptr<const peers::edge_state> snapshot() const
+    /// What the packet thread knows of a kind of objects, and nothing else; null before
+    /// it is ready.
+    std::shared_ptr<const peers::edge_state> snapshot(adapter::object_kind kind) const
     {
         const std::lock_guard lock{mutex_};
-        return snapshot_;
+        return snapshots_[index(kind)];
     }
-    void publish(std::shared_ptr<const peers::edge_state> snapshot)
+    void publish(adapter::object_kind kind, std::shared_ptr<const peers::edge_state> snapshot)
     {
         const std::lock_guard lock{mutex_};
-        snapshot_ = std::move(snapshot);
+        snapshots_[index(kind)] = std::move(snapshot);
     }
 
 private:
@@ -135,7 +136,7 @@
     std::array<std::optional<base::endpoint>, kinds> informed_{};
     std::vector<std::string> lost_;
     base::endpoint store_;
-    std::shared_ptr<const peers::edge_state> snapshot_;
+    std::array<std::shared_ptr<const peers::edge_state>, kinds> snapshots_;
 };
 
 /// Seconds between two times, for histograms.
--- a/src/edge/steering_log.hpp
+++ b/src/edge/steering_log.hpp
@@ -29,8 +29,8 @@
 
 private:
     /// Lines a second and at once: a host sees some 20 new flows a second.
-    static constexpr double lines_per_second = 20;
-    static constexpr double line_burst = 60;
+    static constexpr std::uint32_t lines_per_second = 20;
+    static constexpr std::uint32_t line_burst = 60;
 
     std::array<log_limiter, steer::steering_reason_count> packets_ =
         make_limiters(std::make_index_sequence<steer::steering_reason_count>{});
--- a/src/edge/store_duty.cpp
+++ b/src/edge/store_duty.cpp
@@ -21,9 +21,6 @@
 using base::log_level;
 using std::chrono::milliseconds;
 
-/// Longest wait for a connection and for an answer beyond a watch's own wait: many
-/// times the store's 4 ms, and with `watch_wait` below the configuration bound.
-constexpr milliseconds answer_timeout{1'000};
 /// Pause before an update is offered again to a full ring.
 constexpr milliseconds ring_pause{5};
 /// Longest single sleep, so that a stop is noticed.
@@ -71,13 +68,13 @@
 void store_duty::run()
 {
     auto store = state_.store();
-    auto client = adapter::store_client::make(store, kind_, answer_timeout);
+    auto client = adapter::store_client::make(store, kind_, store_answer_timeout);
     while (!state_.stopping())
     {
         if (const auto current = state_.store(); current != store)
         {
             store = current;
-            client = adapter::store_client::make(store, kind_, answer_timeout);
+            client = adapter::store_client::make(store, kind_, store_answer_timeout);
         }
         const auto call = watch_.next();
         const bool follows = call.what == store_call::kind::list || state_.follows.load();
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -16,7 +16,7 @@
 
 bool store_watch::on_page(std::uint64_t revision, const std::string& last_name, bool more, base::time_point now)
 {
-    failures_ = 0;
+    pauses_.reset();
     not_before_ = now;
     // Changes since the first page are caught by the watch from its revision.
     list_revision_ = after_.empty() ? revision : std::min(list_revision_, revision);
@@ -33,7 +33,7 @@
 
 void store_watch::on_changes(std::uint64_t revision, bool any, base::time_point now)
 {
-    failures_ = 0;
+    pauses_.reset();
     revision_ = std::max(revision_, revision);
     not_before_ = any ? now + options_.batch_pause : now;
 }
@@ -48,12 +48,7 @@
         not_before_ = now;
         return;
     }
-    ++failures_;
-    constexpr std::uint32_t max_doublings = 10;
-    const auto limit = std::min(options_.longest_retry,
-                                options_.first_retry * (std::int64_t{1} << std::min(failures_ - 1, max_doublings)));
-    const auto half = static_cast<std::uint64_t>(limit.count() / 2);
-    not_before_ = now + base::duration{static_cast<std::int64_t>(half + random_.below(half))};
+    not_before_ = now + pauses_.next(random_, options_.longest_retry);
 }
 
 } // namespace galenabay::edge
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <galenabay/base/backoff.hpp>
 #include <galenabay/base/error.hpp>
 #include <galenabay/base/random.hpp>
 #include <galenabay/base/time.hpp>
@@ -10,6 +11,11 @@
 namespace galenabay::edge
 {
 
+/// Longest wait for a connection to the store, and for an answer beyond a watch's own
+/// wait: many times the store's 4 ms, and with `watch_wait` below the configuration
+/// bound.
+constexpr std::chrono::milliseconds store_answer_timeout{1'000};
+
 /// Times that govern how one kind of objects is followed.
 struct store_watch_options
 {
@@ -50,7 +56,10 @@
 class store_watch
 {
 public:
-    store_watch(store_watch_options options, std::uint64_t seed) : options_{options}, random_{seed} {}
+    store_watch(store_watch_options options, std::uint64_t seed)
+        : options_{options}, random_{seed}, pauses_{options.first_retry}
+    {
+    }
 
     store_call next() const;
 
@@ -63,18 +72,18 @@
     void on_failure(base::error_code code, base::time_point now);
 
     /// Calls that failed since the last answer.
-    std::uint32_t failures() const noexcept { return failures_; }
+    int failures() const noexcept { return pauses_.failures(); }
 
 private:
     store_watch_options options_;
     base::random_source random_;
+    base::backoff pauses_;
     bool listed_ = false;
     bool may_be_stale_ = true;
     std::uint64_t list_revision_ = 0;
     std::uint64_t revision_ = 0;
     std::string after_;
     base::time_point not_before_{};
-    std::uint32_t failures_ = 0;
 };
 
 } // namespace galenabay::edge
--- a/src/net/connection_attempt.cpp
+++ b/src/net/connection_attempt.cpp
@@ -1,8 +1,7 @@
 #include <galenabay/net/connection_attempt.hpp>
 
-#include <boost/endian/conversion.hpp>
+#include "socket_address.hpp"
 
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -38,11 +37,9 @@
     {
         return {-1, state::failed};
     }
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = boost::endian::native_to_big(server.port());
-    address.sin_addr.s_addr = boost::endian::native_to_big(server.v4());
-    const int done = connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    sockaddr_storage address{};
+    const socklen_t length = to_sockaddr(server, address);
+    const int done = connect(descriptor, reinterpret_cast<const sockaddr*>(&address), length);
     return {descriptor, state_of(done == 0 ? 0 : errno)};
 }
 
--- a/src/peers/message_codec.cpp
+++ b/src/peers/message_codec.cpp
@@ -85,6 +85,27 @@
     return changes;
 }
 
+using token_list = capnp::List<std::uint32_t>;
+
+void write_tokens(const std::vector<steer::upstream_token>& from, token_list::Builder out)
+{
+    for (unsigned i = 0; i < out.size(); ++i)
+    {
+        out.set(i, from[i]);
+    }
+}
+
+std::vector<steer::upstream_token> read_tokens(token_list::Reader in)
+{
+    std::vector<steer::upstream_token> tokens;
+    tokens.reserve(in.size());
+    for (const auto token : in)
+    {
+        tokens.push_back(token);
+    }
+    return tokens;
+}
+
 void write_status(const host_status& from, schema::HostStatus::Builder out)
 {
     out.setName(from.name);
@@ -103,16 +124,8 @@
         loads[i].setOpenRequests(from.loads[i].open_requests);
         loads[i].setAnsweredMsAgo(static_cast<std::uint32_t>(from.loads[i].answered_ago.count()));
     }
-    auto silent = out.initSilent(static_cast<unsigned>(from.silent.size()));
-    for (unsigned i = 0; i < silent.size(); ++i)
-    {
-        silent.set(i, from.silent[i]);
-    }
-    auto unreachable = out.initUnreachable(static_cast<unsigned>(from.unreachable.size()));
-    for (unsigned i = 0; i < unreachable.size(); ++i)
-    {
-        unreachable.set(i, from.unreachable[i]);
-    }
+    write_tokens(from.silent, out.initSilent(static_cast<unsigned>(from.silent.size())));
+    write_tokens(from.unreachable, out.initUnreachable(static_cast<unsigned>(from.unreachable.size())));
 }
 
 host_status read_status(schema::HostStatus::Reader in)
@@ -126,8 +139,8 @@
                        .configuration_version = in.getConfigurationVersion(),
                        .upstreams_revision = in.getUpstreamsRevision(),
                        .loads = {},
-                       .silent = {},
-                       .unreachable = {}};
+                       .silent = read_tokens(in.getSilent()),
+                       .unreachable = read_tokens(in.getUnreachable())};
     for (const auto load : in.getLoads())
     {
         status.loads.push_back({.token = load.getToken(),
@@ -135,14 +148,6 @@
                                 .open_requests = load.getOpenRequests(),
                                 .answered_ago = std::chrono::milliseconds{load.getAnsweredMsAgo()}});
     }
-    for (const auto token : in.getSilent())
-    {
-        status.silent.push_back(token);
-    }
-    for (const auto token : in.getUnreachable())
-    {
-        status.unreachable.push_back(token);
-    }
     return status;
 }
 
--- a/src/peers/peer_view.cpp
+++ b/src/peers/peer_view.cpp
@@ -82,6 +82,17 @@
     return other.heard && now - other.heard_at < options_.silence_limit;
 }
 
+template <typename Visitor> void peer_view::for_each_live(base::time_point now, Visitor visit) const
+{
+    for (const auto& [name, other] : peers_)
+    {
+        if (is_live(other, now))
+        {
+            visit(other);
+        }
+    }
+}
+
 template <typename Predicate> std::size_t peer_view::count_before(Predicate is_counted, base::time_point now) const
 {
     const auto own_rank = rank_of(name_);
@@ -168,45 +179,40 @@
 std::unordered_map<steer::upstream_token, upstream_load> peer_view::total_loads(base::time_point now) const
 {
     std::unordered_map<steer::upstream_token, upstream_load> totals;
-    for (const auto& [name, other] : peers_)
-    {
-        if (!is_live(other, now))
-        {
-            continue;
-        }
-        for (const auto& load : other.status.loads)
-        {
-            const auto heard_ago = std::chrono::duration_cast<std::chrono::milliseconds>(now - other.heard_at);
-            const auto answered_ago = load.answered_ago + heard_ago;
-            const auto [row, is_first] = totals.try_emplace(load.token);
-            auto& total = row->second;
-            total.token = load.token;
-            total.answered_ago = is_first ? answered_ago : std::min(total.answered_ago, answered_ago);
-            total.flows += load.flows;
-            total.open_requests += load.open_requests;
-        }
-    }
+    for_each_live(now,
+                  [&](const peer& other)
+                  {
+                      const auto heard_ago =
+                          std::chrono::duration_cast<std::chrono::milliseconds>(now - other.heard_at);
+                      for (const auto& load : other.status.loads)
+                      {
+                          const auto answered_ago = load.answered_ago + heard_ago;
+                          const auto [row, is_first] = totals.try_emplace(load.token);
+                          auto& total = row->second;
+                          total.token = load.token;
+                          total.answered_ago = is_first ? answered_ago : std::min(total.answered_ago, answered_ago);
+                          total.flows += load.flows;
+                          total.open_requests += load.open_requests;
+                      }
+                  });
     return totals;
 }
 
 std::unordered_map<steer::upstream_token, peer_view::upstream_votes> peer_view::votes(base::time_point now) const
 {
     std::unordered_map<steer::upstream_token, upstream_votes> votes;
-    for (const auto& [name, other] : peers_)
-    {
-        if (!is_live(other, now))
-        {
-            continue;
-        }
-        for (const auto token : other.status.silent)
-        {
-            ++votes[token].silent;
-        }
-        for (const auto token : other.status.unreachable)
-        {
-            ++votes[token].unreachable;
-        }
-    }
+    for_each_live(now,
+                  [&](const peer& other)
+                  {
+                      for (const auto token : other.status.silent)
+                      {
+                          ++votes[token].silent;
+                      }
+                      for (const auto token : other.status.unreachable)
+                      {
+                          ++votes[token].unreachable;
+                      }
+                  });
     return votes;
 }
 
--- a/src/revision/follower.cpp
+++ b/src/revision/follower.cpp
@@ -1,7 +1,6 @@
 #include <galenabay/revision/follower.hpp>
 
-#include "backoff.hpp"
-
+#include <galenabay/base/backoff.hpp>
 #include <galenabay/base/invariant.hpp>
 #include <galenabay/base/random.hpp>
 
@@ -26,6 +25,8 @@
 constexpr int older_answers_until_alarm = 2;
 constexpr base::duration older_answer_pause{1'000'000};
 constexpr int max_older_answer_pauses = 10;
+/// Limit of the pause after the first failure of a source.
+constexpr base::duration first_backoff{200'000};
 constexpr base::duration rewatch_jitter{100'000};
 constexpr base::duration reachability_lifetime{10'000'000};
 
@@ -37,7 +38,7 @@
     base::time_point reachability_heard{};
     std::optional<base::time_point> fetch_started;
     base::time_point not_before{};
-    backoff pauses;
+    base::backoff pauses{first_backoff};
 };
 
 /// A revision that a source offered.
@@ -334,7 +335,7 @@
     std::optional<base::time_point> platform_started_;
     std::optional<base::time_point> polled_;
     base::time_point platform_due_{};
-    backoff platform_pauses_;
+    base::backoff platform_pauses_{first_backoff};
     int older_answers_ = 0;
     std::optional<offer> older_offer_;
     std::map<std::string, peer_source> peers_;
--- a/src/steer/steerer_silence.cpp
+++ b/src/steer/steerer_silence.cpp
@@ -121,8 +121,7 @@
     {
         return {};
     }
-    upstream->silent_until = now + options_.avoid_time;
-    upstream->avoid_until = upstream->silent_until;
+    mark_silent(*upstream, now, options_.avoid_time);
     ++silence_count_;
     outcome learned;
     reset_flows(*upstream, steering_reason::upstream_silent, learned.resets);
--- a/src/steer/upstream_evidence.hpp
+++ b/src/steer/upstream_evidence.hpp
@@ -15,6 +15,13 @@
     upstream.avoid_until = {};
 }
 
+/// New flows avoid the upstream for `avoid_time`, by this host's own evidence.
+inline void mark_silent(upstream_incarnation& upstream, base::time_point now, base::duration avoid_time)
+{
+    upstream.silent_until = now + avoid_time;
+    upstream.avoid_until = upstream.silent_until;
+}
+
 /// Notes that a caller sent a packet again. Avoids the upstream when none of its
 /// flows has shown an answer for `silence_limit`.
 inline void note_repeat(upstream_incarnation& upstream, base::time_point now, base::duration silence_limit,
@@ -24,8 +31,7 @@
     ++upstream.repeats;
     if (upstream.repeats >= enough_repeats && now - upstream.last_progress >= silence_limit)
     {
-        upstream.silent_until = now + avoid_time;
-        upstream.avoid_until = upstream.silent_until;
+        mark_silent(upstream, now, avoid_time);
     }
 }
 
--- a/tools/edge_soak/caller_fleet.cpp
+++ b/tools/edge_soak/caller_fleet.cpp
@@ -169,13 +169,8 @@
                              .sequence = self.sequence,
                              .acknowledged = self.acknowledged,
                              .request = with_request ? std::optional{self.request} : std::nullopt};
-    const auto bytes = packet.encode();
-    net::packet datagram;
-    datagram.assign(std::as_bytes(std::span{bytes}));
     const auto hash = base::mix((std::uint64_t{self.address} << 32U) | self.source_port, self.service_port);
-    datagram.peer = in_rotation_[hash % in_rotation_.size()];
-    const std::array<net::packet*, 1> single{&datagram};
-    net::send_batch(sockets_[self.address - block_.callers()].descriptor(), single);
+    send_packet(sockets_[self.address - block_.callers()], packet, in_rotation_[hash % in_rotation_.size()]);
 }
 
 void caller_fleet::on_packet(const wire_packet& packet, double now)
--- a/tools/edge_soak/upstream_fleet.cpp
+++ b/tools/edge_soak/upstream_fleet.cpp
@@ -40,16 +40,20 @@
     sockets_.push_back(std::move(socket.value()));
     listeners_.emplace_back();
     auto entry = std::make_unique<upstream>();
-    entry->number = ++next_number_;
-    entry->id = "i-" + hex(entry->number);
-    entry->born = next_birth_ += 1000;
     entry->service = service;
     entry->data_centre = data_centre;
     entry->address = address;
+    begin(std::move(entry));
+    return upstreams_.size() - 1;
+}
+
+void upstream_fleet::begin(std::unique_ptr<upstream> entry)
+{
+    entry->number = ++next_number_;
+    entry->id = "i-" + hex(entry->number);
+    entry->born = next_birth_ += 1000;
     write(*entry);
-    socket_of_.push_back(sockets_.size() - 1);
     upstreams_.push_back(std::move(entry));
-    return upstreams_.size() - 1;
 }
 
 void upstream_fleet::write(const upstream& entry)
@@ -88,15 +92,10 @@
     crash(index);
     unregister(index);
     auto heir = std::make_unique<upstream>(*upstreams_[index]);
-    heir->number = ++next_number_;
-    heir->id = "i-" + hex(heir->number);
-    heir->born = next_birth_ += 1000;
     heir->service = service;
     heir->alive = true;
     heir->draining = false;
-    write(*heir);
-    socket_of_.push_back(socket_of_[index]);
-    upstreams_.push_back(std::move(heir));
+    begin(std::move(heir));
 }
 
 void upstream_fleet::drain(std::size_t index, double now)
@@ -125,11 +124,16 @@
     return upstreams_.size();
 }
 
+std::size_t upstream_fleet::socket_of(const upstream& self) const
+{
+    return self.address.v4() - block_.upstreams();
+}
+
 std::size_t upstream_fleet::live_at(std::size_t socket) const
 {
     for (std::size_t i = 0; i < upstreams_.size(); ++i)
     {
-        if (socket_of_[i] == socket && upstreams_[i]->alive)
+        if (upstreams_[i]->alive && socket_of(*upstreams_[i]) == socket)
         {
             return i;
         }
@@ -284,19 +288,7 @@
                              .sequence = flow.sequence,
                              .acknowledged = flow.expected,
                              .request = request};
-    const auto bytes = answer.encode();
-    net::packet datagram;
-    datagram.assign(std::as_bytes(std::span{bytes}));
-    datagram.peer = base::endpoint::make_v4(to.source, caller_port_);
-    const std::array<net::packet*, 1> single{&datagram};
-    for (std::size_t i = 0; i < upstreams_.size(); ++i)
-    {
-        if (upstreams_[i].get() == &self)
-        {
-            net::send_batch(sockets_[socket_of_[i]].descriptor(), single);
-            return;
-        }
-    }
+    send_packet(sockets_[socket_of(self)], answer, base::endpoint::make_v4(to.source, caller_port_));
 }
 
 } // namespace galenabay::edge_soak
--- a/tools/edge_soak/upstream_fleet.hpp
+++ b/tools/edge_soak/upstream_fleet.hpp
@@ -84,6 +84,10 @@
     void open(upstream& self, const wire_packet& packet, double now);
     void reply(const upstream& self, const wire_packet& to, std::uint8_t flags, const upstream::held_flow& flow,
                std::optional<std::uint64_t> request);
+    /// Gives an upstream a number and a time of birth, and registers it.
+    void begin(std::unique_ptr<upstream> entry);
+    /// Index of an upstream's socket: addresses are handed out in the sockets' order.
+    std::size_t socket_of(const upstream& self) const;
     std::size_t live_at(std::size_t socket) const;
     /// Accepts connections for the sockets that have a live upstream, and for no others.
     void accept_connections();
@@ -96,7 +100,6 @@
     std::vector<net::udp_socket> sockets_;
     std::vector<std::unique_ptr<Poco::Net::ServerSocket>> listeners_;
     std::vector<std::unique_ptr<upstream>> upstreams_;
-    std::vector<std::size_t> socket_of_;
     std::vector<net::packet> buffers_;
     std::uint64_t next_number_ = 0x10000000;
     std::uint64_t next_birth_ = 1'700'000'000'000;
--- a/tools/edge_soak/wire_packet.hpp
+++ b/tools/edge_soak/wire_packet.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <galenabay/net/udp_socket.hpp>
 #include <galenabay/steer/packet_head.hpp>
 
 #include <boost/endian/conversion.hpp>
 
+#include <array>
 #include <cstdint>
 #include <cstring>
 #include <optional>
@@ -102,4 +104,15 @@
     }
 };
 
+/// Sends a packet in a datagram of its own; one that the kernel refuses is lost.
+inline void send_packet(const net::udp_socket& socket, const wire_packet& packet, const base::endpoint& to)
+{
+    const auto bytes = packet.encode();
+    net::packet datagram;
+    datagram.assign(std::as_bytes(std::span{bytes}));
+    datagram.peer = to;
+    const std::array<net::packet*, 1> single{&datagram};
+    net::send_batch(socket.descriptor(), single);
+}
+
 } // namespace galenabay::edge_soak
