Reset only flows that were seen open on an ended upstream

A host forwarded a SYN to a dead upstream; its retransmission opened the flow on another upstream through another host. When the dead one's entry was replaced, the first host reset the flow that it still counted under it, and so a live flow elsewhere. Change: a flow of which this host saw only the SYN is dropped from the table without a reset; the caller's next SYN goes to another upstream. Measured: the new test gives 2 resets instead of 1 without the change.

--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -179,7 +179,8 @@
     /// Returns true when the flow's retransmissions get no answer because the upstream, not
     /// this host's own link, has failed.
     bool should_reset(const flow_state& flow, const upstream_incarnation& upstream, base::time_point now);
-    /// Removes the upstream's flows and appends to `resets` those that are still open.
+    /// Removes the upstream's flows and appends to `resets` the open ones that were seen
+    /// established on it.
     void reset_flows(const upstream_incarnation& ended, steering_reason reason, std::vector<lost_flow>& resets);
     /// Collects the changes, and the resets for flows of upstreams that ended by them.
     outcome process_changes(std::vector<upstream_registry::change> changes);
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -132,7 +132,9 @@
             {
                 return false;
             }
-            if (!flow.closing)
+            // A flow of which only the SYN was seen may have opened on another upstream through
+            // another host; its caller retransmits the SYN if it did not.
+            if (flow.established && !flow.closing)
             {
                 resets.push_back(
                     {.reset = {.flow = key, .sequence = flow.acknowledged}, .token = ended.token, .reason = reason});
--- a/tests/steer/steerer_test.cpp
+++ b/tests/steer/steerer_test.cpp
@@ -85,6 +85,19 @@
     LONGS_EQUAL(888, late.reset.sequence);
 }
 
+// A SYN was forwarded to a dead upstream and its retransmission opened the flow on another
+// upstream through another host (edge_soak seed 1101).
+TEST(steerer, a_flow_that_was_not_seen_open_on_an_ended_upstream_is_not_reset)
+{
+    const auto before = make_upstream("i-1", 1, 1000);
+    test_host host{{before}};
+    LONGS_EQUAL(1, host.core.on_packet(syn(1), at(10ms)).upstream_number);
+    host.core.on_packet(data(2, token_of(before), 1, 777), at(10ms));
+    const auto effects = host.core.on_upstream(make_upstream("i-1", 1, 2000), at(1s));
+    LONGS_EQUAL(1, effects.resets.size());
+    LONGS_EQUAL(2, effects.resets.front().reset.flow.caller_port);
+}
+
 TEST(steerer, an_older_incarnation_changes_nothing)
 {
     const auto current = make_upstream("i-1", 1, 2000);
