--- a/include/galenabay/peers/host_status.hpp
+++ b/include/galenabay/peers/host_status.hpp
@@ -23,7 +23,7 @@
     friend auto operator<=>(const upstream_load&, const upstream_load&) = default;
 };
 
-/// Status that a host sends to the other hosts several times a second. Plain value.
+/// Status that a host sends to the other hosts of its data centre. Plain value.
 struct host_status
 {
     std::string name;
@@ -35,17 +35,26 @@
     std::string data_centre;
     /// The host watches the store, and its last calls succeeded.
     bool follows_store = false;
+    /// The host is to watch the store, and its last calls failed.
+    bool store_lost = false;
     /// The host is about to stop.
     bool leaving = false;
     /// Version of the configuration in force; 0 for none.
     std::uint64_t configuration_version = 0;
     /// Store revision of the last change of the upstreams that the host applied.
     std::uint64_t upstreams_revision = 0;
+    /// `loads` is filled. Only the collectors of the data centre receive it, because it is many
+    /// times larger than the rest.
+    bool with_loads = false;
     std::vector<upstream_load> loads;
     /// Upstreams that do not answer by the host's own evidence.
     std::vector<steer::upstream_token> silent;
     /// Upstreams that the host recently failed to connect to.
     std::vector<steer::upstream_token> unreachable;
+    /// The host looks for others: who receives this answers with the hosts that it knows.
+    bool joining = false;
+    /// Time until the host's next status; zero when unknown.
+    std::chrono::milliseconds interval{0};
 
     friend auto operator<=>(const host_status&, const host_status&) = default;
 };
--- a/include/galenabay/peers/message_codec.hpp
+++ b/include/galenabay/peers/message_codec.hpp
@@ -2,6 +2,7 @@
 
 #include <galenabay/base/result.hpp>
 #include <galenabay/peers/host_status.hpp>
+#include <galenabay/peers/load_sums.hpp>
 #include <galenabay/peers/upstream_changes.hpp>
 
 #include <cstddef>
@@ -14,7 +15,7 @@
 {
 
 /// Content of one datagram between hosts.
-using message = std::variant<host_status, upstream_changes>;
+using message = std::variant<host_status, upstream_changes, load_summary, load_digest, member_list>;
 
 /// Encodes a message as packed Cap'n Proto.
 std::vector<std::byte> encode(const message& value);
--- a/include/galenabay/peers/upstream_changes.hpp
+++ b/include/galenabay/peers/upstream_changes.hpp
@@ -29,6 +29,8 @@
     std::uint64_t revision = 0;
     std::vector<steer::upstream_entry> entries;
     std::vector<removed_upstream> removed;
+    /// Data centre of the host that sends the datagram; empty in a complete state.
+    std::string data_centre;
 
     friend auto operator<=>(const upstream_changes&, const upstream_changes&) = default;
 };
--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -126,6 +126,9 @@
 
     /// Decides one packet of a caller.
     steering_decision on_packet(const packet_header& header, base::time_point now);
+    /// Records that the process did not run for a while: packets and probe results that were
+    /// queued meanwhile are no evidence of silence.
+    void on_pause(base::time_point now);
     /// Expires flows, upstreams and unanswered SYNs; call it every `tick_interval`.
     outcome on_tick(base::time_point now);
 
@@ -150,6 +153,9 @@
     upstream_registry& registry() noexcept { return registry_; }
     std::size_t flow_count() const noexcept;
 
+    /// Gap between two ticks that shows that this process did not run.
+    base::duration pause_limit() const noexcept { return options_.pause_limit; }
+
     static constexpr base::duration tick_interval = std::chrono::milliseconds{100};
 
 private:
--- a/schema/edge.capnp
+++ b/schema/edge.capnp
@@ -35,6 +35,69 @@
   leaving @9 :Bool;
   unreachable @10 :List(UInt32);
   # Tokens of upstreams that the host recently failed to connect to.
+  joining @11 :Bool;
+  # The host looks for others; who receives this answers with the hosts that it knows.
+  withLoads @12 :Bool;
+  # `loads` is filled; only collectors receive it.
+  intervalMs @13 :UInt32;
+  # Time until the next status; 0 for the default.
+  storeLost @14 :Bool;
+  # The host is to watch the store, and its last calls failed.
+}
+
+struct UpstreamVotes {
+  # Number of hosts that report an upstream as silent or as unreachable.
+  token @0 :UInt32;
+  silent @1 :UInt32;
+  unreachable @2 :UInt32;
+}
+
+struct LoadPage {
+  # All non-zero loads on the upstreams with tokens from `first` to `last`, inclusive.
+  first @0 :UInt32;
+  last @1 :UInt32;
+  loads @2 :List(UpstreamLoad);
+}
+
+struct Member {
+  # A host and where it receives the messages of other hosts: IPv4 in host byte order.
+  name @0 :Text;
+  address @1 :UInt32;
+  port @2 :UInt16;
+  dataCentre @3 :Text;
+}
+
+struct Collector {
+  # Sender of a summary or a digest.
+  member @0 :Member;
+  startedUs @1 :UInt64;
+  sequence @2 :UInt64;
+  hosts @3 :UInt32;
+  # Hosts whose loads the collector currently knows, itself included.
+}
+
+struct LoadSummary {
+  # Loads and votes of one data centre, for the collectors of another one.
+  collector @0 :Collector;
+  followsStore @1 :Bool;
+  # A host of the data centre watches the store.
+  configurationVersion @2 :UInt64;
+  upstreamsRevision @3 :UInt64;
+  # Versions that the collector has itself.
+  page @4 :LoadPage;
+  votes @5 :List(UpstreamVotes);
+  relayed @6 :Bool;
+  # Passed on by a host that does not collect; not passed on again.
+}
+
+struct LoadDigest {
+  # Loads of all data centres and votes of the other ones, for the hosts of the collector's.
+  collector @0 :Collector;
+  remoteHosts @1 :UInt32;
+  page @2 :LoadPage;
+  remoteVotes @3 :List(UpstreamVotes);
+  members @4 :List(Member);
+  # Some live hosts of the data centre, so that a host learns of those that it missed.
 }
 
 struct UpstreamEntry {
@@ -85,6 +148,8 @@
   revision @1 :UInt64;
   entries @2 :List(UpstreamEntry);
   removed @3 :List(RemovedUpstream);
+  dataCentre @4 :Text;
+  # Data centre of the host that sends the datagram.
 }
 
 struct EdgeState {
@@ -98,5 +163,8 @@
   union {
     status @0 :HostStatus;
     changes @1 :UpstreamChanges;
+    summary @2 :LoadSummary;
+    digest @3 :LoadDigest;
+    members @4 :List(Member);
   }
 }
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -47,12 +47,15 @@
     return base::mix(base::hash_text(settings.host), now);
 }
 
+/// Longest wait of a watch, with which a watcher makes one call in three seconds.
+constexpr base::duration longest_watch_wait = milliseconds{3'000};
+
 /// Limits the wait of a watch, since a silent connection to the store must be detected well
 /// within the time in which a configuration has to be in force.
 store_watch_options watch_options(const adapter::settings& settings)
 {
     store_watch_options options;
-    options.watch_wait = std::min(options.watch_wait, settings.config_bound / 2);
+    options.watch_wait = std::min(longest_watch_wait, settings.config_bound / 2);
     return options;
 }
 
@@ -109,14 +112,15 @@
 {
 public:
     implementation(const adapter::settings& settings, net::udp_socket socket, net::udp_socket peers)
-        : settings_{settings}, state_{settings.store}, packets_{
-                                                           std::move(socket),
-                                                           std::move(peers),
-                                                           {settings.host, settings.data_centre, unix_microseconds()},
-                                                           settings.flow_age_limit,
-                                                           make_seed(settings),
-                                                           state_,
-                                                           metrics_}
+        : settings_{settings}, state_{settings.store}, packets_{std::move(socket),
+                                                                std::move(peers),
+                                                                {settings.host, settings.data_centre,
+                                                                 unix_microseconds(), settings.peers},
+                                                                settings.seeds,
+                                                                settings.flow_age_limit,
+                                                                make_seed(settings),
+                                                                state_,
+                                                                metrics_}
     {
     }
     implementation(const implementation&) = delete;
@@ -146,9 +150,9 @@
                 kind, watch_options(settings_), base::mix(make_seed(settings_), static_cast<std::uint64_t>(kind)),
                 state_, metrics_, packets_.updates(kind), packets_.wakeup()));
         }
-        registration_ =
-            std::make_unique<registration_worker>(settings_.host, settings_.peers, state_, metrics_,
-                                                  packets_.updates(adapter::object_kind::hosts), packets_.wakeup());
+        registration_ = std::make_unique<registration_worker>(
+            peers::member{settings_.host, settings_.peers, settings_.data_centre}, state_, metrics_,
+            packets_.updates(adapter::object_kind::hosts), packets_.wakeup());
     }
 
     void reload(const adapter::settings& next)
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -34,6 +34,11 @@
       send_failures{counter(registry_, "galenabay_send_failures_total", "Datagrams that the kernel did not accept")},
       refused_objects{counter(registry_, "galenabay_refused_objects_total", "Unusable objects in the store")},
       peer_messages{counter(registry_, "galenabay_peer_messages_total", "Messages received from other hosts")},
+      peer_bytes_received{
+          counter(registry_, "galenabay_peer_bytes_received_total", "Bytes of messages received from other hosts")},
+      peer_bytes_sent{counter(registry_, "galenabay_peer_bytes_sent_total", "Bytes of messages sent to other hosts")},
+      pauses{
+          counter(registry_, "galenabay_pauses_total", "Times that the process did not run for longer than a pause")},
       version{gauge(registry_, "galenabay_configuration_version", "Version of the configuration in force")},
       upstreams{gauge(registry_, "galenabay_upstreams", "Upstream incarnations in the registry, ended ones included")},
       flows{gauge(registry_, "galenabay_flows", "Flows in this host's flow table")},
@@ -41,6 +46,9 @@
       peers{gauge(registry_, "galenabay_peers", "Other hosts that are live")},
       follows_store{
           gauge(registry_, "galenabay_follows_store", "1 while this host watches the store for its data centre")},
+      collects{gauge(registry_, "galenabay_collects", "1 while this host collects the loads of its data centre")},
+      covered_hosts{
+          gauge(registry_, "galenabay_covered_hosts", "Other hosts whose loads this host takes into account")},
       handling_time{histogram(registry_, "galenabay_handling_seconds", "Time to decide and send a batch of packets")},
       adoption_time{
           histogram(registry_, "galenabay_adoption_seconds", "Time from the arrival of a change to its adoption")}
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -50,12 +50,18 @@
     prometheus::Counter& send_failures;
     prometheus::Counter& refused_objects;
     prometheus::Counter& peer_messages;
+    prometheus::Counter& peer_bytes_received;
+    prometheus::Counter& peer_bytes_sent;
+    prometheus::Counter& pauses;
     prometheus::Gauge& version;
     prometheus::Gauge& upstreams;
     prometheus::Gauge& flows;
     prometheus::Gauge& ready;
     prometheus::Gauge& peers;
     prometheus::Gauge& follows_store;
+    prometheus::Gauge& collects;
+    /// Hosts whose loads this host's selection of upstreams takes into account.
+    prometheus::Gauge& covered_hosts;
     /// Seconds from the arrival of a batch of packets to its last decision.
     prometheus::Histogram& handling_time;
     /// Seconds from the arrival of a change to its adoption by the packet thread.
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -29,13 +29,13 @@
 } // namespace
 
 packet_worker::packet_worker(net::udp_socket socket, net::udp_socket peers, identity self,
-                             base::duration flow_age_limit, std::uint64_t seed, shared_state& state,
-                             edge_metrics& metrics)
+                             std::vector<base::endpoint> seeds, base::duration flow_age_limit, std::uint64_t seed,
+                             shared_state& state, edge_metrics& metrics)
     : socket_{std::move(socket)}, state_{state}, metrics_{metrics},
       steerer_{{.data_centre = self.data_centre, .registry = {.retention = flow_age_limit}}, seed},
-      self_{std::move(self)}, random_{base::mix(seed, 1)},
-      peers_{std::move(peers), peers::peer_view{self_.name, self_.data_centre}, metrics}, probes_{state, wakeup_},
-      buffers_(net::batch_size)
+      peers_{std::move(peers), peers::fleet_exchange{std::move(self), std::move(seeds), {}, base::mix(seed, 1)},
+             metrics},
+      probes_{state, wakeup_}, buffers_(net::batch_size)
 {
 }
 
@@ -63,6 +63,7 @@
     while (!state_.stopping())
     {
         wait();
+        detect_pause();
         for (auto& ring : updates_)
         {
             apply_queued(ring);
@@ -80,6 +81,21 @@
     }
 }
 
+void packet_worker::detect_pause()
+{
+    const auto boot_time = base::boot_now();
+    const auto last = std::exchange(ran_at_, boot_time);
+    if (!last || boot_time - *last <= steerer_.pause_limit())
+    {
+        return;
+    }
+    const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(boot_time - *last);
+    log_event{log_level::warning, "process_paused"}.with("gap_ms", gap.count());
+    metrics_.pauses.Increment();
+    steerer_.on_pause(base::steady_now());
+    peers_.exchange().on_pause(base::steady_now());
+}
+
 void packet_worker::wait()
 {
     wakeup_.prepare();
@@ -196,9 +212,10 @@
     }
     next_summary_ = now + summary_interval;
     log_.summarize();
-    state_.request_removal(peers_.expire(now));
+    state_.request_removal(peers_.exchange().expire(now));
     metrics_.upstreams.Set(static_cast<double>(steerer_.registry().size()));
-    metrics_.peers.Set(static_cast<double>(peers_.view().live_count(now)));
+    metrics_.peers.Set(static_cast<double>(peers_.exchange().live_count(now)));
+    metrics_.covered_hosts.Set(static_cast<double>(peers_.exchange().covered_hosts(now)));
     metrics_.flows.Set(static_cast<double>(steerer_.flow_count()));
 }
 
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -30,19 +30,13 @@
 class packet_worker
 {
 public:
-    /// Identifies this host to the others.
-    struct identity
-    {
-        std::string name;
-        std::string data_centre;
-        /// Start of the process in microseconds of Unix time.
-        std::uint64_t started_us = 0;
-    };
+    using identity = peers::fleet_exchange::identity;
 
-    /// `socket` receives the routers' datagrams, `peers` those of the other hosts.
-    /// `flow_age_limit` is the age at which a flow may be discarded.
-    packet_worker(net::udp_socket socket, net::udp_socket peers, identity self, base::duration flow_age_limit,
-                  std::uint64_t seed, shared_state& state, edge_metrics& metrics);
+    /// `socket` receives the routers' datagrams, `peers` those of the other hosts. `seeds`:
+    /// hosts through which this one finds the others. `flow_age_limit` is the age at which a
+    /// flow may be discarded.
+    packet_worker(net::udp_socket socket, net::udp_socket peers, identity self, std::vector<base::endpoint> seeds,
+                  base::duration flow_age_limit, std::uint64_t seed, shared_state& state, edge_metrics& metrics);
     packet_worker(const packet_worker&) = delete;
     packet_worker& operator=(const packet_worker&) = delete;
     ~packet_worker();
@@ -61,6 +55,9 @@
     void run();
     /// Sleeps until a datagram, an update or a probe result arrives or the next tick is due.
     void wait();
+    /// Tells the decision logic when the process did not run: it was stopped, or the machine
+    /// was suspended.
+    void detect_pause();
     /// Returns true while received packets stay in the socket because this host has just
     /// started and is not ready.
     bool is_deferring(base::time_point now) const;
@@ -80,6 +77,8 @@
     /// Sends the changes that a watch returned to the other hosts.
     void send_changes(const store_update& update, std::uint64_t previous_revision);
     void exchange_with_peers(base::time_point now);
+    /// Decides whether this host watches the store and collects loads, and logs a change.
+    void update_roles(base::time_point now);
     /// Passes requested probes to the probe thread and applies the results.
     void exchange_probes(base::time_point now);
     void apply_remote_view(base::time_point now);
@@ -103,9 +102,8 @@
     steering_log log_;
     std::array<update_ring, 3> updates_{update_ring{ring_capacity}, update_ring{ring_capacity},
                                         update_ring{ring_capacity}};
-    identity self_;
-    base::random_source random_;
     peer_link peers_;
+    bool collects_ = false;
     /// Configuration in force, in the form that is served to other hosts.
     std::shared_ptr<const peers::edge_state> configuration_;
     /// Revision of the last change of the upstreams that was applied.
@@ -124,6 +122,8 @@
     std::vector<net::packet> buffers_;
     base::time_point defer_until_{};
     base::time_point next_tick_{};
+    /// When the loop last ran, by the clock that includes suspension.
+    std::optional<base::time_point> ran_at_;
     base::time_point next_summary_{};
     std::thread thread_;
 };
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -34,25 +34,44 @@
         catch_up(now);
         apply_remote_view(now);
     }
+    auto& exchange = peers_.exchange();
     if (steerer_.silence_count() != reported_silence_count_ && now >= next_urgent_)
     {
         reported_silence_count_ = steerer_.silence_count();
         next_urgent_ = now + urgent_interval;
-        peers_.send_status(status(now), true, now);
+        peers_.send(exchange.on_urgent(status(now), now));
     }
-    if (!peers_.is_status_due(now))
+    if (!exchange.is_due(now))
     {
         return;
     }
-    const bool follows = peers_.update_following(now);
+    update_roles(now);
+    peers_.send(exchange.on_tick(status(now), now));
+}
+
+void packet_worker::update_roles(base::time_point now)
+{
+    auto& exchange = peers_.exchange();
+    const auto peer_count = exchange.live_count(now);
+    const bool follows = exchange.update_following(now);
+    state_.alone.store(peer_count == 0);
     if (follows != state_.follows.exchange(follows))
     {
-        log_event{log_level::info, follows ? "follow_begun" : "follow_ended"}.with("peers",
-                                                                                   peers_.view().live_count(now));
+        log_event{log_level::info, follows ? "follow_begun" : "follow_ended"}.with("peers", peer_count);
         metrics_.follows_store.Set(follows ? 1 : 0);
         state_.wake();
     }
-    peers_.send_status(status(now), false, now);
+    if (exchange.collects() != std::exchange(collects_, exchange.collects()))
+    {
+        log_event{log_level::info, collects_ ? "collect_begun" : "collect_ended"}
+            .with("peers", peer_count)
+            .with("covered", exchange.covered_hosts(now));
+        metrics_.collects.Set(collects_ ? 1 : 0);
+    }
+    if (const bool due = exchange.should_register(now); due != state_.should_register.exchange(due))
+    {
+        state_.wake();
+    }
 }
 
 void packet_worker::exchange_probes(base::time_point now)
@@ -84,9 +103,9 @@
         return;
     }
     next_remote_view_ = now + remote_view_interval;
-    steerer_.set_peer_count(peers_.view().live_count(now));
-    const auto loads = peers_.view().total_loads(now);
-    const auto votes = peers_.view().votes(now);
+    steerer_.set_peer_count(peers_.exchange().live_count(now));
+    const auto loads = peers_.exchange().remote_loads(now);
+    const auto votes = peers_.exchange().votes(now);
     steerer_.registry().for_each(
         [&](const steer::upstream_incarnation& upstream)
         {
@@ -112,14 +131,14 @@
 {
     if (now >= next_configuration_read_)
     {
-        const auto newer = peers_.view().with_newer_configuration(steerer_.routes().version(), random_, now);
+        const auto newer = peers_.exchange().with_newer_configuration(steerer_.routes().version(), now);
         if (newer)
         {
             next_configuration_read_ = now + read_pause;
             state_.request_read(adapter::object_kind::configuration, *newer);
         }
     }
-    const auto ahead = peers_.view().with_newer_upstreams(upstreams_revision_, random_, now);
+    const auto ahead = peers_.exchange().with_newer_upstreams(upstreams_revision_, now);
     if (!ahead)
     {
         behind_since_.reset();
@@ -138,16 +157,12 @@
 
 peers::host_status packet_worker::status(base::time_point now)
 {
-    peers::host_status own{.name = self_.name,
-                           .started_us = self_.started_us,
-                           .data_centre = self_.data_centre,
-                           .follows_store = state_.follows.load() && state_.store_reachable(),
-                           .leaving = state_.draining.load(),
-                           .configuration_version = steerer_.routes().version(),
-                           .upstreams_revision = upstreams_revision_,
-                           .loads = {},
-                           .silent = {},
-                           .unreachable = {}};
+    peers::host_status own;
+    own.follows_store = state_.follows.load() && state_.store_reachable();
+    own.store_lost = state_.follows.load() && !state_.store_reachable();
+    own.leaving = state_.draining.load();
+    own.configuration_version = steerer_.routes().version();
+    own.upstreams_revision = upstreams_revision_;
     steerer_.registry().for_each(
         [&](const steer::upstream_incarnation& upstream)
         {
--- a/src/edge/packet_worker_updates.cpp
+++ b/src/edge/packet_worker_updates.cpp
@@ -77,7 +77,9 @@
     {
         if (object.host)
         {
-            peers_.on_listed(object.name, *object.host, base::steady_now());
+            peers_.exchange().on_listed(
+                {.name = object.name, .address = *object.host, .data_centre = object.host_data_centre},
+                base::steady_now());
         }
     }
 }
@@ -121,7 +123,8 @@
         if (object.configuration)
         {
             adopt(*object.configuration, update.revision);
-            peers_.send_status(status(base::steady_now()), true, base::steady_now());
+            const auto now = base::steady_now();
+            peers_.send(peers_.exchange().on_urgent(status(now), now));
         }
     }
 }
@@ -162,8 +165,11 @@
 
 void packet_worker::send_changes(const store_update& update, std::uint64_t previous_revision)
 {
-    peers::upstream_changes changes{
-        .previous_revision = previous_revision, .revision = upstreams_revision_, .entries = {}, .removed = {}};
+    peers::upstream_changes changes{.previous_revision = previous_revision,
+                                    .revision = upstreams_revision_,
+                                    .entries = {},
+                                    .removed = {},
+                                    .data_centre = {}};
     for (const auto& object : update.objects)
     {
         if (object.upstream)
@@ -175,7 +181,7 @@
             changes.removed.push_back({.id = object.name, .revision = object.revision});
         }
     }
-    peers_.send_changes(changes);
+    peers_.send(peers_.exchange().on_changes(changes, base::steady_now()));
 }
 
 void packet_worker::apply_changes(const peers::upstream_changes& changes)
--- a/src/edge/registration_worker.cpp
+++ b/src/edge/registration_worker.cpp
@@ -19,19 +19,21 @@
 using base::log_level;
 using std::chrono::milliseconds;
 
-/// Pause between attempts to register. Not urgent: hosts that are listed already get this
-/// host's address from its statuses.
+/// Pause between attempts to read or write the hosts' entries.
 constexpr base::duration retry_pause = milliseconds{1'000};
 /// Interval at which a host checks that its entry is still there and looks for hosts that
 /// it has no status of: long enough to cost next to nothing.
 constexpr base::duration refresh_interval = std::chrono::seconds{60};
+/// The same interval while no other host is live.
+constexpr base::duration lonely_refresh_interval = std::chrono::seconds{5};
 
 } // namespace
 
-registration_worker::registration_worker(std::string name, const base::endpoint& address, shared_state& state,
-                                         edge_metrics& metrics, update_ring& updates, net::wakeup_event& consumer)
-    : name_{std::move(name)}, address_{address}, state_{state}, metrics_{metrics}, updates_{updates},
-      consumer_{consumer}, thread_{[this] { run(); }}
+registration_worker::registration_worker(peers::member self, shared_state& state, edge_metrics& metrics,
+                                         update_ring& updates, net::wakeup_event& consumer)
+    : self_{std::move(self)}, state_{state}, metrics_{metrics}, updates_{updates}, consumer_{consumer}, thread_{[this] {
+          run();
+      }}
 {
 }
 
@@ -42,37 +44,54 @@
 
 void registration_worker::run()
 {
+    base::time_point attempted_at{};
+    bool succeeded = false;
     while (!state_.stopping())
     {
-        const auto done = register_and_list();
-        if (!done)
+        const auto answered_pause = state_.alone.load() ? lonely_refresh_interval : refresh_interval;
+        const auto pause = succeeded ? answered_pause : retry_pause;
+        if (base::steady_now() - attempted_at >= pause)
         {
-            metrics_.store_failures(adapter::object_kind::hosts).Increment();
-            log_event{log_level::warning, "registration_failed"}.with(done.error());
+            attempted_at = base::steady_now();
+            succeeded = report(refresh());
         }
-        const auto next = base::steady_now() + (done ? refresh_interval : retry_pause);
-        for (auto now = base::steady_now(); now < next && !state_.stopping(); now = base::steady_now())
+        else if (succeeded && !registered_ && state_.should_register.load())
         {
-            remove_entries(state_.wait_for_removals(std::chrono::ceil<milliseconds>(next - now)));
+            attempted_at = base::steady_now();
+            succeeded = report(write_entry());
         }
+        // After a failure the next attempt waits for `retry_pause`.
+        const bool awaits_role = succeeded && !registered_;
+        const auto limit = std::min(succeeded ? lonely_refresh_interval : retry_pause, pause);
+        remove_entries(state_.wait_for_registration_work(awaits_role, std::chrono::ceil<milliseconds>(limit)));
     }
 }
 
-base::result<void> registration_worker::register_and_list()
+bool registration_worker::report(const base::result<void>& done)
 {
-    auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, store_answer_timeout);
-    BOOST_OUTCOME_TRY(hosts, list_hosts(client, adapter::read_freshness::may_be_stale));
-    if (!is_registered(hosts))
+    if (!done)
     {
-        metrics_.store_calls(adapter::object_kind::hosts).Increment();
-        BOOST_OUTCOME_TRY(client.put_host(name_, address_));
-        // The list is read again after the write, so that of two hosts that start together
-        // the one that writes last finds the other.
-        BOOST_OUTCOME_TRY(latest, list_hosts(client, adapter::read_freshness::latest));
-        hosts = std::move(latest);
-        log_event{log_level::info, "registered"}.with("address", address_.to_string()).with("hosts", hosts.size());
+        metrics_.store_failures(adapter::object_kind::hosts).Increment();
+        log_event{log_level::warning, "registration_failed"}.with(done.error());
     }
-    enqueue_hosts(std::move(hosts));
+    return static_cast<bool>(done);
+}
+
+base::result<void> registration_worker::refresh()
+{
+    auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, store_answer_timeout);
+    BOOST_OUTCOME_TRY(hosts, list_hosts(client, adapter::read_freshness::may_be_stale));
+    registered_ = is_registered(hosts);
+    return enqueue_hosts(std::move(hosts));
+}
+
+base::result<void> registration_worker::write_entry()
+{
+    auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, store_answer_timeout);
+    metrics_.store_calls(adapter::object_kind::hosts).Increment();
+    BOOST_OUTCOME_TRY(client.put_host(self_.name, self_.address, self_.data_centre));
+    registered_ = true;
+    log_event{log_level::info, "registered"}.with("address", self_.address.to_string());
     return base::outcome::success();
 }
 
@@ -94,18 +113,22 @@
 {
     return std::any_of(hosts.begin(), hosts.end(),
                        [&](const adapter::store_object& entry)
-                       { return entry.name == name_ && entry.host == address_; });
+                       { return entry.name == self_.name && entry.host == self_.address; });
 }
 
-void registration_worker::enqueue_hosts(std::vector<adapter::store_object> hosts)
+base::result<void> registration_worker::enqueue_hosts(std::vector<adapter::store_object> hosts)
 {
-    updates_.push(std::make_shared<const store_update>(store_update{.what = store_update::kind::list,
-                                                                    .objects_of = adapter::object_kind::hosts,
-                                                                    .objects = std::move(hosts),
-                                                                    .revision = 0,
-                                                                    .state = {},
-                                                                    .received_at = base::steady_now()}));
+    if (!updates_.push(std::make_shared<const store_update>(store_update{.what = store_update::kind::list,
+                                                                         .objects_of = adapter::object_kind::hosts,
+                                                                         .objects = std::move(hosts),
+                                                                         .revision = 0,
+                                                                         .state = {},
+                                                                         .received_at = base::steady_now()})))
+    {
+        return base::error::make(base::error_code::exhausted, "enqueue_hosts", "", "the packet thread is behind");
+    }
     consumer_.notify();
+    return base::outcome::success();
 }
 
 void registration_worker::remove_entries(const std::vector<std::string>& lost)
--- a/src/edge/registration_worker.hpp
+++ b/src/edge/registration_worker.hpp
@@ -5,6 +5,7 @@
 #include "store_update.hpp"
 
 #include <galenabay/net/wakeup_event.hpp>
+#include <galenabay/peers/load_sums.hpp>
 
 #include <platform/store_client.hpp>
 
@@ -15,35 +16,41 @@
 namespace galenabay::edge
 {
 
-/// Keeps this host's address in the platform's store, reads those of the other hosts and
-/// removes those of lost hosts, on a thread of its own. A host that finds its entry from
-/// an earlier start does not write it again; hosts that start later send their statuses to
-/// the addresses that they find.
+/// Reads the addresses of other hosts from the platform's store, removes those of lost hosts,
+/// and writes this host's own once it collects loads, on a thread of its own. Hosts that start
+/// later find the fleet through these entries when the seeds in their settings are down. A
+/// host that finds its entry from an earlier start does not write it again.
 class registration_worker
 {
 public:
     /// `updates` and `consumer` belong to the packet thread and outlive this worker.
-    registration_worker(std::string name, const base::endpoint& address, shared_state& state, edge_metrics& metrics,
-                        update_ring& updates, net::wakeup_event& consumer);
+    registration_worker(peers::member self, shared_state& state, edge_metrics& metrics, update_ring& updates,
+                        net::wakeup_event& consumer);
     registration_worker(const registration_worker&) = delete;
     registration_worker& operator=(const registration_worker&) = delete;
     ~registration_worker();
 
 private:
     void run();
-    base::result<void> register_and_list();
+    /// Logs and counts a failure. Returns true when there was none.
+    bool report(const base::result<void>& done);
+    /// Reads the entries of all hosts and passes them to the packet thread.
+    base::result<void> refresh();
+    /// Writes the entry of this host.
+    base::result<void> write_entry();
     base::result<std::vector<adapter::store_object>> list_hosts(adapter::store_client& client,
                                                                 adapter::read_freshness freshness);
     bool is_registered(const std::vector<adapter::store_object>& hosts) const;
-    void enqueue_hosts(std::vector<adapter::store_object> hosts);
+    base::result<void> enqueue_hosts(std::vector<adapter::store_object> hosts);
     void remove_entries(const std::vector<std::string>& lost);
 
-    std::string name_;
-    base::endpoint address_;
+    peers::member self_;
     shared_state& state_;
     edge_metrics& metrics_;
     update_ring& updates_;
     net::wakeup_event& consumer_;
+    /// The store lists this host with its address.
+    bool registered_ = false;
     std::thread thread_;
 };
 
--- a/src/edge/shared_state.hpp
+++ b/src/edge/shared_state.hpp
@@ -32,6 +32,10 @@
     std::atomic<bool> ready{false};
     /// This host watches the store for its data centre.
     std::atomic<bool> follows{false};
+    /// The store should list this host, so that others find the fleet through it.
+    std::atomic<bool> should_register{false};
+    /// No other host is live.
+    std::atomic<bool> alone{true};
     /// Time of the last packet from a router, in microseconds of the steady clock.
     std::atomic<std::int64_t> last_packet_us{0};
 
@@ -90,15 +94,17 @@
         }
         changed_.notify_all();
     }
-    /// Sleeps until removals are requested or the process stops, for at most `limit`.
-    /// Returns the names of the lost hosts.
-    std::vector<std::string> wait_for_removals(std::chrono::milliseconds limit)
+    /// Sleeps until removals are requested, the process stops or, if `awaits_role`, the store
+    /// should list this host, for at most `limit`. Returns the names of the lost hosts.
+    std::vector<std::string> wait_for_registration_work(bool awaits_role, std::chrono::milliseconds limit)
     {
         std::unique_lock lock{mutex_};
-        changed_.wait_for(lock, limit, [&] { return stop_.load() || !lost_hosts_.empty(); });
+        changed_.wait_for(lock, limit,
+                          [&]
+                          { return stop_.load() || !lost_hosts_.empty() || (awaits_role && should_register.load()); });
         return std::exchange(lost_hosts_, {});
     }
-    /// Wakes the threads that wait for work or removals.
+    /// Wakes the threads that wait for work.
     void wake()
     {
         const std::lock_guard lock{mutex_};
--- a/src/peers/message_codec.cpp
+++ b/src/peers/message_codec.cpp
@@ -7,7 +7,7 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
-#include <limits>
+#include <type_traits>
 #include <utility>
 
 namespace galenabay::peers
@@ -57,6 +57,7 @@
 {
     out.setPreviousRevision(from.previous_revision);
     out.setRevision(from.revision);
+    out.setDataCentre(from.data_centre);
     auto entries = out.initEntries(static_cast<unsigned>(from.entries.size()));
     for (unsigned i = 0; i < entries.size(); ++i)
     {
@@ -72,8 +73,11 @@
 
 upstream_changes read_changes(schema::UpstreamChanges::Reader in)
 {
-    upstream_changes changes{
-        .previous_revision = in.getPreviousRevision(), .revision = in.getRevision(), .entries = {}, .removed = {}};
+    upstream_changes changes{.previous_revision = in.getPreviousRevision(),
+                             .revision = in.getRevision(),
+                             .entries = {},
+                             .removed = {},
+                             .data_centre = in.getDataCentre()};
     for (const auto entry : in.getEntries())
     {
         changes.entries.push_back(read_upstream(entry));
@@ -106,6 +110,154 @@
     return tokens;
 }
 
+void write_loads(const std::vector<upstream_load>& from, capnp::List<schema::UpstreamLoad>::Builder out)
+{
+    for (unsigned i = 0; i < out.size(); ++i)
+    {
+        out[i].setToken(from[i].token);
+        out[i].setFlows(from[i].flows);
+        out[i].setOpenRequests(from[i].open_requests);
+        out[i].setAnsweredMsAgo(static_cast<std::uint32_t>(from[i].answered_ago.count()));
+    }
+}
+
+std::vector<upstream_load> read_loads(capnp::List<schema::UpstreamLoad>::Reader in)
+{
+    std::vector<upstream_load> loads;
+    loads.reserve(in.size());
+    for (const auto load : in)
+    {
+        loads.push_back({.token = load.getToken(),
+                         .flows = load.getFlows(),
+                         .open_requests = load.getOpenRequests(),
+                         .answered_ago = std::chrono::milliseconds{load.getAnsweredMsAgo()}});
+    }
+    return loads;
+}
+
+void write_votes(const std::vector<upstream_votes>& from, capnp::List<schema::UpstreamVotes>::Builder out)
+{
+    for (unsigned i = 0; i < out.size(); ++i)
+    {
+        out[i].setToken(from[i].token);
+        out[i].setSilent(from[i].silent);
+        out[i].setUnreachable(from[i].unreachable);
+    }
+}
+
+std::vector<upstream_votes> read_votes(capnp::List<schema::UpstreamVotes>::Reader in)
+{
+    std::vector<upstream_votes> votes;
+    votes.reserve(in.size());
+    for (const auto vote : in)
+    {
+        votes.push_back({.token = vote.getToken(), .silent = vote.getSilent(), .unreachable = vote.getUnreachable()});
+    }
+    return votes;
+}
+
+void write_member(const member& from, schema::Member::Builder out)
+{
+    out.setName(from.name);
+    out.setAddress(from.address.v4());
+    out.setPort(from.address.port());
+    out.setDataCentre(from.data_centre);
+}
+
+member read_member(schema::Member::Reader in)
+{
+    return {.name = in.getName(),
+            .address = base::endpoint::make_v4(in.getAddress(), in.getPort()),
+            .data_centre = in.getDataCentre()};
+}
+
+void write_members(const std::vector<member>& from, capnp::List<schema::Member>::Builder out)
+{
+    for (unsigned i = 0; i < out.size(); ++i)
+    {
+        write_member(from[i], out[i]);
+    }
+}
+
+std::vector<member> read_members(capnp::List<schema::Member>::Reader in)
+{
+    std::vector<member> members;
+    members.reserve(in.size());
+    for (const auto one : in)
+    {
+        members.push_back(read_member(one));
+    }
+    return members;
+}
+
+void write_collector(const collector_stamp& from, schema::Collector::Builder out)
+{
+    write_member(from.sender, out.initMember());
+    out.setStartedUs(from.started_us);
+    out.setSequence(from.sequence);
+    out.setHosts(from.hosts);
+}
+
+collector_stamp read_collector(schema::Collector::Reader in)
+{
+    return {.sender = read_member(in.getMember()),
+            .started_us = in.getStartedUs(),
+            .sequence = in.getSequence(),
+            .hosts = in.getHosts()};
+}
+
+void write_page(const load_page& from, schema::LoadPage::Builder out)
+{
+    out.setFirst(from.first);
+    out.setLast(from.last);
+    write_loads(from.loads, out.initLoads(static_cast<unsigned>(from.loads.size())));
+}
+
+load_page read_page(schema::LoadPage::Reader in)
+{
+    return {.first = in.getFirst(), .last = in.getLast(), .loads = read_loads(in.getLoads())};
+}
+
+void write_summary(const load_summary& from, schema::LoadSummary::Builder out)
+{
+    write_collector(from.collector, out.initCollector());
+    out.setFollowsStore(from.follows_store);
+    out.setConfigurationVersion(from.configuration_version);
+    out.setUpstreamsRevision(from.upstreams_revision);
+    out.setRelayed(from.relayed);
+    write_page(from.page, out.initPage());
+    write_votes(from.votes, out.initVotes(static_cast<unsigned>(from.votes.size())));
+}
+
+load_summary read_summary(schema::LoadSummary::Reader in)
+{
+    return {.collector = read_collector(in.getCollector()),
+            .follows_store = in.getFollowsStore(),
+            .configuration_version = in.getConfigurationVersion(),
+            .upstreams_revision = in.getUpstreamsRevision(),
+            .page = read_page(in.getPage()),
+            .votes = read_votes(in.getVotes()),
+            .relayed = in.getRelayed()};
+}
+
+void write_digest(const load_digest& from, schema::LoadDigest::Builder out)
+{
+    write_collector(from.collector, out.initCollector());
+    out.setRemoteHosts(from.remote_hosts);
+    write_page(from.page, out.initPage());
+    write_votes(from.remote_votes, out.initRemoteVotes(static_cast<unsigned>(from.remote_votes.size())));
+    write_members(from.members, out.initMembers(static_cast<unsigned>(from.members.size())));
+}
+
+load_digest read_digest(schema::LoadDigest::Reader in)
+{
+    return {.collector = read_collector(in.getCollector()),
+            .remote_hosts = in.getRemoteHosts(),
+            .page = read_page(in.getPage()),
+            .remote_votes = read_votes(in.getRemoteVotes()),
+            .members = read_members(in.getMembers())};
+}
+
 void write_status(const host_status& from, schema::HostStatus::Builder out)
 {
     out.setName(from.name);
@@ -116,39 +268,32 @@
     out.setLeaving(from.leaving);
     out.setConfigurationVersion(from.configuration_version);
     out.setUpstreamsRevision(from.upstreams_revision);
-    auto loads = out.initLoads(static_cast<unsigned>(from.loads.size()));
-    for (unsigned i = 0; i < loads.size(); ++i)
-    {
-        loads[i].setToken(from.loads[i].token);
-        loads[i].setFlows(from.loads[i].flows);
-        loads[i].setOpenRequests(from.loads[i].open_requests);
-        loads[i].setAnsweredMsAgo(static_cast<std::uint32_t>(from.loads[i].answered_ago.count()));
-    }
+    out.setWithLoads(from.with_loads);
+    out.setJoining(from.joining);
+    out.setStoreLost(from.store_lost);
+    out.setIntervalMs(static_cast<std::uint32_t>(from.interval.count()));
+    write_loads(from.loads, out.initLoads(static_cast<unsigned>(from.loads.size())));
     write_tokens(from.silent, out.initSilent(static_cast<unsigned>(from.silent.size())));
     write_tokens(from.unreachable, out.initUnreachable(static_cast<unsigned>(from.unreachable.size())));
 }
 
 host_status read_status(schema::HostStatus::Reader in)
 {
-    host_status status{.name = in.getName(),
-                       .started_us = in.getStartedUs(),
-                       .sequence = in.getSequence(),
-                       .data_centre = in.getDataCentre(),
-                       .follows_store = in.getFollowsStore(),
-                       .leaving = in.getLeaving(),
-                       .configuration_version = in.getConfigurationVersion(),
-                       .upstreams_revision = in.getUpstreamsRevision(),
-                       .loads = {},
-                       .silent = read_tokens(in.getSilent()),
-                       .unreachable = read_tokens(in.getUnreachable())};
-    for (const auto load : in.getLoads())
-    {
-        status.loads.push_back({.token = load.getToken(),
-                                .flows = load.getFlows(),
-                                .open_requests = load.getOpenRequests(),
-                                .answered_ago = std::chrono::milliseconds{load.getAnsweredMsAgo()}});
-    }
-    return status;
+    return {.name = in.getName(),
+            .started_us = in.getStartedUs(),
+            .sequence = in.getSequence(),
+            .data_centre = in.getDataCentre(),
+            .follows_store = in.getFollowsStore(),
+            .store_lost = in.getStoreLost(),
+            .leaving = in.getLeaving(),
+            .configuration_version = in.getConfigurationVersion(),
+            .upstreams_revision = in.getUpstreamsRevision(),
+            .with_loads = in.getWithLoads(),
+            .loads = read_loads(in.getLoads()),
+            .silent = read_tokens(in.getSilent()),
+            .unreachable = read_tokens(in.getUnreachable()),
+            .joining = in.getJoining(),
+            .interval = std::chrono::milliseconds{in.getIntervalMs()}};
 }
 
 void write_configuration(const steer::configuration& from, schema::EdgeConfiguration::Builder out)
@@ -227,14 +372,32 @@
 {
     capnp::MallocMessageBuilder built;
     auto root = built.initRoot<schema::EdgeMessage>();
-    if (const auto* status = std::get_if<host_status>(&value); status != nullptr)
-    {
-        write_status(*status, root.initStatus());
-    }
-    else
-    {
-        write_changes(std::get<upstream_changes>(value), root.initChanges());
-    }
+    std::visit(
+        [&](const auto& content)
+        {
+            using content_type = std::decay_t<decltype(content)>;
+            if constexpr (std::is_same_v<content_type, host_status>)
+            {
+                write_status(content, root.initStatus());
+            }
+            else if constexpr (std::is_same_v<content_type, upstream_changes>)
+            {
+                write_changes(content, root.initChanges());
+            }
+            else if constexpr (std::is_same_v<content_type, load_summary>)
+            {
+                write_summary(content, root.initSummary());
+            }
+            else if constexpr (std::is_same_v<content_type, load_digest>)
+            {
+                write_digest(content, root.initDigest());
+            }
+            else
+            {
+                write_members(content.members, root.initMembers(static_cast<unsigned>(content.members.size())));
+            }
+        },
+        value);
     return pack<std::vector<std::byte>>(built);
 }
 
@@ -242,11 +405,21 @@
 {
     const auto read = [](schema::EdgeMessage::Reader in) -> message
     {
-        if (in.isStatus())
+        switch (in.which())
         {
+        case schema::EdgeMessage::STATUS:
             return read_status(in.getStatus());
+        case schema::EdgeMessage::CHANGES:
+            return read_changes(in.getChanges());
+        case schema::EdgeMessage::SUMMARY:
+            return read_summary(in.getSummary());
+        case schema::EdgeMessage::DIGEST:
+            return read_digest(in.getDigest());
+        case schema::EdgeMessage::MEMBERS:
+            return member_list{.members = read_members(in.getMembers())};
         }
-        return read_changes(in.getChanges());
+        // A newer build may send other kinds of messages.
+        kj::throwFatalException(KJ_EXCEPTION(UNIMPLEMENTED, "unknown kind of message"));
     };
     return unpack<schema::EdgeMessage>(as_array(bytes.data(), bytes.size()), "decode_peer_message", read);
 }
--- a/src/peers/peer_view.cpp
+++ b/src/peers/peer_view.cpp
@@ -40,28 +40,47 @@
     {
         return false;
     }
-    known = {.address = from, .status = status, .last_seen = now, .has_status = true};
+    known.address = from;
+    known.data_centre = status.data_centre;
+    known.status = status;
+    known.last_seen = now;
+    known.has_status = true;
     return true;
 }
 
-void peer_view::on_listed(const std::string& name, const base::endpoint& address, base::time_point now)
+const host_status* peer_view::status_of(const std::string& name) const
 {
-    if (name == name_)
+    const auto known = peers_.find(name);
+    return known == peers_.end() || !known->second.has_status ? nullptr : &known->second.status;
+}
+
+bool peer_view::on_listed(const member& listed, bool in_store, base::time_point now)
+{
+    if (listed.name == name_ || listed.name.empty())
+    {
+        return false;
+    }
+    const auto [row, is_new] = peers_.try_emplace(listed.name);
+    auto& known = row->second;
+    const bool has_moved = known.address != listed.address;
+    if (is_new || (has_moved && !is_live(known, now)))
     {
-        return;
+        known.address = listed.address;
+        known.last_seen = now;
     }
-    const auto [known, is_new] = peers_.try_emplace(name);
-    const bool has_moved = known->second.address != address;
-    if (is_new || (has_moved && !is_live(known->second, now)))
+    if (known.data_centre.empty())
     {
-        known->second.address = address;
-        known->second.last_seen = now;
+        known.data_centre = listed.data_centre;
     }
+    known.in_store = known.in_store || in_store;
+    return is_new;
 }
 
 std::vector<std::string> peer_view::expire(base::time_point now)
 {
-    const bool has_majority = live_count(now) * 2 > peers_.size();
+    const auto local =
+        std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) { return is_local(row.second); });
+    const bool has_majority = live_count(now) * 2 > static_cast<std::size_t>(local);
     std::vector<std::string> lost;
     std::erase_if(peers_,
                   [&](const auto& row)
@@ -71,22 +90,28 @@
                       {
                           return false;
                       }
-                      lost.push_back(name);
+                      if (other.in_store && is_local(other))
+                      {
+                          lost.push_back(name);
+                      }
                       return true;
                   });
-    return has_majority && ranks_first(now) ? lost : std::vector<std::string>{};
+    return has_majority && ranks_among(1, now) ? lost : std::vector<std::string>{};
 }
 
 bool peer_view::is_live(const peer& other, base::time_point now) const
 {
-    return other.has_status && now - other.last_seen < options_.status_timeout;
+    const base::duration named{other.status.interval};
+    const auto interval = std::max(named, options_.default_interval);
+    const auto timeout = std::chrono::duration_cast<base::duration>(interval * options_.status_timeout_intervals);
+    return other.has_status && now - other.last_seen < timeout;
 }
 
 template <typename Visitor> void peer_view::for_each_live(base::time_point now, Visitor visit) const
 {
     for (const auto& [name, other] : peers_)
     {
-        if (is_live(other, now))
+        if (is_local(other) && is_live(other, now))
         {
             visit(other);
         }
@@ -101,32 +126,57 @@
                                       [&](const auto& row)
                                       {
                                           const auto& [name, other] = row;
-                                          return is_live(other, now) && other.status.data_centre == data_centre_ &&
-                                                 !other.status.leaving && rank_of(name) < own_rank &&
-                                                 is_counted(other.status);
+                                          return is_local(other) && is_live(other, now) && !other.status.leaving &&
+                                                 rank_of(name) < own_rank && is_counted(other.status);
                                       });
     return static_cast<std::size_t>(before);
 }
 
-bool peer_view::ranks_first(base::time_point now) const
+bool peer_view::ranks_among(std::size_t count, base::time_point now) const
 {
-    const auto own_rank = rank_of(name_);
-    return std::none_of(peers_.begin(), peers_.end(),
-                        [&](const auto& row) { return is_live(row.second, now) && rank_of(row.first) < own_rank; });
+    return !leaving_ && count_ranked_before([](const host_status&) { return true; }, now) < count;
+}
+
+std::vector<member> peer_view::first_ranked(std::size_t count, base::time_point now) const
+{
+    std::vector<std::pair<decltype(rank_of(name_)), const peer*>> ranked;
+    for (const auto& [name, other] : peers_)
+    {
+        if (is_local(other) && is_live(other, now) && !other.status.leaving)
+        {
+            ranked.emplace_back(rank_of(name), &other);
+        }
+    }
+    if (!leaving_)
+    {
+        ranked.emplace_back(rank_of(name_), nullptr);
+    }
+    const auto kept = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end());
+    std::vector<member> found;
+    for (std::size_t i = 0; i < kept; ++i)
+    {
+        if (const auto* other = ranked[i].second; other != nullptr)
+        {
+            found.push_back({.name = other->status.name, .address = other->address, .data_centre = data_centre_});
+        }
+    }
+    return found;
 }
 
 bool peer_view::update_following(base::time_point now)
 {
     started_ = started_.value_or(now);
     const auto followers = count_ranked_before([](const host_status& status) { return status.follows_store; }, now);
-    if (followers >= options_.followers_per_data_centre)
+    const auto failing = count_ranked_before([](const host_status& status) { return status.store_lost; }, now);
+    if (followers >= options_.followers_per_data_centre || failing >= options_.max_failing_followers)
     {
         too_few_followers_since_.reset();
         follows_ = false;
         return follows_;
     }
     too_few_followers_since_ = too_few_followers_since_.value_or(now);
-    const auto candidates = count_ranked_before([](const host_status&) { return true; }, now);
+    const auto candidates = count_ranked_before([](const host_status& status) { return !status.store_lost; }, now);
     const auto awaited = std::min(candidates, options_.max_awaited_hosts);
     const auto delay = options_.takeover_delay * static_cast<std::int64_t>(awaited);
     const auto takeover_at = std::max(*too_few_followers_since_, *started_ + options_.startup_wait) + delay;
@@ -134,15 +184,27 @@
     return follows_;
 }
 
-std::vector<base::endpoint> peer_view::addresses(bool own_data_centre) const
+std::vector<member> peer_view::local_members() const
 {
-    std::vector<base::endpoint> found;
+    std::vector<member> found;
     for (const auto& [name, other] : peers_)
     {
-        const bool own = other.status.data_centre == data_centre_;
-        if (!other.has_status || own == own_data_centre)
+        if (is_local(other) || other.data_centre.empty())
         {
-            found.push_back(other.address);
+            found.push_back({.name = name, .address = other.address, .data_centre = other.data_centre});
+        }
+    }
+    return found;
+}
+
+std::vector<member> peer_view::remote_members() const
+{
+    std::vector<member> found;
+    for (const auto& [name, other] : peers_)
+    {
+        if (!is_local(other) && !other.data_centre.empty())
+        {
+            found.push_back({.name = name, .address = other.address, .data_centre = other.data_centre});
         }
     }
     return found;
@@ -158,7 +220,7 @@
     {
         if (is_live(other, now) && is_wanted(other.status))
         {
-            (other.status.data_centre == data_centre_ ? local : remote).push_back(other.address);
+            (is_local(other) ? local : remote).push_back(other.address);
         }
     }
     const auto& from = local.empty() ? remote : local;
@@ -177,31 +239,27 @@
     return select_peer([&](const host_status& status) { return status.upstreams_revision > revision; }, random, now);
 }
 
-std::unordered_map<steer::upstream_token, upstream_load> peer_view::total_loads(base::time_point now) const
+void peer_view::add_loads(load_totals& totals, base::time_point now) const
 {
-    std::unordered_map<steer::upstream_token, upstream_load> totals;
     for_each_live(now,
                   [&](const peer& other)
                   {
-                      const auto status_age =
-                          std::chrono::duration_cast<std::chrono::milliseconds>(now - other.last_seen);
                       for (const auto& load : other.status.loads)
                       {
-                          const auto answered_ago = load.answered_ago + status_age;
-                          const auto [row, is_first] = totals.try_emplace(load.token);
-                          auto& total = row->second;
-                          total.token = load.token;
-                          total.answered_ago = is_first ? answered_ago : std::min(total.answered_ago, answered_ago);
-                          total.flows += load.flows;
-                          total.open_requests += load.open_requests;
+                          add_load(totals, load, now - other.last_seen);
                       }
                   });
-    return totals;
 }
 
-std::unordered_map<steer::upstream_token, peer_view::upstream_votes> peer_view::votes(base::time_point now) const
+std::uint32_t peer_view::reporting_count(base::time_point now) const
+{
+    std::uint32_t hosts = 0;
+    for_each_live(now, [&](const peer& other) { hosts += other.status.with_loads ? 1 : 0; });
+    return hosts;
+}
+
+void peer_view::add_votes(vote_totals& votes, base::time_point now) const
 {
-    std::unordered_map<steer::upstream_token, upstream_votes> votes;
     for_each_live(now,
                   [&](const peer& other)
                   {
@@ -214,13 +272,20 @@
                           ++votes[token].unreachable;
                       }
                   });
-    return votes;
+}
+
+bool peer_view::has_follower(base::time_point now) const
+{
+    return std::any_of(peers_.begin(), peers_.end(),
+                       [&](const auto& row)
+                       { return is_local(row.second) && is_live(row.second, now) && row.second.status.follows_store; });
 }
 
 std::size_t peer_view::live_count(base::time_point now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) { return is_live(row.second, now); }));
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(),
+                                                  [&](const auto& row)
+                                                  { return is_local(row.second) && is_live(row.second, now); }));
 }
 
 } // namespace galenabay::peers
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -340,13 +340,16 @@
         });
 }
 
+void steerer::on_pause(base::time_point now)
+{
+    registry_.for_each([&](upstream_incarnation& upstream) { record_progress(upstream, now); });
+}
+
 steerer::outcome steerer::on_tick(base::time_point now)
 {
     if (now - last_tick_ > options_.pause_limit)
     {
-        // Packets and probe results that were queued during the pause are no evidence of
-        // silence.
-        registry_.for_each([&](upstream_incarnation& upstream) { record_progress(upstream, now); });
+        on_pause(now);
     }
     last_tick_ = now;
     check_unanswered_syns(now);
--- a/tests/edge/edge_host_test.cpp
+++ b/tests/edge/edge_host_test.cpp
@@ -27,6 +27,7 @@
                                                  .packets = address,
                                                  .readiness = free_port(),
                                                  .peers = free_port(),
+                                                 .seeds = {},
                                                  .store = free_port()},
                                                 0);
     CHECK_FALSE(started.has_value());
--- a/tests/edge/shared_state_test.cpp
+++ b/tests/edge/shared_state_test.cpp
@@ -24,10 +24,10 @@
 TEST(shared_state, removals_are_taken_once_and_an_empty_request_adds_none)
 {
     state.request_removal({});
-    CHECK(state.wait_for_removals(1ms).empty());
+    CHECK(state.wait_for_registration_work(false, 1ms).empty());
     state.request_removal({"edge-1", "edge-2"});
-    LONGS_EQUAL(2, state.wait_for_removals(10s).size());
-    CHECK(state.wait_for_removals(1ms).empty());
+    LONGS_EQUAL(2, state.wait_for_registration_work(false, 10s).size());
+    CHECK(state.wait_for_registration_work(false, 1ms).empty());
 }
 
 TEST(shared_state, a_host_does_not_follow_the_store_at_its_start)
--- a/tests/peers/message_codec_test.cpp
+++ b/tests/peers/message_codec_test.cpp
@@ -30,12 +30,30 @@
             .sequence = 6,
             .data_centre = "east",
             .follows_store = true,
+            .store_lost = true,
             .leaving = false,
             .configuration_version = 7,
             .upstreams_revision = 12,
+            .with_loads = true,
             .loads = {{.token = 9, .flows = 3, .open_requests = 1}},
             .silent = {9, 10},
-            .unreachable = {10}};
+            .unreachable = {10},
+            .joining = true,
+            .interval = std::chrono::milliseconds{1'170}};
+}
+
+collector_stamp make_stamp()
+{
+    return {
+        .sender = {.name = "edge-east-1", .address = base::endpoint::make_v4(0x0a010001, 7720), .data_centre = "east"},
+        .started_us = 5,
+        .sequence = 6,
+        .hosts = 39};
+}
+
+load_page make_page()
+{
+    return {.first = 8, .last = 100, .loads = {{.token = 9, .flows = 3, .open_requests = 1}}};
 }
 
 } // namespace
@@ -49,12 +67,41 @@
     CHECK(std::get<host_status>(decoded.value()) == status);
 }
 
+TEST(message_codec, encodes_and_decodes_a_summary)
+{
+    const load_summary summary{.collector = make_stamp(),
+                               .follows_store = true,
+                               .configuration_version = 7,
+                               .upstreams_revision = 12,
+                               .page = make_page(),
+                               .votes = {{.token = 9, .silent = 2, .unreachable = 1}},
+                               .relayed = true};
+    CHECK(std::get<load_summary>(decode_message(encode(message{summary})).value()) == summary);
+}
+
+TEST(message_codec, encodes_and_decodes_a_digest)
+{
+    const load_digest digest{.collector = make_stamp(),
+                             .remote_hosts = 156,
+                             .page = make_page(),
+                             .remote_votes = {{.token = 9, .silent = 2, .unreachable = 1}},
+                             .members = {make_stamp().sender}};
+    CHECK(std::get<load_digest>(decode_message(encode(message{digest})).value()) == digest);
+}
+
+TEST(message_codec, encodes_and_decodes_a_list_of_members)
+{
+    const member_list list{.members = {make_stamp().sender}};
+    CHECK(std::get<member_list>(decode_message(encode(message{list})).value()) == list);
+}
+
 TEST(message_codec, encodes_and_decodes_changes)
 {
     const upstream_changes changes{.previous_revision = 10,
                                    .revision = 12,
                                    .entries = {make_entry("i-1"), make_entry("i-2")},
-                                   .removed = {{.id = "i-3", .revision = 11}}};
+                                   .removed = {{.id = "i-3", .revision = 11}},
+                                   .data_centre = "east"};
     const auto decoded = decode_message(encode(message{changes}));
     CHECK(std::get<upstream_changes>(decoded.value()) == changes);
 }
--- a/tests/peers/peer_view_test.cpp
+++ b/tests/peers/peer_view_test.cpp
@@ -27,6 +27,11 @@
     return "edge-" + std::to_string(host);
 }
 
+member member_of(int host)
+{
+    return {.name = name_of_host(host), .address = address_of(host), .data_centre = "east"};
+}
+
 host_status make_status(int host, std::uint64_t sequence, const std::string& data_centre = "east")
 {
     host_status status;
@@ -132,6 +137,32 @@
     LONGS_EQUAL(1, at_once);
 }
 
+// Pattern: the store is down for all. Each of 39 hosts that tries costs two calls a second.
+TEST(peer_view, few_hosts_keep_trying_while_no_host_can_read_the_store)
+{
+    constexpr int hosts = 39;
+    std::vector<bool> failing(hosts, false);
+    for (int round = 0; round < 5; ++round)
+    {
+        std::vector<bool> tries(hosts, false);
+        for (int self = 0; self < hosts; ++self)
+        {
+            peer_view view{name_of_host(self), "east"};
+            for (int other = 0; other < hosts; ++other)
+            {
+                auto status = make_status(other, 1);
+                status.follows_store = false;
+                status.store_lost = failing[static_cast<std::size_t>(other)];
+                view.on_status(status, address_of(other), at(0s));
+            }
+            tries[static_cast<std::size_t>(self)] = follows_after(view, 0s, 1s);
+        }
+        failing = tries;
+        CHECK(std::count(tries.begin(), tries.end(), true) >= 1);
+    }
+    LONGS_EQUAL(4, std::count(failing.begin(), failing.end(), true));
+}
+
 TEST(peer_view, a_started_host_waits_for_statuses_before_it_follows)
 {
     peer_view view{name_of_host(0), "east"};
@@ -151,13 +182,15 @@
     for (int self = 0; self < 9; ++self)
     {
         peer_view view{name_of_host(self), "east"};
-        view.on_listed("edge-lost", address_of(99), at(0s));
+        view.on_listed({.name = "edge-lost", .address = address_of(99), .data_centre = "east"}, true, at(0s));
+        view.on_listed(member_of(98), false, at(0s));
         for (int other = 0; other < 9; ++other)
         {
             view.on_status(make_status(other, 1), address_of(other), at(60s));
         }
         const auto lost = view.expire(at(61s));
-        removers += lost.empty() ? 0 : 1;
+        removers += lost == std::vector<std::string>{"edge-lost"} ? 1 : 0;
+        CHECK(lost.size() <= 1);
         CHECK(view.expire(at(62s)).empty());
     }
     LONGS_EQUAL(1, removers);
@@ -174,9 +207,9 @@
 {
     peer_view view{name_of_host(0), "east"};
     view.on_status(make_status(1, 1), address_of(1), at(0s));
-    view.on_listed(name_of_host(1), address_of(1), at(50s));
+    view.on_listed(member_of(1), true, at(50s));
     view.expire(at(61s));
-    LONGS_EQUAL(0, view.addresses(true).size());
+    LONGS_EQUAL(0, view.local_members().size());
 }
 
 TEST(peer_view, distinguishes_the_hosts_of_its_data_centre_from_the_others)
@@ -186,8 +219,9 @@
     {
         view.on_status(make_status(other, 1, "west"), address_of(other), at(0s));
     }
-    LONGS_EQUAL(0, view.addresses(true).size());
-    LONGS_EQUAL(8, view.addresses(false).size());
+    LONGS_EQUAL(0, view.local_members().size());
+    LONGS_EQUAL(8, view.remote_members().size());
+    LONGS_EQUAL(0, view.live_count(at(0s)));
 }
 
 TEST(peer_view, does_not_wait_for_followers_of_other_data_centres)
@@ -203,12 +237,12 @@
 TEST(peer_view, a_listed_host_has_an_address_before_its_first_status)
 {
     peer_view view{name_of_host(0), "east"};
-    view.on_listed(name_of_host(1), address_of(1), at(0s));
-    LONGS_EQUAL(1, view.addresses(true).size());
-    LONGS_EQUAL(1, view.addresses(false).size());
+    CHECK(view.on_listed({.name = name_of_host(1), .address = address_of(1), .data_centre = {}}, true, at(0s)));
+    CHECK_FALSE(view.on_listed(member_of(1), true, at(0s)));
+    LONGS_EQUAL(1, view.local_members().size());
     LONGS_EQUAL(0, view.live_count(at(0s)));
     view.expire(at(61s));
-    LONGS_EQUAL(0, view.addresses(true).size());
+    LONGS_EQUAL(0, view.local_members().size());
 }
 
 TEST(peer_view, selects_different_hosts_of_its_own_data_centre_first)
@@ -232,18 +266,66 @@
     LONGS_EQUAL(3, asked.size());
 }
 
-TEST(peer_view, sums_loads_and_votes_of_live_hosts)
+TEST(peer_view, sums_loads_and_votes_of_live_hosts_of_its_data_centre)
 {
     peer_view view{name_of_host(0), "east"};
-    for (int other = 1; other <= 3; ++other)
+    for (int other = 1; other <= 4; ++other)
     {
-        auto status = make_status(other, 1);
+        auto status = make_status(other, 1, other == 4 ? "west" : "east");
+        status.with_loads = true;
         status.loads = {{.token = 9, .flows = 2, .open_requests = 1}};
         status.silent = {4};
         view.on_status(status, address_of(other), at(other == 3 ? 0s : 1s));
     }
-    LONGS_EQUAL(6, view.total_loads(at(1s)).at(9).flows);
-    LONGS_EQUAL(3, view.votes(at(1s)).at(4).silent);
-    LONGS_EQUAL(4, view.total_loads(at(2s)).at(9).flows);
-    LONGS_EQUAL(2, view.votes(at(2s)).at(4).silent);
+    const auto flows = [&](base::duration now)
+    {
+        load_totals totals;
+        view.add_loads(totals, at(now));
+        return totals.at(9).flows;
+    };
+    const auto silent = [&](base::duration now)
+    {
+        vote_totals votes;
+        view.add_votes(votes, at(now));
+        return votes.at(4).silent;
+    };
+    LONGS_EQUAL(6, flows(1s));
+    LONGS_EQUAL(3, silent(1s));
+    LONGS_EQUAL(3, view.reporting_count(at(1s)));
+    LONGS_EQUAL(4, flows(2s));
+    LONGS_EQUAL(2, silent(2s));
+}
+
+TEST(peer_view, a_host_that_names_a_longer_interval_is_live_for_longer)
+{
+    peer_view view{name_of_host(0), "east"};
+    auto status = make_status(1, 1);
+    status.interval = 2s;
+    view.on_status(status, address_of(1), at(0s));
+    LONGS_EQUAL(1, view.live_count(at(6s)));
+    LONGS_EQUAL(0, view.live_count(at(7s)));
+}
+
+TEST(peer_view, hosts_agree_on_the_first_ranked_ones)
+{
+    constexpr int hosts = 9;
+    std::vector<std::string> named;
+    int ranked = 0;
+    for (int self = 0; self < hosts; ++self)
+    {
+        peer_view view{name_of_host(self), "east"};
+        for (int other = 0; other < hosts; ++other)
+        {
+            view.on_status(make_status(other, 1), address_of(other), at(0s));
+        }
+        ranked += view.ranks_among(2, at(0s)) ? 1 : 0;
+        for (const auto& one : view.first_ranked(2, at(0s)))
+        {
+            named.push_back(one.name);
+        }
+    }
+    LONGS_EQUAL(2, ranked);
+    std::sort(named.begin(), named.end());
+    named.erase(std::unique(named.begin(), named.end()), named.end());
+    LONGS_EQUAL(2, named.size());
 }
--- a/tests/steer/steerer_test.cpp
+++ b/tests/steer/steerer_test.cpp
@@ -272,6 +272,21 @@
     }
 }
 
+// A suspended machine's steady clock stands still, so that no gap between ticks shows it.
+TEST(steerer, packets_queued_while_the_machine_was_suspended_are_no_evidence_of_silence)
+{
+    const auto upstream = make_upstream("i-1", 1);
+    test_host host{{upstream, make_upstream("i-2", 2)}};
+    host.core.on_packet(data(1, token_of(upstream), 1, 5), at(0ms));
+    host.run_until(600ms);
+    host.core.on_pause(at(600ms));
+    for (int retransmission = 0; retransmission < 3; ++retransmission)
+    {
+        host.core.on_packet(data(1, token_of(upstream), 1, 5), at(600ms));
+    }
+    CHECK_FALSE(host.core.is_silent(*host.core.registry().find(token_of(upstream)), at(600ms)));
+}
+
 TEST(steerer, packets_queued_during_a_pause_are_no_evidence_of_silence)
 {
     const auto upstream = make_upstream("i-1", 1);
