Keep new flows in their data centre unless its upstreams have much more load

Cause: an upstream elsewhere was chosen when the local one had 1.3 times its load, which a wave or two flows of an idle service suffice for. Change: the factor is 2, and one open request for each slot is allowed on top.

--- a/src/steer/upstream_selection.cpp
+++ b/src/steer/upstream_selection.cpp
@@ -19,8 +19,12 @@
 constexpr double request_weight = 2.0;
 
 /// Factor by which the load of an upstream in this data centre may exceed that of one
-/// elsewhere: a flow between data centres breaks when their link fails.
-constexpr double local_preference = 1.3;
+/// elsewhere: a flow between data centres breaks when their link fails, and its bytes are paid
+/// for.
+constexpr double local_preference = 2.0;
+/// Load per slot by which it may exceed that in addition: one open request for each slot, so
+/// that the few flows of an idle service do not leave the data centre.
+constexpr double local_allowance = request_weight;
 
 /// Availability of an upstream for new flows, best first.
 enum candidate_class : std::size_t
@@ -74,7 +78,7 @@
     {
         return local == nullptr ? remote : local;
     }
-    return load_of(*local, now) > local_preference * load_of(*remote, now) ? remote : local;
+    return load_of(*local, now) > local_preference * load_of(*remote, now) + local_allowance ? remote : local;
 }
 
 } // namespace
