A host alone waits as long as others before it resets a silent flow

Change: without other hosts the same evidence is asked as with them: no answer in any flow for 1.5 s and no accepted connection; dead upstreams are still found by refused or unanswered connections within 1.1 s. While it is alone, a host reads the list of hosts every second instead of every five. The soak gives seeds to every second host only.

--- a/src/edge/registration_worker.cpp
+++ b/src/edge/registration_worker.cpp
@@ -24,8 +24,9 @@
 /// Interval at which a host checks that its entry is still there and looks for hosts that
 /// it has no status of: long enough to cost next to nothing.
 constexpr base::duration refresh_interval = std::chrono::seconds{60};
-/// The same interval while no other host is live.
-constexpr base::duration lonely_refresh_interval = std::chrono::seconds{5};
+/// The same interval while no other host is live: a host that starts without usable seeds
+/// finds the others here.
+constexpr base::duration lonely_refresh_interval = milliseconds{1'000};
 
 } // namespace
 
--- a/src/steer/steerer_failure_detection.cpp
+++ b/src/steer/steerer_failure_detection.cpp
@@ -151,8 +151,9 @@
     // A host whose own link drops packets sees silence, too. The evidence of other hosts
     // distinguishes the two cases; without other hosts, the host's own link is taken
     // for the cause when most upstreams are silent.
-    return peer_count_ > 0 ? upstream.silence_votes > 0 && is_silent_everywhere(upstream, now)
-                           : do_most_upstreams_answer(flow.sent_at, now);
+    const bool is_own_link_sound =
+        peer_count_ > 0 ? upstream.silence_votes > 0 : do_most_upstreams_answer(flow.sent_at, now);
+    return is_own_link_sound && is_silent_everywhere(upstream, now);
 }
 
 bool steerer::is_confirmed_silent(const upstream_incarnation& upstream, base::time_point now) const
--- a/tools/edge_soak/host_processes.cpp
+++ b/tools/edge_soak/host_processes.cpp
@@ -9,6 +9,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdlib>
@@ -74,11 +75,23 @@
     out << "node: \"host-" << host << "\"\nzone: \"zone-" << hosts_[host].data_centre << "\"\nbind-addrs:\n"
         << "  datagram-addr: \"" << address_of(host, ports_.packets).to_string() << "\"\n"
         << "  readiness-addr: \"" << address_of(host, ports_.readiness).to_string() << "\"\n"
-        << "port-range:\n  - " << ports_.peers << "\n  - " << ports_.peers + 9 << "\nseeds: []\n"
+        << "port-range:\n  - " << ports_.peers << "\n  - " << ports_.peers + 9 << "\nseeds: [" << seeds_of(host)
+        << "]\n"
         << "bounds:\n  config-ms: 3000\n  grace-s: 6\n  flow-ttl-s: 60\n"
         << "platform:\n  address: \"" << store_.to_string() << "\"\n";
 }
 
+std::string host_processes::seeds_of(std::size_t host) const
+{
+    constexpr std::size_t seed_count = 3;
+    std::string seeds;
+    for (std::size_t seed = 0; host % 2 == 0 && seed < std::min(seed_count, hosts_.size()); ++seed)
+    {
+        seeds += (seeds.empty() ? "\"" : ", \"") + address_of(seed, ports_.peers).to_string() + "\"";
+    }
+    return seeds;
+}
+
 void host_processes::start(std::size_t host)
 {
     const auto settings = file_path(host, ".yaml");
--- a/tools/edge_soak/host_processes.hpp
+++ b/tools/edge_soak/host_processes.hpp
@@ -66,6 +66,9 @@
     void probe();
     base::endpoint address_of(std::size_t host, std::uint16_t port) const;
     std::string file_path(std::size_t host, const char* suffix) const;
+    /// Returns the seeds of a host's settings, as a YAML list: every second host has none and
+    /// finds the others through the store.
+    std::string seeds_of(std::size_t host) const;
 
     std::string program_;
     std::string directory_;
