A malformed message or an exception does not end a process or stop a thread

Cause: reported by operators of similar systems. No thread caught exceptions; settings cast an unbounded number; a reload ignored fields silently; the list of hosts was paged by the last entry that could be decoded, and a full ring dropped it for a minute. Change: each step of a thread's loop runs guarded: an exception is one log line and a counter, and the thread goes on. A reload names what needs a restart. Pages follow the last name.

--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -157,15 +157,22 @@
 
     void reload(const adapter::settings& next)
     {
-        if (next.packets != settings_.packets || next.readiness != settings_.readiness)
+        state_.set_store(next.store);
+        settings_.store = next.store;
+        settings_.stop_bound = next.stop_bound;
+        // Everything else is in use by the threads and takes effect at the next start.
+        if (next != settings_)
         {
             log_event{log_level::warning, "settings_need_restart"}
+                .with("host", next.host)
+                .with("data_centre", next.data_centre)
                 .with("packets", next.packets.to_string())
-                .with("readiness", next.readiness.to_string());
+                .with("readiness", next.readiness.to_string())
+                .with("peers", next.peers.to_string())
+                .with("config_bound_us", next.config_bound.count())
+                .with("flow_age_limit_us", next.flow_age_limit.count())
+                .with("seeds", next.seeds.size());
         }
-        state_.set_store(next.store);
-        settings_.store = next.store;
-        settings_.stop_bound = next.stop_bound;
     }
 
     milliseconds drain()
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -39,6 +39,8 @@
       peer_bytes_sent{counter(registry_, "galenabay_peer_bytes_sent_total", "Bytes of messages sent to other hosts")},
       pauses{
           counter(registry_, "galenabay_pauses_total", "Times that the process did not run for longer than a pause")},
+      thread_failures{
+          counter(registry_, "galenabay_thread_failures_total", "Exceptions that ended a step of a thread")},
       version{gauge(registry_, "galenabay_configuration_version", "Version of the configuration in force")},
       upstreams{gauge(registry_, "galenabay_upstreams", "Upstream incarnations in the registry, ended ones included")},
       flows{gauge(registry_, "galenabay_flows", "Flows in this host's flow table")},
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -53,6 +53,7 @@
     prometheus::Counter& peer_bytes_received;
     prometheus::Counter& peer_bytes_sent;
     prometheus::Counter& pauses;
+    prometheus::Counter& thread_failures;
     prometheus::Gauge& version;
     prometheus::Gauge& upstreams;
     prometheus::Gauge& flows;
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -1,5 +1,7 @@
 #include "packet_worker.hpp"
 
+#include "guarded_step.hpp"
+
 #include <galenabay/base/log.hpp>
 #include <galenabay/base/steady_clock.hpp>
 #include <platform/packet_header.hpp>
@@ -35,7 +37,7 @@
       steerer_{{.data_centre = self.data_centre, .registry = {.retention = flow_age_limit}}, seed},
       peers_{std::move(peers), peers::fleet_exchange{std::move(self), std::move(seeds), {}, base::mix(seed, 1)},
              metrics},
-      probes_{state, wakeup_}, buffers_(net::batch_size)
+      probes_{state, wakeup_, metrics.thread_failures}, buffers_(net::batch_size)
 {
 }
 
@@ -62,22 +64,27 @@
     defer_until_ = base::steady_now() + startup_deferral;
     while (!state_.stopping())
     {
-        wait();
-        detect_pause();
-        for (auto& ring : updates_)
-        {
-            apply_queued(ring);
-        }
-        if (!is_deferring(base::steady_now()))
-        {
-            receive(base::steady_now());
-        }
-        exchange_with_peers(base::steady_now());
-        exchange_probes(base::steady_now());
-        if (const auto now = base::steady_now(); now >= next_tick_)
-        {
-            tick(now);
-        }
+        run_guarded("packets", metrics_.thread_failures, [this] { run_step(); });
+    }
+}
+
+void packet_worker::run_step()
+{
+    wait();
+    detect_pause();
+    for (auto& ring : updates_)
+    {
+        apply_queued(ring);
+    }
+    if (!is_deferring(base::steady_now()))
+    {
+        receive(base::steady_now());
+    }
+    exchange_with_peers(base::steady_now());
+    exchange_probes(base::steady_now());
+    if (const auto now = base::steady_now(); now >= next_tick_)
+    {
+        tick(now);
     }
 }
 
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -53,6 +53,8 @@
     static constexpr std::size_t ring_capacity = 64;
 
     void run();
+    /// Waits for work and does it.
+    void run_step();
     /// Sleeps until a datagram, an update or a probe result arrives or the next tick is due.
     void wait();
     /// Tells the decision logic when the process did not run: it was stopped, or the machine
--- a/src/edge/probe_worker.cpp
+++ b/src/edge/probe_worker.cpp
@@ -1,5 +1,7 @@
 #include "probe_worker.hpp"
 
+#include "guarded_step.hpp"
+
 #include <galenabay/base/steady_clock.hpp>
 
 #include <poll.h>
@@ -40,8 +42,8 @@
 
 } // namespace
 
-probe_worker::probe_worker(shared_state& state, net::wakeup_event& consumer)
-    : state_{state}, consumer_{consumer}, thread_{[this] { run(); }}
+probe_worker::probe_worker(shared_state& state, net::wakeup_event& consumer, prometheus::Counter& failures)
+    : state_{state}, consumer_{consumer}, failures_{failures}, thread_{[this] { run(); }}
 {
 }
 
@@ -62,9 +64,13 @@
 {
     while (!state_.stopping())
     {
-        begin_attempts(base::steady_now());
-        wait(base::steady_now());
-        end_attempts(base::steady_now());
+        run_guarded("probes", failures_,
+                    [this]
+                    {
+                        begin_attempts(base::steady_now());
+                        wait(base::steady_now());
+                        end_attempts(base::steady_now());
+                    });
     }
 }
 
--- a/src/edge/probe_worker.hpp
+++ b/src/edge/probe_worker.hpp
@@ -6,7 +6,9 @@
 #include <galenabay/base/ring.hpp>
 #include <galenabay/net/connection_attempt.hpp>
 #include <galenabay/net/wakeup_event.hpp>
+
 #include <galenabay/steer/upstream_probe.hpp>
+#include <prometheus/counter.h>
 
 #include <cstddef>
 #include <thread>
@@ -27,8 +29,9 @@
 class probe_worker
 {
 public:
-    /// `consumer` belongs to the packet thread and outlives this worker.
-    probe_worker(shared_state& state, net::wakeup_event& consumer);
+    /// `consumer` belongs to the packet thread and outlives this worker. `failures` counts the
+    /// steps that ended with an exception.
+    probe_worker(shared_state& state, net::wakeup_event& consumer, prometheus::Counter& failures);
     probe_worker(const probe_worker&) = delete;
     probe_worker& operator=(const probe_worker&) = delete;
     ~probe_worker();
@@ -58,6 +61,7 @@
 
     shared_state& state_;
     net::wakeup_event& consumer_;
+    prometheus::Counter& failures_;
     net::wakeup_event wakeup_;
     base::ring<steer::probe_request> requests_{ring_capacity};
     base::ring<completed_probe> completed_{ring_capacity};
--- a/src/edge/registration_worker.cpp
+++ b/src/edge/registration_worker.cpp
@@ -1,5 +1,6 @@
 #include "registration_worker.hpp"
 
+#include "guarded_step.hpp"
 #include "store_watch.hpp"
 
 #include <galenabay/base/log.hpp>
@@ -45,27 +46,30 @@
 
 void registration_worker::run()
 {
-    base::time_point attempted_at{};
-    bool succeeded = false;
     while (!state_.stopping())
     {
-        const auto answered_pause = state_.alone.load() ? lonely_refresh_interval : refresh_interval;
-        const auto pause = succeeded ? answered_pause : retry_pause;
-        if (base::steady_now() - attempted_at >= pause)
-        {
-            attempted_at = base::steady_now();
-            succeeded = report(refresh());
-        }
-        else if (succeeded && !registered_ && state_.should_register.load())
-        {
-            attempted_at = base::steady_now();
-            succeeded = report(write_entry());
-        }
-        // After a failure the next attempt waits for `retry_pause`.
-        const bool awaits_role = succeeded && !registered_;
-        const auto limit = std::min(succeeded ? lonely_refresh_interval : retry_pause, pause);
-        remove_entries(state_.wait_for_registration_work(awaits_role, std::chrono::ceil<milliseconds>(limit)));
+        run_guarded("registration", metrics_.thread_failures, [this] { run_step(); });
+    }
+}
+
+void registration_worker::run_step()
+{
+    const auto answered_pause = state_.alone.load() ? lonely_refresh_interval : refresh_interval;
+    const auto pause = succeeded_ ? answered_pause : retry_pause;
+    if (base::steady_now() - attempted_at_ >= pause)
+    {
+        attempted_at_ = base::steady_now();
+        succeeded_ = report(refresh());
+    }
+    else if (succeeded_ && !registered_ && state_.should_register.load())
+    {
+        attempted_at_ = base::steady_now();
+        succeeded_ = report(write_entry());
     }
+    // After a failure the next attempt waits for `retry_pause`.
+    const bool awaits_role = succeeded_ && !registered_;
+    const auto limit = std::chrono::ceil<milliseconds>(std::min(retry_pause, pause));
+    remove_entries(state_.wait_for_registration_work(awaits_role, limit));
 }
 
 bool registration_worker::report(const base::result<void>& done)
@@ -100,11 +104,14 @@
                                                                                  adapter::read_freshness freshness)
 {
     std::vector<adapter::store_object> hosts;
+    std::string after;
     for (bool more = true; more;)
     {
         metrics_.store_calls(adapter::object_kind::hosts).Increment();
-        BOOST_OUTCOME_TRY(page, client.list(hosts.empty() ? "" : hosts.back().name, freshness));
-        more = page.more && !page.objects.empty();
+        BOOST_OUTCOME_TRY(page, client.list(after, freshness));
+        // An unusable object may be the last one of a page.
+        more = page.more && page.last_name != after;
+        after = page.last_name;
         hosts.insert(hosts.end(), page.objects.begin(), page.objects.end());
     }
     return hosts;
--- a/src/edge/registration_worker.hpp
+++ b/src/edge/registration_worker.hpp
@@ -32,6 +32,8 @@
 
 private:
     void run();
+    /// Reads the list or writes the entry when it is due, and waits for the next work.
+    void run_step();
     /// Logs and counts a failure. Returns true when there was none.
     bool report(const base::result<void>& done);
     /// Reads the entries of all hosts and passes them to the packet thread.
@@ -51,6 +53,9 @@
     net::wakeup_event& consumer_;
     /// The store lists this host with its address.
     bool registered_ = false;
+    /// The last attempt to read the list or to write the entry, and whether it succeeded.
+    base::time_point attempted_at_{};
+    bool succeeded_ = false;
     std::thread thread_;
 };
 
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -1,5 +1,6 @@
 #include "store_worker.hpp"
 
+#include "guarded_step.hpp"
 #include "peer_paths.hpp"
 
 #include <galenabay/base/log.hpp>
@@ -68,34 +69,33 @@
 
 void store_worker::run()
 {
-    auto store = state_.store();
-    auto client = adapter::store_client::make(store, kind_, store_answer_timeout);
     while (!state_.stopping())
     {
-        if (const auto current = state_.store(); current != store)
-        {
-            store = current;
-            client = adapter::store_client::make(store, kind_, store_answer_timeout);
-        }
-        const auto call = watch_.next();
-        const bool follows = call.what == store_call::kind::list || state_.follows.load();
-        if (!follows || watch_.failures() > 0)
-        {
-            const auto peer = state_.take_read_request(kind_);
-            const bool has_read = peer && read_from_peer(*peer);
-            if (!follows && (!peer || has_read))
-            {
-                state_.wait_for_work(kind_, idle_wait);
-                continue;
-            }
-        }
-        if (const auto now = base::steady_now(); now < call.not_before)
+        run_guarded(name_of(kind_), metrics_.thread_failures, [this] { run_step(); });
+    }
+}
+
+void store_worker::run_step()
+{
+    const auto call = watch_.next();
+    const bool follows = call.what == store_call::kind::list || state_.follows.load();
+    if (!follows || watch_.failures() > 0)
+    {
+        const auto peer = state_.take_read_request(kind_);
+        const bool has_read = peer && read_from_peer(*peer);
+        if (!follows && (!peer || has_read))
         {
-            std::this_thread::sleep_for(std::min<base::duration>(call.not_before - now, max_sleep));
-            continue;
+            state_.wait_for_work(kind_, idle_wait);
+            return;
         }
-        perform(client, call, follows ? options_.watch_wait : single_read_wait);
     }
+    if (const auto now = base::steady_now(); now < call.not_before)
+    {
+        std::this_thread::sleep_for(std::min<base::duration>(call.not_before - now, max_sleep));
+        return;
+    }
+    auto client = adapter::store_client::make(state_.store(), kind_, store_answer_timeout);
+    perform(client, call, follows ? options_.watch_wait : single_read_wait);
 }
 
 void store_worker::perform(adapter::store_client& client, const store_call& call, base::duration watch_wait)
--- a/src/edge/store_worker.hpp
+++ b/src/edge/store_worker.hpp
@@ -27,6 +27,8 @@
 
 private:
     void run();
+    /// Makes the next call, or waits until there is one to make.
+    void run_step();
     void perform(adapter::store_client& client, const store_call& call, base::duration watch_wait);
     /// Reads from a host that has newer state, which saves calls to the store. Returns false
     /// when that failed.
--- a/src/peers/fleet_exchange.cpp
+++ b/src/peers/fleet_exchange.cpp
@@ -159,8 +159,8 @@
 fleet_exchange::known_collector* fleet_exchange::accept(reported_sums& sums, const collector_stamp& stamp,
                                                         base::time_point now) const
 {
-    std::erase_if(sums.collectors, [&](const auto& row)
-                  { return now - row.second.last_seen >= options_.peers.address_retention; });
+    std::erase_if(sums.collectors,
+                  [&](const auto& row) { return now - row.second.last_seen >= options_.peers.address_retention; });
     const auto [row, is_new] = sums.collectors.try_emplace(stamp.sender.name);
     auto& known = row->second;
     const auto order = [](const collector_stamp& value) { return std::tuple{value.started_us, value.sequence}; };
@@ -280,17 +280,16 @@
 std::optional<base::endpoint> fleet_exchange::with_newer_configuration(std::uint64_t version, base::time_point now)
 {
     const auto local = peers_.with_newer_configuration(version, random_, now);
-    return local ? local
-                 : select_collector([&](const known_collector& one) { return one.configuration_version > version; },
-                                    now);
+    return local
+               ? local
+               : select_collector([&](const known_collector& one) { return one.configuration_version > version; }, now);
 }
 
 std::optional<base::endpoint> fleet_exchange::with_newer_upstreams(std::uint64_t revision, base::time_point now)
 {
     const auto local = peers_.with_newer_upstreams(revision, random_, now);
     return local ? local
-                 : select_collector([&](const known_collector& one) { return one.upstreams_revision > revision; },
-                                    now);
+                 : select_collector([&](const known_collector& one) { return one.upstreams_revision > revision; }, now);
 }
 
 bool fleet_exchange::relies_on_digests(base::time_point now) const
--- a/src/peers/fleet_exchange_messages.cpp
+++ b/src/peers/fleet_exchange_messages.cpp
@@ -48,8 +48,9 @@
     }
     const auto count = [](const upstream_votes& vote) { return vote.silent + vote.unreachable; };
     std::sort(listed.begin(), listed.end(),
-              [&](const upstream_votes& a, const upstream_votes& b)
-              { return std::pair{count(b), a.token} < std::pair{count(a), b.token}; });
+              [&](const upstream_votes& a, const upstream_votes& b) {
+                  return std::pair{count(b), a.token} < std::pair{count(a), b.token};
+              });
     listed.resize(std::min(listed.size(), max_votes));
     std::sort(listed.begin(), listed.end());
     return listed;
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -90,6 +90,8 @@
     STRCMP_EQUAL("10.1.0.10:7720", read.value().peers.to_string().c_str());
     STRCMP_EQUAL("10.200.1.7:8169", read.value().store.to_string().c_str());
     CHECK(read.value().stop_bound == 6500ms);
+    LONGS_EQUAL(1, read.value().seeds.size());
+    STRCMP_EQUAL("10.1.0.10:7720", read.value().seeds.front().to_string().c_str());
     CHECK(read.value().config_bound == 3s);
 }
 
--- a/tests/adapter/settings_file_faults_test.cpp
+++ b/tests/adapter/settings_file_faults_test.cpp
@@ -56,3 +56,26 @@
     STRCMP_CONTAINS("can't be opened", load_settings(file).error().detail().c_str());
     STRCMP_CONTAINS("can't be read", load_settings(directory).error().detail().c_str());
 }
+
+TEST(settings_file_faults, rejects_a_time_that_is_not_finite_or_too_long)
+{
+    for (const auto* time : {".inf", ".nan", "-1", "1e300"})
+    {
+        check_refused(std::string{"node: \"edge-1\"\nzone: \"east\"\nbind-addrs:\n"
+                                  "  datagram-addr: \"10.1.0.10:8172\"\n  readiness-addr: \"10.1.0.10:8167\"\n"
+                                  "port-range: [7720, 7735]\nplatform:\n  address: \"10.200.1.7:8169\"\n"
+                                  "bounds:\n  grace-s: 6\n  flow-ttl-s: 60\n  config-ms: "} +
+                          time + "\n",
+                      "is not a time from 0 to a day");
+    }
+}
+
+TEST(settings_file_faults, rejects_seeds_that_are_no_addresses)
+{
+    const std::string rest{"node: \"edge-1\"\nzone: \"east\"\nbind-addrs:\n"
+                           "  datagram-addr: \"10.1.0.10:8172\"\n  readiness-addr: \"10.1.0.10:8167\"\n"
+                           "port-range: [7720, 7735]\nplatform:\n  address: \"10.200.1.7:8169\"\n"
+                           "bounds:\n  grace-s: 6\n  flow-ttl-s: 60\n  config-ms: 3000\n"};
+    check_refused(rest + "seeds: [\"nowhere\"]\n", "not an address and port");
+    check_refused(rest + "seeds: 7\n", "is not a list");
+}
--- a/tests/net/http_session_test.cpp
+++ b/tests/net/http_session_test.cpp
@@ -86,7 +86,10 @@
     }
 
     /// An answer that ends before its length says so is followed by the end of the connection.
-    static bool broken_off(const std::string& text) { return text.find("\r\n\r\n{") != std::string::npos && text.back() != '}'; }
+    static bool broken_off(const std::string& text)
+    {
+        return text.find("\r\n\r\n{") != std::string::npos && text.back() != '}';
+    }
 
     std::function<std::string(int)> answer_;
     Poco::Net::ServerSocket listener_;
--- a/tests/peers/fleet_exchange_test.cpp
+++ b/tests/peers/fleet_exchange_test.cpp
@@ -63,8 +63,9 @@
     for (const auto* data_centre : {"centre-0", "centre-1", "centre-2"})
     {
         LONGS_EQUAL(2, fleet.collectors(data_centre).size());
-        const auto watchers = std::count_if(fleet.hosts().begin(), fleet.hosts().end(), [&](const auto& one)
-                                            { return one.data_centre == data_centre && one.own.follows_store; });
+        const auto watchers =
+            std::count_if(fleet.hosts().begin(), fleet.hosts().end(),
+                          [&](const auto& one) { return one.data_centre == data_centre && one.own.follows_store; });
         LONGS_EQUAL(1, watchers);
     }
 }
@@ -276,7 +277,8 @@
     virtual_fleet fleet{3, 8};
     fleet.run(8s);
     auto* watcher = fleet.collectors("centre-0").front();
-    const upstream_changes changes{.previous_revision = 1, .revision = 2, .entries = {}, .removed = {}, .data_centre = {}};
+    const upstream_changes changes{
+        .previous_revision = 1, .revision = 2, .entries = {}, .removed = {}, .data_centre = {}};
     fleet.send(*watcher, watcher->exchange->on_changes(changes, fleet.now()));
     fleet.run(1s);
     for (const auto& one : fleet.hosts())
@@ -317,8 +319,8 @@
 {
     virtual_fleet fleet{5, 39};
     fleet.run(8s);
-    const auto entries = std::count_if(fleet.hosts().begin(), fleet.hosts().end(), [&](const auto& one)
-                                       { return one.exchange->should_register(fleet.now()); });
+    const auto entries = std::count_if(fleet.hosts().begin(), fleet.hosts().end(),
+                                       [&](const auto& one) { return one.exchange->should_register(fleet.now()); });
     LONGS_EQUAL(10, entries);
 }
 
--- a/tests/peers/virtual_fleet.hpp
+++ b/tests/peers/virtual_fleet.hpp
@@ -41,8 +41,7 @@
     };
 
     /// The first host of each of the first three data centres is a seed, as on the platform.
-    virtual_fleet(std::size_t data_centres, std::size_t hosts_each, exchange_options options = {})
-        : options_{options}
+    virtual_fleet(std::size_t data_centres, std::size_t hosts_each, exchange_options options = {}) : options_{options}
     {
         for (std::size_t centre = 0; centre < data_centres; ++centre)
         {
