--- a/include/galenabay/peers/fleet_exchange.hpp
+++ b/include/galenabay/peers/fleet_exchange.hpp
@@ -25,9 +25,12 @@
     /// Hosts of a data centre that collect loads: the second one has the same sums when the
     /// first one fails.
     std::size_t collectors = 2;
-    /// Interval of statuses to collectors, and to all hosts of the data centre from a host
-    /// that collects, watches the store or has evidence against an upstream.
+    /// Shortest interval of statuses to collectors, and the interval to all hosts of the data
+    /// centre from a host that collects, watches the store or has evidence against an upstream.
     base::duration status_interval = std::chrono::milliseconds{500};
+    /// The other hosts send a status to the collectors after this time for each of them, so
+    /// that a collector receives a bounded number of statuses a second.
+    base::duration collector_spacing = std::chrono::milliseconds{8};
     /// Other hosts send a status to the hosts of the data centre after this time for each of
     /// them, so that a host receives a bounded number of statuses a second.
     base::duration status_spacing = std::chrono::milliseconds{30};
@@ -209,6 +212,8 @@
     void update_role(const host_status& own, base::time_point now);
     bool is_joining(base::time_point now) const;
     base::duration status_interval(const host_status& own, base::time_point now) const;
+    /// Interval of statuses to collectors; at most `interval`, the one to all hosts.
+    base::duration collector_interval(base::duration interval, base::time_point now) const;
     base::duration page_interval(base::time_point now) const;
     /// Fills in the fields of a status that identify it.
     host_status stamped(const host_status& own, base::time_point now);
--- a/src/peers/fleet_exchange_messages.cpp
+++ b/src/peers/fleet_exchange_messages.cpp
@@ -108,6 +108,12 @@
                       : std::clamp(spaced, options_.status_interval, options_.longest_status_interval);
 }
 
+base::duration fleet_exchange::collector_interval(base::duration interval, base::time_point now) const
+{
+    const auto spaced = options_.collector_spacing * static_cast<std::int64_t>(peers_.live_count(now));
+    return std::clamp(spaced, options_.status_interval, interval);
+}
+
 base::duration fleet_exchange::page_interval(base::time_point now) const
 {
     const auto bytes = peers_.live_count(now) * page_bytes;
@@ -156,10 +162,11 @@
     {
         const bool to_all = now >= next_status_to_all_;
         add_statuses(own, to_all, out, now);
-        next_status_ = now + options_.status_interval;
+        const auto interval = status_interval(own, now);
+        next_status_ = now + collector_interval(interval, now);
         if (to_all)
         {
-            next_status_to_all_ = now + status_interval(own, now);
+            next_status_to_all_ = now + interval;
         }
     }
     if (is_joining(now) && now >= next_joining_)
