--- /dev/null
+++ b/tests/steer/failure_detection_test.cpp
@@ -0,0 +1,213 @@
+#include "steer_fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace galenabay::steer;
+using namespace galenabay::steer::test;
+
+TEST_GROUP(failure_detection){};
+
+TEST(failure_detection, avoids_a_silent_upstream_and_resets_its_waiting_flows)
+{
+    const auto silent = make_upstream("i-1", 1);
+    const auto good = make_upstream("i-2", 2);
+    test_host host{{silent, good}};
+    host.core.on_packet(data(1, token_of(silent), 1, 5), at(0ms));
+    host.core.on_packet(data(2, token_of(good), 1, 5), at(0ms));
+    host.run_until(200ms);
+    check_action(steering_action::forward, host.core.on_packet(data(1, token_of(silent), 1, 5), at(200ms)));
+    host.core.on_packet(data(2, token_of(good), 101, 400), at(300ms));
+    host.run_until(600ms);
+    check_action(steering_action::forward, host.core.on_packet(data(1, token_of(silent), 1, 5), at(600ms)));
+    for (std::uint16_t port = 10; port < 30; ++port)
+    {
+        LONGS_EQUAL(2, host.core.on_packet(syn(port), at(700ms)).upstream_number);
+    }
+    // No flow has shown an answer for 1.5 s at the caller's next retransmission.
+    std::uint32_t answered = 500;
+    for (auto now = 800ms; now < 3'000ms; now += 100ms)
+    {
+        host.run_until(now);
+        host.core.on_packet(data(2, token_of(good), answered, answered), at(now));
+        answered += 10;
+    }
+    const auto fourth = host.core.on_packet(data(1, token_of(silent), 1, 5), at(3'000ms));
+    check_reason(steering_reason::upstream_silent, fourth);
+}
+
+// Pattern: an upstream fails some requests and answers others. A host that has not found the
+// other hosts yet must not end its live flows (edge_soak seeds 2007 and 2014).
+TEST(failure_detection, a_host_alone_does_not_reset_flows_of_an_upstream_that_fails_some_requests)
+{
+    const auto grey = make_upstream("i-1", 1);
+    const auto good = make_upstream("i-2", 2);
+    test_host host{{grey, good}};
+    host.core.on_packet(data(1, token_of(grey), 1, 5), at(0ms));
+    host.core.on_packet(data(2, token_of(good), 1, 5), at(0ms));
+    for (const auto now : {200ms, 600ms, 1'400ms})
+    {
+        host.run_until(now);
+        host.core.on_packet(data(2, token_of(good), 101, 400 + static_cast<std::uint32_t>(now.count())), at(now));
+        check_action(steering_action::forward, host.core.on_packet(data(1, token_of(grey), 1, 5), at(now)));
+    }
+}
+
+TEST(failure_detection, a_retransmission_to_an_upstream_that_answers_other_flows_resets_nothing)
+{
+    const auto lossy = make_upstream("i-1", 1);
+    test_host host{{lossy, make_upstream("i-2", 2)}};
+    std::uint32_t answered = 5;
+    for (auto now = 0ms; now <= 1400ms; now += 100ms)
+    {
+        host.run_until(now);
+        host.core.on_packet(data(2, token_of(lossy), 1 + answered, answered), at(now));
+        answered += 10;
+        if (now == 0ms || now == 200ms || now == 600ms || now == 1400ms)
+        {
+            check_action(steering_action::forward, host.core.on_packet(data(1, token_of(lossy), 1, 5), at(now)));
+        }
+    }
+}
+
+TEST(failure_detection, a_host_that_reaches_no_upstream_resets_nothing)
+{
+    const auto first = make_upstream("i-1", 1);
+    const auto second = make_upstream("i-2", 2);
+    test_host host{{first, second}};
+    for (const auto now : {0ms, 200ms, 600ms, 1400ms})
+    {
+        host.run_until(now);
+        check_action(steering_action::forward, host.core.on_packet(data(1, token_of(first), 1, 5), at(now)));
+        check_action(steering_action::forward, host.core.on_packet(data(2, token_of(second), 1, 5), at(now)));
+    }
+}
+
+// A suspended machine's steady clock stands still, so that no gap between ticks shows it.
+TEST(failure_detection, packets_queued_while_the_machine_was_suspended_are_no_evidence_of_silence)
+{
+    const auto upstream = make_upstream("i-1", 1);
+    test_host host{{upstream, make_upstream("i-2", 2)}};
+    host.core.on_packet(data(1, token_of(upstream), 1, 5), at(0ms));
+    host.run_until(600ms);
+    host.core.on_pause(at(600ms));
+    for (int retransmission = 0; retransmission < 3; ++retransmission)
+    {
+        host.core.on_packet(data(1, token_of(upstream), 1, 5), at(600ms));
+    }
+    CHECK_FALSE(host.core.is_silent(*host.core.registry().find(token_of(upstream)), at(600ms)));
+}
+
+TEST(failure_detection, packets_queued_during_a_pause_are_no_evidence_of_silence)
+{
+    const auto upstream = make_upstream("i-1", 1);
+    const auto other = make_upstream("i-2", 2);
+    test_host host{{upstream, other}};
+    host.core.on_packet(data(1, token_of(upstream), 1, 5), at(0ms));
+    host.core.on_tick(at(3s));
+    host.core.on_packet(data(2, token_of(other), 1, 9), at(3s));
+    for (int retransmission = 0; retransmission < 3; ++retransmission)
+    {
+        check_action(steering_action::forward, host.core.on_packet(data(1, token_of(upstream), 1, 5), at(3s)));
+    }
+}
+
+TEST(failure_detection, with_other_hosts_a_silent_upstreams_flow_is_reset_only_when_one_of_them_confirms_it)
+{
+    const auto silent = make_upstream("i-1", 1);
+    const auto good = make_upstream("i-2", 2);
+    for (const std::size_t votes : {0U, 1U})
+    {
+        test_host host{{silent, good}};
+        host.core.set_peer_count(8);
+        host.core.on_packet(data(1, token_of(silent), 1, 5), at(0ms));
+        host.core.on_packet(data(2, token_of(good), 1, 5), at(0ms));
+        host.run_until(200ms);
+        host.core.on_packet(data(1, token_of(silent), 1, 5), at(200ms));
+        host.core.on_packet(data(2, token_of(good), 101, 400), at(300ms));
+        host.run_until(600ms);
+        host.core.on_packet(data(1, token_of(silent), 1, 5), at(600ms));
+        host.run_until(1600ms);
+        host.core.on_remote_view(
+            token_of(silent), {.flows = 3, .open_requests = 1, .silence_votes = votes, .answered_ago = {}}, at(1600ms));
+        const auto third = host.core.on_packet(data(1, token_of(silent), 1, 5), at(1600ms));
+        check_action(votes == 0 ? steering_action::forward : steering_action::reset, third);
+        LONGS_EQUAL(1, host.core.silence_count());
+    }
+}
+
+TEST(failure_detection, resets_all_flows_of_an_upstream_that_several_hosts_report_as_silent)
+{
+    const auto silent = make_upstream("i-1", 1);
+    test_host host{{silent, make_upstream("i-2", 2)}};
+    host.core.set_peer_count(8);
+    host.core.on_packet(data(1, token_of(silent), 1, 5), at(0ms));
+    host.core.on_packet(data(2, token_of(silent), 1, 6), at(0ms));
+    host.run_until(200ms);
+    host.core.on_packet(data(1, token_of(silent), 1, 5), at(200ms));
+    host.run_until(600ms);
+    host.core.on_packet(data(1, token_of(silent), 1, 5), at(600ms));
+    LONGS_EQUAL(0, host.run_until(800ms).resets.size());
+    host.core.on_remote_view(token_of(silent), {.flows = 3, .open_requests = 1, .silence_votes = 2, .answered_ago = {}},
+                             at(800ms));
+    LONGS_EQUAL(0, host.run_until(1400ms).resets.size());
+    LONGS_EQUAL(2, host.run_until(1700ms).resets.size());
+}
+
+TEST(failure_detection, votes_of_others_reset_nothing_on_an_upstream_that_answers_here)
+{
+    const auto upstream = make_upstream("i-1", 1);
+    test_host host{{upstream, make_upstream("i-2", 2)}};
+    host.core.set_peer_count(8);
+    host.core.on_packet(data(1, token_of(upstream), 1, 5), at(0ms));
+    host.core.on_remote_view(token_of(upstream),
+                             {.flows = 3, .open_requests = 1, .silence_votes = 5, .answered_ago = {}}, at(100ms));
+    LONGS_EQUAL(0, host.run_until(2s).resets.size());
+}
+
+TEST(failure_detection, avoids_an_upstream_that_refuses_new_flows)
+{
+    // A stopped upstream resets new flows, which only the callers see.
+    const auto stopped = make_upstream("i-1", 1);
+    test_host host{{stopped, make_upstream("i-2", 2), make_upstream("i-3", 3)}};
+    std::uint16_t port = 1;
+    for (int refused = 0; refused < 2; ++port)
+    {
+        const auto opened = host.core.on_packet(syn(port), at(0ms));
+        if (opened.upstream_number != 1)
+        {
+            host.core.on_packet(data(port, opened.token, 1, 1), at(10ms));
+        }
+        refused += opened.upstream_number == 1 ? 1 : 0;
+    }
+    host.run_until(300ms);
+    for (int flow = 0; flow < 30; ++flow, ++port)
+    {
+        CHECK(host.core.on_packet(syn(port), at(300ms)).upstream_number != 1);
+    }
+    CHECK(host.core.is_avoided_locally(*host.core.registry().find(token_of(stopped)), at(300ms)));
+    LONGS_EQUAL(1, host.core.silence_count());
+}
+
+TEST(failure_detection, a_single_unanswered_syn_avoids_nothing)
+{
+    test_host host{{make_upstream("i-1", 1), make_upstream("i-2", 2)}};
+    host.core.on_packet(syn(1), at(0ms));
+    host.run_until(300ms);
+    LONGS_EQUAL(0, host.core.silence_count());
+}
+
+TEST(failure_detection, an_upstream_that_answers_some_requests_at_another_host_keeps_its_flows)
+{
+    // The upstream drops part of the requests, and three hosts see only dropped ones.
+    const auto failing = make_upstream("i-1", 1);
+    test_host host{{failing, make_upstream("i-2", 2)}};
+    host.core.set_peer_count(8);
+    for (const auto now : {0ms, 200ms, 600ms, 1400ms, 3000ms})
+    {
+        host.run_until(now);
+        host.core.on_remote_view(token_of(failing),
+                                 {.flows = 9, .open_requests = 4, .silence_votes = 3, .answered_ago = 900ms}, at(now));
+        check_action(steering_action::forward, host.core.on_packet(data(1, token_of(failing), 1, 5), at(now)));
+    }
+    LONGS_EQUAL(0, host.run_until(3500ms).resets.size());
+}
--- a/tests/steer/steer_fixture.hpp
+++ b/tests/steer/steer_fixture.hpp
@@ -2,6 +2,8 @@
 
 #include <galenabay/steer/steerer.hpp>
 
+#include <CppUTest/TestHarness.h>
+
 #include <string>
 
 namespace galenabay::steer::test
@@ -68,6 +70,16 @@
     return header;
 }
 
+inline void check_action(steering_action expected, const steering_decision& decision)
+{
+    STRCMP_EQUAL(name_of(expected), name_of(decision.action));
+}
+
+inline void check_reason(steering_reason expected, const steering_decision& decision)
+{
+    STRCMP_EQUAL(name_of(expected), name_of(decision.reason));
+}
+
 /// A steerer that has adopted a configuration and a list of upstreams at `at(0s)`.
 class test_host
 {
