Let an operator replace a set whose content the platform has lost

A restore of the platform's backup kept the manifest and took a chunk that it names; every read, and so every apply, ended with not_found, and nobody could repair it. The torture's operators do the same.

--- a/bench/revision_torture/world.cpp
+++ b/bench/revision_torture/world.cpp
@@ -306,6 +306,10 @@
     const auto stored = store.read();
     if (!stored)
     {
+        if (stored.error().code() == error_code::not_found && knows_newest)
+        {
+            replace_unreadable(store);
+        }
         return;
     }
     const auto* const previous = stored.value() ? &stored.value()->revision : nullptr;
@@ -325,6 +329,22 @@
     check_apply_result(store.accept(next, stored.value() ? stored.value()->manifest_version : 0), next, restores);
 }
 
+void world::replace_unreadable(logic& store)
+{
+    const auto present = store.newest_entry();
+    if (!present || !present.value())
+    {
+        return;
+    }
+    auto set = first_set();
+    change_service_set(set);
+    auto next = config::make_next_revision(nullptr, set, "operator-" + std::to_string(++last_author_), 0);
+    next.number = std::max(present.value()->entry.number, newest_in_force()) + 1;
+    ++outcome_.applies;
+    const auto restores = platform_.commits().restores;
+    check_apply_result(store.accept(next, present.value()->manifest_version), next, restores);
+}
+
 void world::change_service_set(config::service_set& set)
 {
     auto& owner = set.services[random_.below(set.services.size())];
--- a/bench/revision_torture/world.hpp
+++ b/bench/revision_torture/world.hpp
@@ -82,6 +82,8 @@
     /// of any revision in force on a host.
     void apply_change(bool knows_newest);
     void change_service_set(config::service_set& set);
+    /// Accepts a set in place of one whose content a restore took, as an operator forces it.
+    void replace_unreadable(logic& store);
     void check_apply_result(const base::result<platform::stored_revision>& outcome,
                             const config::accepted_revision& next, std::size_t restores);
     void inject_fault();
--- a/include/galenabay/control/apply.hpp
+++ b/include/galenabay/control/apply.hpp
@@ -17,6 +17,10 @@
 /// than the platform holds.
 inline constexpr const char* restored_platform = "restored-platform";
 
+/// Name that forces a set to replace one whose content the platform has lost, although what
+/// flows depend on is then unknown.
+inline constexpr const char* unreadable_set = "unreadable-set";
+
 /// A set to apply, its author and the conditions under which it may be accepted.
 struct apply_request
 {
@@ -42,8 +46,8 @@
 ///
 /// Errors: `conflict` (another operator's revision was accepted first; the detail has
 /// its author, its time and the entries that differ), `refused` (a hazard that is not
-/// forced, or hosts have a newer revision than the platform), else those of
-/// `revision_store`.
+/// forced, hosts have a newer revision than the platform, or the content of the accepted
+/// set is lost), else those of `revision_store`.
 base::result<apply_outcome> apply(const platform::revision_store& store, const platform::object_client& client,
                                   const apply_request& request);
 
--- a/include/galenabay/platform/revision_store.hpp
+++ b/include/galenabay/platform/revision_store.hpp
@@ -34,6 +34,13 @@
     friend auto operator<=>(const history_entry&, const history_entry&) = default;
 };
 
+/// Metadata of the newest revision and the platform version of the manifest that holds it.
+struct stored_entry
+{
+    std::uint64_t manifest_version = 0;
+    history_entry entry;
+};
+
 /// Number of earlier revisions whose content the platform retains.
 constexpr std::size_t max_history = 20;
 
@@ -79,6 +86,9 @@
 
     /// Returns the metadata of the newest accepted revision, which is in the manifest.
     base::result<std::optional<history_entry>> newest() const;
+    /// As `newest`, with the version that a write which replaces the revision expects, also
+    /// when the content of the revision is lost.
+    base::result<std::optional<stored_entry>> newest_entry() const;
 
     /// Returns the retained revisions, newest first, including the one in force.
     base::result<std::vector<history_entry>> history() const;
--- a/src/control/apply.cpp
+++ b/src/control/apply.cpp
@@ -73,12 +73,41 @@
     return newest + 1;
 }
 
+/// Accepts a set in place of one whose content is lost: a restore of the platform from a
+/// backup may keep the manifest and take a part that it names.
+base::result<apply_outcome> replace_unreadable(const platform::revision_store& store,
+                                               const platform::object_client& client, const apply_request& request,
+                                               const base::error& lost)
+{
+    if (!is_forced(request, unreadable_set))
+    {
+        return refused("the accepted set can't be read (" + lost.detail() + "); apply the intended set with --force " +
+                       unreadable_set);
+    }
+    BOOST_OUTCOME_TRY(present, store.newest_entry());
+    BOOST_OUTCOME_TRY(in_force, newest_in_force(client));
+    const auto version = present ? present->manifest_version : 0;
+    if (request.expected_version && *request.expected_version != version)
+    {
+        return refused("the accepted set changed since the plan; plan again");
+    }
+    auto next = config::make_next_revision(nullptr, request.set, request.author, request.accepted_at);
+    next.number = std::max(present ? present->entry.number : 0, in_force) + 1;
+    BOOST_OUTCOME_TRY(accepted, store.accept(next, version));
+    return apply_outcome{true, std::move(accepted)};
+}
+
 } // namespace
 
 base::result<apply_outcome> apply(const platform::revision_store& store, const platform::object_client& client,
                                   const apply_request& request)
 {
-    BOOST_OUTCOME_TRY(stored, store.read());
+    auto read = store.read();
+    if (!read && read.error().code() == error_code::not_found)
+    {
+        return replace_unreadable(store, client, request, read.error());
+    }
+    BOOST_OUTCOME_TRY(stored, std::move(read));
     const auto* const previous = stored ? &stored->revision : nullptr;
     const auto version = stored ? stored->manifest_version : 0;
     auto next = config::make_next_revision(previous, request.set, request.author, request.accepted_at);
--- a/src/platform/revision_store.cpp
+++ b/src/platform/revision_store.cpp
@@ -51,6 +51,11 @@
     return state_->newest();
 }
 
+base::result<std::optional<stored_entry>> revision_store::newest_entry() const
+{
+    return state_->newest_entry();
+}
+
 base::result<std::vector<history_entry>> revision_store::history() const
 {
     return state_->history();
--- a/src/platform/store_logic.hpp
+++ b/src/platform/store_logic.hpp
@@ -117,6 +117,14 @@
         return present.version == 0 ? std::nullopt : std::optional{to_entry(present.content)};
     }
 
+    base::result<std::optional<stored_entry>> newest_entry() const
+    {
+        BOOST_OUTCOME_TRY(present, read_manifest());
+        return present.version == 0 ? std::nullopt
+                                    : std::optional{stored_entry{.manifest_version = present.version,
+                                                                 .entry = to_entry(present.content)}};
+    }
+
     base::result<std::vector<history_entry>> history() const
     {
         BOOST_OUTCOME_TRY(present, read_manifest());
--- a/tests/control/apply_test.cpp
+++ b/tests/control/apply_test.cpp
@@ -75,6 +75,24 @@
     LONGS_EQUAL(writes, server.objects().version());
 }
 
+// A restore of the platform's backup kept the manifest and took a chunk that it names
+// (torture_revision seed 1647): without the force nobody could apply again.
+TEST(apply, a_set_whose_content_is_lost_is_replaced_when_forced)
+{
+    apply(example_set()).value();
+    for (const auto& chunk : server.objects().list("config/chunks/"))
+    {
+        server.objects().remove(chunk.key, {});
+    }
+    const auto refused = apply(example_set(70));
+    CHECK(refused.error().code() == base::error_code::refused);
+    STRCMP_CONTAINS("unreadable-set", refused.error().detail().c_str());
+    const auto replaced = apply(example_set(70), "ann", {}, {control::unreadable_set}).value();
+    LONGS_EQUAL(2, replaced.stored.revision.number);
+    platform::revision_store other{client, 3000ms};
+    LONGS_EQUAL(70, other.read().value()->revision.set.services[0].upstreams[0].weight);
+}
+
 TEST(apply, plan_writes_nothing)
 {
     apply(example_set()).value();
--- a/tests/platform/store_logic_test.cpp
+++ b/tests/platform/store_logic_test.cpp
@@ -206,3 +206,10 @@
 {
     check_seed(56);
 }
+
+// Seed of torture_revision in which a restore took a chunk that the manifest names, so that no
+// apply could read the accepted set.
+TEST(store_logic, seed_1647_replaces_a_set_whose_content_is_lost)
+{
+    check_seed(1647);
+}
