--- a/tests/adapter/store_answer_faults_test.cpp
+++ b/tests/adapter/store_answer_faults_test.cpp
@@ -60,8 +60,8 @@
 TEST(store_answer_faults, a_hosts_entry_keeps_its_address_and_data_centre)
 {
     const auto entry = encode_host("edge-1", base::endpoint::make_v4(0x0a010001, 7720), "east");
-    const auto page = decode_list(object_kind::hosts, R"({"items":[)" + entry + R"(],"more":false,"current-rev":1})",
-                                  "store");
+    const auto page =
+        decode_list(object_kind::hosts, R"({"items":[)" + entry + R"(],"more":false,"current-rev":1})", "store");
     const auto& object = page.value().objects.front();
     CHECK(object.host == base::endpoint::make_v4(0x0a010001, 7720));
     STRCMP_EQUAL("east", object.host_data_centre.c_str());
