--- a/src/steer/upstream_selection.cpp
+++ b/src/steer/upstream_selection.cpp
@@ -21,7 +21,7 @@
 /// Factor by which the load of an upstream in this data centre may exceed that of one
 /// elsewhere: a flow between data centres breaks when their link fails, and its bytes are paid
 /// for.
-constexpr double local_preference = 2.0;
+constexpr double local_preference = 1.3;
 /// Load per slot by which it may exceed that in addition: one open request for each slot, so
 /// that the few flows of an idle service do not leave the data centre.
 constexpr double local_allowance = request_weight;
