Show the store's history number in logs and metrics

Change: the store client reads the header that numbers the histories; each store line has the epoch, store_epoch_changed names the position from which the host had watched, and two gauges show the epoch and the registrations that were refused although they differ. The soak's store stub can return to an older copy. No decision of the product changes.

--- a/include/galenabay/net/http_session.hpp
+++ b/include/galenabay/net/http_session.hpp
@@ -27,6 +27,8 @@
     std::chrono::milliseconds timeout{0};
     /// Longest accepted response body, in bytes.
     std::size_t max_response = 0;
+    /// Name of the response header to return; none when empty.
+    std::string response_header = {};
 };
 
 /// Response with status 200, 201 or 204.
@@ -35,6 +37,8 @@
     /// False for status 204.
     bool has_content = false;
     std::string body;
+    /// Value of `http_request::response_header`; empty when the response has none.
+    std::string header = {};
 };
 
 /// Makes calls to one HTTP/1.1 server, each on a connection of its own: on a connection in use again, a late second
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -151,6 +151,9 @@
             visit(*incarnation);
         }
     }
+    /// Number of registrations that were not applied because a later change of the id was,
+    /// and that differ from what is known.
+    std::uint64_t outdated_count() const noexcept { return outdated_count_; }
     /// Number of incarnations, ended ones included.
     std::size_t size() const noexcept { return by_token_.size(); }
 
@@ -165,6 +168,8 @@
 
     /// Records a change of the id. Returns false when it is not newer than the last one.
     bool record_revision(const std::string& id, std::uint64_t revision, bool removed, base::time_point now);
+    /// Counts a registration that was not applied, unless it says what is known.
+    void count_outdated(const upstream_entry& entry);
     change mark_missing(upstream_incarnation& incarnation, base::time_point now);
     void end(upstream_incarnation& incarnation, base::time_point now);
     void update(upstream_incarnation& incarnation, const upstream_entry& entry, base::time_point now);
@@ -175,6 +180,7 @@
     std::unordered_map<std::string, std::vector<upstream_incarnation*>> by_service_;
     std::unordered_map<std::string, known_revision> revisions_;
     std::optional<base::time_point> store_failed_at_;
+    std::uint64_t outdated_count_ = 0;
 };
 
 } // namespace galenabay::steer
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -48,6 +48,10 @@
       peers{gauge(registry_, "galenabay_peers", "Other hosts that are live")},
       follows_store{
           gauge(registry_, "galenabay_follows_store", "1 while this host watches the store for its data centre")},
+      store_epoch{gauge(registry_, "galenabay_store_epoch",
+                        "Epoch of the store's last answer; it rises when the store returns from an older copy")},
+      outdated_changes{gauge(registry_, "galenabay_outdated_changes",
+                             "Differing registrations that were not applied because a later one was")},
       collects{gauge(registry_, "galenabay_collects", "1 while this host collects the loads of its data centre")},
       covered_hosts{
           gauge(registry_, "galenabay_covered_hosts", "Other hosts whose loads this host takes into account")},
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -60,6 +60,8 @@
     prometheus::Gauge& ready;
     prometheus::Gauge& peers;
     prometheus::Gauge& follows_store;
+    prometheus::Gauge& store_epoch;
+    prometheus::Gauge& outdated_changes;
     prometheus::Gauge& collects;
     /// Hosts whose loads this host's selection of upstreams takes into account.
     prometheus::Gauge& covered_hosts;
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -224,6 +224,7 @@
     metrics_.peers.Set(static_cast<double>(peers_.exchange().live_count(now)));
     metrics_.covered_hosts.Set(static_cast<double>(peers_.exchange().covered_hosts(now)));
     metrics_.flows.Set(static_cast<double>(steerer_.flow_count()));
+    metrics_.outdated_changes.Set(static_cast<double>(steerer_.registry().outdated_count()));
 }
 
 } // namespace galenabay::edge
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -157,6 +157,7 @@
         return;
     }
     const auto& page = answer.value();
+    observe_epoch(page, 0);
     if (call.after.empty())
     {
         listed_.clear();
@@ -171,7 +172,8 @@
         log_event{log_level::info, regained ? "store_regained" : "store_listed"}
             .with("kind", name_of(kind_))
             .with("objects", listed_.size())
-            .with("revision", revision);
+            .with("revision", revision)
+            .with("epoch", page.epoch);
         enqueue({.what = store_update::kind::list,
                  .objects_of = kind_,
                  .objects = std::exchange(listed_, {}),
@@ -189,12 +191,14 @@
         return;
     }
     const auto& page = answer.value();
+    observe_epoch(page, watch_.next().revision);
     if (watch_.failures() > 0)
     {
         log_event{log_level::info, "store_regained"}
             .with("kind", name_of(kind_))
             .with("failures", watch_.failures())
-            .with("revision", page.revision);
+            .with("revision", page.revision)
+            .with("epoch", page.epoch);
     }
     const auto now = base::steady_now();
     watch_.on_changes(page.revision, !page.objects.empty(), now);
@@ -232,6 +236,21 @@
              .received_at = now});
 }
 
+void store_worker::observe_epoch(const adapter::store_page& page, std::uint64_t position)
+{
+    const auto before = std::exchange(epoch_, page.epoch);
+    if (before && *before != page.epoch)
+    {
+        log_event{log_level::warning, "store_epoch_changed"}
+            .with("kind", name_of(kind_))
+            .with("before", *before)
+            .with("epoch", page.epoch)
+            .with("revision", page.revision)
+            .with("position", position);
+    }
+    metrics_.store_epoch.Set(static_cast<double>(page.epoch));
+}
+
 void store_worker::enqueue(store_update update)
 {
     const auto shared = std::make_shared<const store_update>(std::move(update));
--- a/src/edge/store_worker.hpp
+++ b/src/edge/store_worker.hpp
@@ -8,6 +8,7 @@
 #include <galenabay/net/wakeup_event.hpp>
 #include <platform/store_client.hpp>
 
+#include <optional>
 #include <thread>
 
 namespace galenabay::edge
@@ -36,6 +37,9 @@
     void on_list(const store_call& call, const base::result<adapter::store_page>& answer);
     void on_watch(const base::result<adapter::store_page>& answer);
     void on_failure(const base::error& failure);
+    /// Logs that the store returned from an older copy. `position`: revision after which this
+    /// host asked for changes, or 0 for a list.
+    void observe_epoch(const adapter::store_page& page, std::uint64_t position);
     void enqueue(store_update update);
 
     adapter::object_kind kind_;
@@ -46,6 +50,8 @@
     update_ring& updates_;
     net::wakeup_event& consumer_;
     std::vector<adapter::store_object> listed_;
+    /// Epoch of the last answer.
+    std::optional<std::uint64_t> epoch_;
     std::thread thread_;
 };
 
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -89,13 +89,14 @@
         return base::error::make(error_code::timeout, request.step, peer,
                                  "the response body is shorter or longer than its Content-Length");
     }
+    const auto header = request.response_header.empty() ? "" : response.get(request.response_header, "");
     switch (response.getStatus())
     {
     case HTTPResponse::HTTP_OK:
     case HTTPResponse::HTTP_CREATED:
-        return http_response{true, std::move(body)};
+        return http_response{true, std::move(body), header};
     case HTTPResponse::HTTP_NO_CONTENT:
-        return http_response{false, {}};
+        return http_response{false, {}, header};
     default:
         return error_of(response.getStatus(), request, peer);
     }
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -49,10 +49,20 @@
     return true;
 }
 
+void upstream_registry::count_outdated(const upstream_entry& entry)
+{
+    const auto known = by_id_.find(entry.id);
+    const bool differs = known == by_id_.end() || known->second->missing_since ||
+                         known->second->entry.draining != entry.draining ||
+                         known->second->entry.address != entry.address;
+    outdated_count_ += differs ? 1 : 0;
+}
+
 upstream_registry::change upstream_registry::put(const upstream_entry& entry, base::time_point now)
 {
     if (!record_revision(entry.id, entry.revision, false, now))
     {
+        count_outdated(entry);
         return {};
     }
     auto kind = upstream_change::added;
--- a/tests/adapter/store_answer_faults_test.cpp
+++ b/tests/adapter/store_answer_faults_test.cpp
@@ -66,3 +66,13 @@
     CHECK(object.host == base::endpoint::make_v4(0x0a010001, 7720));
     STRCMP_EQUAL("east", object.host_data_centre.c_str());
 }
+
+TEST(store_answer_faults, the_number_of_the_history_is_a_decimal_number_or_absent)
+{
+    LONGS_EQUAL(0, decode_epoch("", "store").value());
+    LONGS_EQUAL(12, decode_epoch("12", "store").value());
+    for (const char* header : {"x", "-1", "1.5", " 1", "1 ", "99999999999999999999"})
+    {
+        CHECK_FALSE(decode_epoch(header, "store").has_value());
+    }
+}
--- a/tools/edge_soak/store_stub.cpp
+++ b/tools/edge_soak/store_stub.cpp
@@ -60,6 +60,7 @@
         }
         response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
         response.setContentType("application/json");
+        response.set("Store-Era", std::to_string(answer.epoch));
         response.setKeepAlive(true);
         response.sendBuffer(answer.body.data(), answer.body.size());
     }
@@ -175,6 +176,24 @@
     changed_.notify_all();
 }
 
+void store_stub::save_copy()
+{
+    const std::lock_guard lock{mutex_};
+    saved_copy_ = objects_;
+    saved_revision_ = revision_;
+}
+
+void store_stub::restore()
+{
+    const std::lock_guard lock{mutex_};
+    objects_ = saved_copy_;
+    revision_ = saved_revision_;
+    std::erase_if(events_, [&](const event& one) { return one.revision > revision_; });
+    compacted_revision_ = std::min(compacted_revision_, revision_);
+    ++epoch_;
+    changed_.notify_all();
+}
+
 std::uint64_t store_stub::calls() const
 {
     const std::lock_guard lock{mutex_};
@@ -182,6 +201,14 @@
 }
 
 store_stub::answer store_stub::handle(const std::string& method, const std::string& uri, const std::string& body)
+{
+    auto made = dispatch(method, uri, body);
+    const std::lock_guard lock{mutex_};
+    made.epoch = epoch_;
+    return made;
+}
+
+store_stub::answer store_stub::dispatch(const std::string& method, const std::string& uri, const std::string& body)
 {
     {
         std::unique_lock lock{mutex_};
@@ -189,7 +216,7 @@
         if (fault_ == store_fault::silent)
         {
             changed_.wait_for(lock, max_silence, [&] { return stopping_ || fault_ != store_fault::silent; });
-            return {.status = 0, .body = {}, .lost = true};
+            return {.status = 0, .body = {}, .epoch = 0, .lost = true};
         }
         if (fault_ == store_fault::slow)
         {
@@ -247,18 +274,20 @@
 {
     std::unique_lock lock{mutex_};
     const auto is_new = [&](const event& one) { return one.revision > revision && one.kind == kind; };
+    const auto is_gone = [&] { return revision < compacted_revision_ || revision > revision_; };
     const auto initial_fault = fault_;
+    const auto initial_epoch = epoch_;
     changed_.wait_for(lock, std::chrono::milliseconds{wait_ms},
                       [&]
                       {
-                          return stopping_ || revision < compacted_revision_ || fault_ != initial_fault ||
+                          return stopping_ || is_gone() || fault_ != initial_fault || epoch_ != initial_epoch ||
                                  std::any_of(events_.begin(), events_.end(), is_new);
                       });
-    if (stopping_ || (fault_ != initial_fault && fault_ != store_fault::slow))
+    if (stopping_ || epoch_ != initial_epoch || (fault_ != initial_fault && fault_ != store_fault::slow))
     {
-        return {.status = 0, .body = {}, .lost = true};
+        return {.status = 0, .body = {}, .epoch = 0, .lost = true};
     }
-    if (revision < compacted_revision_)
+    if (is_gone())
     {
         return {.status = 410, .body = "{}"};
     }
--- a/tools/edge_soak/store_stub.hpp
+++ b/tools/edge_soak/store_stub.hpp
@@ -41,6 +41,11 @@
     void remove(const std::string& kind, const std::string& name);
     void set_fault(store_fault fault);
     store_fault fault() const;
+    /// Keeps a copy of the objects for `restore`.
+    void save_copy();
+    /// Returns to the last copy: later writes are gone, their revisions are given out again,
+    /// and the epoch rises.
+    void restore();
     /// Deletes the history: watches from older revisions are answered with 410.
     void compact();
     /// Returns the number of calls so far.
@@ -51,6 +56,7 @@
     {
         int status = 200;
         std::string body;
+        std::uint64_t epoch = 0;
         /// The connection is closed without an answer.
         bool lost = false;
     };
@@ -71,6 +77,8 @@
     };
     class server;
 
+    /// Answers a call of the store's interface.
+    answer dispatch(const std::string& method, const std::string& uri, const std::string& body);
     answer list(const std::string& kind, const std::string& after, bool may_be_stale);
     answer watch(const std::string& kind, std::uint64_t revision, std::uint64_t wait_ms);
     answer write(const std::string& method, const std::string& kind, const std::string& name, const std::string& body);
@@ -82,9 +90,13 @@
     /// Copy of the objects that answers calls with `allow-stale`.
     std::map<std::string, std::map<std::string, object>> stale_copy_;
     std::chrono::steady_clock::time_point stale_copy_time_{};
+    /// Copy to which `restore` returns, and its revision.
+    std::map<std::string, std::map<std::string, object>> saved_copy_;
+    std::uint64_t saved_revision_ = 1;
     std::vector<event> events_;
     std::uint64_t revision_ = 1;
     std::uint64_t compacted_revision_ = 0;
+    std::uint64_t epoch_ = 1;
     std::uint64_t calls_ = 0;
     store_fault fault_ = store_fault::none;
     bool stopping_ = false;
