Bind a watch's position to the epoch of the store

Cause: the position of a watch was a bare revision. The store gives revisions out again, so it may have the position again when the host is back; the watch then succeeds and returns only what follows it. Change: a position is an epoch and a number; an answer of another epoch is not used and starts a complete list, which may not be stale. The same holds within a list of several pages. It works because each answer names its epoch, so no answer to a question about one history is read as one about another.

--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -4,6 +4,7 @@
 #include <galenabay/base/error.hpp>
 #include <galenabay/base/random.hpp>
 #include <galenabay/base/time.hpp>
+#include <galenabay/steer/store_revision.hpp>
 
 #include <cstdint>
 #include <string>
@@ -52,8 +53,9 @@
 
 /// Decides the calls that read and follow one kind of objects: a complete list first, then
 /// watches from its revision, and a new list when the store no longer has the history since
-/// then. The first list may be stale, since a watch or a host with newer state supplies
-/// the missing changes. Does no I/O; not thread-safe.
+/// then or answers in another epoch, in which the revision means something else. The first
+/// list may be stale, since a watch or a host with newer state supplies the missing changes.
+/// Does no I/O; not thread-safe.
 class store_watch
 {
 public:
@@ -65,25 +67,31 @@
     /// Returns the next call, which stays the same until its result is recorded.
     store_call next() const;
 
-    /// Records a page of the list, which shows the store at `revision` or later. Returns true
+    /// Records a page of the list, which shows the store at `read_at` or later. Returns true
     /// when the list is complete.
-    bool on_page(std::uint64_t revision, const std::string& last_name, bool more, base::time_point now);
-    /// Records the answer to a watch.
-    void on_changes(std::uint64_t revision, bool has_changes, base::time_point now);
+    bool on_page(const steer::store_revision& read_at, const std::string& last_name, bool more, base::time_point now);
+    /// Records the answer to a watch. Returns false when it must not be used, because changes
+    /// may be missing from it.
+    bool on_changes(const steer::store_revision& read_at, bool has_changes, base::time_point now);
     /// Records a failed call; `stale` starts a new list at once.
     void on_failure(base::error_code code, base::time_point now);
 
+    /// Returns true when a complete list has been read, so that the next call is a watch.
+    bool has_list() const noexcept { return listed_; }
     /// Number of calls that failed since the last answer.
     int failures() const noexcept { return backoff_.failures(); }
 
 private:
+    /// Begins a new list at once.
+    void restart(base::time_point now);
+
     store_watch_options options_;
     base::random_source random_;
     base::backoff backoff_;
     bool listed_ = false;
     bool may_be_stale_ = true;
-    std::uint64_t list_revision_ = 0;
-    std::uint64_t revision_ = 0;
+    /// Revision of the list or of the last answer to a watch.
+    steer::store_revision position_;
     std::string after_;
     base::time_point not_before_{};
 };
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -78,7 +78,7 @@
 void store_worker::run_step()
 {
     const auto call = watch_.next();
-    const bool follows = call.what == store_call::kind::list || state_.follows.load();
+    const bool follows = !watch_.has_list() || state_.follows.load();
     if (!follows || watch_.failures() > 0)
     {
         const auto peer = state_.take_read_request(kind_);
@@ -166,14 +166,14 @@
     const bool regained = watch_.failures() > 0;
     const auto now = base::steady_now();
     // A stale page is only certain to contain the changes of its own objects.
-    const auto revision = call.may_be_stale ? last_change_of(page) : page.revision;
-    if (watch_.on_page(revision, page.last_name, page.more, now))
+    const auto number = call.may_be_stale ? last_change_of(page) : page.revision.number;
+    if (watch_.on_page({.epoch = page.revision.epoch, .number = number}, page.last_name, page.more, now))
     {
         log_event{log_level::info, regained ? "store_regained" : "store_listed"}
             .with("kind", name_of(kind_))
             .with("objects", listed_.size())
-            .with("revision", revision)
-            .with("epoch", page.epoch);
+            .with("revision", number)
+            .with("epoch", page.revision.epoch);
         enqueue({.what = store_update::kind::list,
                  .objects_of = kind_,
                  .objects = std::exchange(listed_, {}),
@@ -197,17 +197,16 @@
         log_event{log_level::info, "store_regained"}
             .with("kind", name_of(kind_))
             .with("failures", watch_.failures())
-            .with("revision", page.revision)
-            .with("epoch", page.epoch);
+            .with("revision", page.revision.number)
+            .with("epoch", page.revision.epoch);
     }
     const auto now = base::steady_now();
-    watch_.on_changes(page.revision, !page.objects.empty(), now);
-    if (!page.objects.empty())
+    if (watch_.on_changes(page.revision, !page.objects.empty(), now) && !page.objects.empty())
     {
         enqueue({.what = store_update::kind::changes,
                  .objects_of = kind_,
                  .objects = page.objects,
-                 .revision = page.revision,
+                 .revision = page.revision.number,
                  .state = {},
                  .received_at = now});
     }
@@ -238,17 +237,18 @@
 
 void store_worker::observe_epoch(const adapter::store_page& page, std::uint64_t position)
 {
-    const auto before = std::exchange(epoch_, page.epoch);
-    if (before && *before != page.epoch)
+    const auto epoch = page.revision.epoch;
+    const auto before = std::exchange(epoch_, epoch);
+    if (before && *before != epoch)
     {
         log_event{log_level::warning, "store_epoch_changed"}
             .with("kind", name_of(kind_))
             .with("before", *before)
-            .with("epoch", page.epoch)
-            .with("revision", page.revision)
+            .with("epoch", epoch)
+            .with("revision", page.revision.number)
             .with("position", position);
     }
-    metrics_.store_epoch.Set(static_cast<double>(page.epoch));
+    metrics_.store_epoch.Set(static_cast<double>(epoch));
 }
 
 void store_worker::enqueue(store_update update)
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -173,7 +173,7 @@
     CHECK(entry.warm_up_left == 250ms);
     CHECK(entry.started_ms == 1785880304094ULL);
     CHECK_FALSE(entry.draining);
-    LONGS_EQUAL(530, page.value().revision);
+    LONGS_EQUAL(530, page.value().revision.number);
     STRCMP_EQUAL("i-7f3a91c2", page.value().last_name.c_str());
 }
 
--- a/tests/edge/store_watch_test.cpp
+++ b/tests/edge/store_watch_test.cpp
@@ -12,9 +12,9 @@
     store_watch watch{options, 1};
     base::time_point now{1h};
 
-    void list_everything(std::uint64_t revision)
+    void list_everything(std::uint64_t revision, std::uint64_t epoch = 1)
     {
-        CHECK(watch.on_page(revision, "z", false, now));
+        CHECK(watch.on_page({epoch, revision}, "z", false, now));
     }
 };
 
@@ -28,9 +28,9 @@
 
 TEST(store_watch, reads_all_pages_and_watches_from_the_first_pages_revision)
 {
-    CHECK_FALSE(watch.on_page(40, "m", true, now));
+    CHECK_FALSE(watch.on_page({1, 40}, "m", true, now));
     STRCMP_EQUAL("m", watch.next().after.c_str());
-    CHECK(watch.on_page(45, "z", false, now));
+    CHECK(watch.on_page({1, 45}, "z", false, now));
     LONGS_EQUAL(40, watch.next().revision);
 }
 
@@ -46,17 +46,17 @@
 TEST(store_watch, a_series_of_changes_is_read_together)
 {
     list_everything(40);
-    watch.on_changes(41, true, now);
+    watch.on_changes({1, 41}, true, now);
     CHECK(watch.next().not_before == now + options.batch_pause);
-    watch.on_changes(41, false, now);
+    watch.on_changes({1, 41}, false, now);
     CHECK(watch.next().not_before == now);
 }
 
 TEST(store_watch, never_watches_from_an_older_revision)
 {
     list_everything(40);
-    watch.on_changes(50, true, now);
-    watch.on_changes(45, true, now);
+    watch.on_changes({1, 50}, true, now);
+    watch.on_changes({1, 45}, true, now);
     LONGS_EQUAL(50, watch.next().revision);
 }
 
@@ -89,3 +89,28 @@
     CHECK(watch.next().what == store_call::kind::list);
     CHECK_FALSE(watch.next().may_be_stale);
 }
+
+// Changes between the store's copy and the position of before a restore were never seen: the
+// store had given out the position's number again, so the watch did not fail.
+TEST(store_watch, an_answer_of_another_epoch_is_not_used_and_starts_a_new_list)
+{
+    list_everything(40);
+    CHECK_FALSE(watch.on_changes({2, 45}, true, now));
+    CHECK(watch.next().what == store_call::kind::list);
+    CHECK_FALSE(watch.next().may_be_stale);
+    CHECK(watch.next().not_before == now);
+    list_everything(30, 2);
+    LONGS_EQUAL(30, watch.next().revision);
+    CHECK(watch.on_changes({2, 31}, true, now));
+}
+
+// A list whose pages come from before and after a restore misses the objects that moved
+// between them.
+TEST(store_watch, a_list_that_spans_two_epochs_is_read_again)
+{
+    CHECK_FALSE(watch.on_page({1, 40}, "m", true, now));
+    CHECK_FALSE(watch.on_page({2, 20}, "z", false, now));
+    CHECK_FALSE(watch.has_list());
+    STRCMP_EQUAL("", watch.next().after.c_str());
+    CHECK_FALSE(watch.next().may_be_stale);
+}
--- a/tests/store_stub/restored_store_test.cpp
+++ b/tests/store_stub/restored_store_test.cpp
@@ -89,13 +89,14 @@
     }
     std::optional<peers::edge_state> state(const std::string& kind) const
     {
-        const auto answer = net::http_session::make(peers, 500ms).call({.step = "read_state",
-                                                                        .method = "GET",
-                                                                        .path = "/state/" + kind,
-                                                                        .body = {},
-                                                                        .expected_version = {},
-                                                                        .timeout = 500ms,
-                                                                        .max_response = 1U << 20U});
+        const auto answer = net::http_session::make(peers, 500ms)
+                                .call({.step = "read_state",
+                                       .method = "GET",
+                                       .path = "/state/" + kind,
+                                       .body = {},
+                                       .expected_version = {},
+                                       .timeout = 500ms,
+                                       .max_response = 1U << 20U});
         const auto read = answer ? peers::decode_state(answer.value().body) : answer.error();
         return read ? std::optional{read.value()} : std::nullopt;
     }
