Read a current list before the first watch

Callers saw: a host that started while the store came back from an older copy could miss the changes that followed, for as long as it ran. Cause: the first list may be stale, and the watch continued from its largest revision. A stale list may be from before the restore, while its header names the present epoch, so its revisions say nothing about the present history. Change: a list that may be stale makes the host ready; a host that begins to watch, or reads the store once, makes a current list first. That is one list more for each kind and each watcher, not for each host. Changed tests: the store_watch tests read the second list, too; the test of pages begins with a current list. They check as much as before.

--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -1,13 +1,14 @@
 #include "store_watch.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace galenabay::edge
 {
 
 store_call store_watch::next() const
 {
-    return has_list() ? store_call{.what = store_call::kind::watch,
+    return can_watch_ ? store_call{.what = store_call::kind::watch,
                                    .may_be_stale = false,
                                    .after = {},
                                    .revision = position_.number,
@@ -43,6 +44,7 @@
         return false;
     }
     listed_ = true;
+    can_watch_ = !std::exchange(may_be_stale_, false);
     after_.clear();
     return true;
 }
@@ -73,6 +75,7 @@
 void store_watch::restart(base::time_point now)
 {
     listed_ = false;
+    can_watch_ = false;
     may_be_stale_ = false;
     after_.clear();
     not_before_ = now;
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -54,8 +54,8 @@
 /// Decides the calls that read and follow one kind of objects: a complete list first, then
 /// watches from its revision, and a new list when the store no longer has the history since
 /// then or answers in another epoch, in which the revision means something else. The first
-/// list may be stale, since a watch or a host with newer state supplies the missing changes.
-/// Does no I/O; not thread-safe.
+/// list may be stale so that a start costs little; it may be from an earlier epoch, so that a
+/// second, current list precedes the first watch. Does no I/O; not thread-safe.
 class store_watch
 {
 public:
@@ -76,7 +76,8 @@
     /// Records a failed call; `stale` starts a new list at once.
     void on_failure(base::error_code code, base::time_point now);
 
-    /// Returns true when a complete list has been read, so that the next call is a watch.
+    /// Returns true when a complete list has been read, so that no call is due unless this
+    /// host follows the store.
     bool has_list() const noexcept { return listed_; }
     /// Number of calls that failed since the last answer.
     int failures() const noexcept { return backoff_.failures(); }
@@ -90,6 +91,8 @@
     base::backoff backoff_;
     bool listed_ = false;
     bool may_be_stale_ = true;
+    /// The list was current, so that a watch can continue from it.
+    bool can_watch_ = false;
     /// Revision of the list or of the last answer to a watch.
     steer::store_revision position_;
     std::string after_;
--- a/tests/edge/store_watch_test.cpp
+++ b/tests/edge/store_watch_test.cpp
@@ -12,8 +12,13 @@
     store_watch watch{options, 1};
     base::time_point now{1h};
 
+    /// Reads a complete list that is not stale.
     void list_everything(std::uint64_t revision, std::uint64_t epoch = 1)
     {
+        if (watch.next().may_be_stale)
+        {
+            CHECK(watch.on_page({epoch, revision - 1}, "z", false, now));
+        }
         CHECK(watch.on_page({epoch, revision}, "z", false, now));
     }
 };
@@ -21,13 +26,17 @@
 TEST(store_watch, lists_before_it_watches)
 {
     CHECK(watch.next().what == store_call::kind::list);
+    CHECK_FALSE(watch.has_list());
     list_everything(40);
+    CHECK(watch.has_list());
     CHECK(watch.next().what == store_call::kind::watch);
     LONGS_EQUAL(40, watch.next().revision);
 }
 
 TEST(store_watch, reads_all_pages_and_watches_from_the_first_pages_revision)
 {
+    list_everything(30);
+    watch.on_failure(base::error_code::stale, now);
     CHECK_FALSE(watch.on_page({1, 40}, "m", true, now));
     STRCMP_EQUAL("m", watch.next().after.c_str());
     CHECK(watch.on_page({1, 45}, "z", false, now));
@@ -90,6 +99,19 @@
     CHECK_FALSE(watch.next().may_be_stale);
 }
 
+// Changes after a restore were never seen by a host that started at that time: its stale first
+// list was from before, and the watch continued from there.
+TEST(store_watch, a_current_list_precedes_the_first_watch)
+{
+    CHECK(watch.on_page({2, 50}, "z", false, now));
+    CHECK(watch.has_list());
+    CHECK(watch.next().what == store_call::kind::list);
+    CHECK_FALSE(watch.next().may_be_stale);
+    CHECK(watch.on_page({2, 30}, "z", false, now));
+    CHECK(watch.next().what == store_call::kind::watch);
+    LONGS_EQUAL(30, watch.next().revision);
+}
+
 // Changes between the store's copy and the position of before a restore were never seen: the
 // store had given out the position's number again, so the watch did not fail.
 TEST(store_watch, an_answer_of_another_epoch_is_not_used_and_starts_a_new_list)
