Compare store revisions by epoch first, in the registry and between hosts

Cause: registrations, removals, lists and the hosts' claims of how far they are were ordered by bare revisions. A report after the restore has a smaller number than what was known from before and was ignored; a host with revisions of the lost history passed for the newer one, and hosts that had the report undid it when they read from that host. Change: steer::store_revision, an epoch and a number, in the registrations, the messages between hosts (new fields, 0 when absent) and the state that they serve. Objects of a list that may be stale have epoch 0, below every known one. It works because numbers are now only compared within the history that gave them out.

--- a/include/galenabay/peers/fleet_exchange.hpp
+++ b/include/galenabay/peers/fleet_exchange.hpp
@@ -152,7 +152,7 @@
     /// Returns a live host with a newer configuration, or newer upstreams; as in `peer_view`,
     /// and for a collector the collectors of other data centres, too.
     std::optional<base::endpoint> with_newer_configuration(std::uint64_t version, base::time_point now);
-    std::optional<base::endpoint> with_newer_upstreams(std::uint64_t revision, base::time_point now);
+    std::optional<base::endpoint> with_newer_upstreams(const steer::store_revision& revision, base::time_point now);
 
     /// Returns the sum of the other hosts' load on each upstream, with the time since the
     /// latest answer that any of them saw.
@@ -168,7 +168,7 @@
         base::time_point last_seen{};
         bool follows_store = false;
         std::uint64_t configuration_version = 0;
-        std::uint64_t upstreams_revision = 0;
+        steer::store_revision upstreams_revision;
     };
     /// What the collectors of one data centre report.
     struct reported_sums
--- a/include/galenabay/peers/host_status.hpp
+++ b/include/galenabay/peers/host_status.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <galenabay/steer/packet_header.hpp>
+#include <galenabay/steer/store_revision.hpp>
 
 #include <chrono>
 #include <compare>
@@ -42,7 +43,7 @@
     /// Version of the configuration in force; 0 for none.
     std::uint64_t configuration_version = 0;
     /// Store revision of the last change of the upstreams that the host applied.
-    std::uint64_t upstreams_revision = 0;
+    steer::store_revision upstreams_revision;
     /// `loads` is filled. Only the collectors of the data centre receive it, because it is many
     /// times larger than the rest.
     bool with_loads = false;
--- a/include/galenabay/peers/load_sums.hpp
+++ b/include/galenabay/peers/load_sums.hpp
@@ -2,6 +2,7 @@
 
 #include <galenabay/base/endpoint.hpp>
 #include <galenabay/peers/host_status.hpp>
+#include <galenabay/steer/store_revision.hpp>
 
 #include <compare>
 #include <cstdint>
@@ -71,7 +72,7 @@
     bool follows_store = false;
     /// What the collector itself has applied, as in `host_status`.
     std::uint64_t configuration_version = 0;
-    std::uint64_t upstreams_revision = 0;
+    steer::store_revision upstreams_revision;
     load_page page;
     std::vector<upstream_votes> votes;
     /// Passed on by a host that does not collect; not passed on again.
--- a/include/galenabay/peers/peer_view.hpp
+++ b/include/galenabay/peers/peer_view.hpp
@@ -97,8 +97,8 @@
                                                            base::time_point now) const;
     /// Returns a live host that applied changes of the upstreams after `revision`, selected
     /// in the same way.
-    std::optional<base::endpoint> with_newer_upstreams(std::uint64_t revision, base::random_source& random,
-                                                       base::time_point now) const;
+    std::optional<base::endpoint> with_newer_upstreams(const steer::store_revision& revision,
+                                                       base::random_source& random, base::time_point now) const;
 
     /// Adds the loads that live hosts of this data centre report to `totals`.
     void add_loads(load_totals& totals, base::time_point now) const;
--- a/include/galenabay/peers/upstream_changes.hpp
+++ b/include/galenabay/peers/upstream_changes.hpp
@@ -15,7 +15,7 @@
 struct removed_upstream
 {
     std::string id;
-    std::uint64_t revision = 0;
+    steer::store_revision revision;
 
     friend auto operator<=>(const removed_upstream&, const removed_upstream&) = default;
 };
@@ -25,8 +25,8 @@
 {
     /// Revision that the changes follow: a host that has applied all changes up to it is at
     /// `revision` after it has applied these.
-    std::uint64_t previous_revision = 0;
-    std::uint64_t revision = 0;
+    steer::store_revision previous_revision;
+    steer::store_revision revision;
     std::vector<steer::upstream_entry> entries;
     std::vector<removed_upstream> removed;
     /// Data centre of the host that sends the datagram; empty in a complete state.
--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -94,11 +94,12 @@
     /// than the version in force.
     bool on_configuration(const configuration& next);
     /// Applies a complete list of the upstreams as of a store revision.
-    outcome on_upstream_list(const std::vector<upstream_entry>& entries, std::uint64_t revision, base::time_point now);
+    outcome on_upstream_list(const std::vector<upstream_entry>& entries, const store_revision& revision,
+                             base::time_point now);
     /// Applies one registration, unless a newer change of the upstream was applied.
     outcome on_upstream(const upstream_entry& entry, base::time_point now);
     /// Applies the removal of a registration at a store revision, with the same exception.
-    outcome on_upstream_removed(const std::string& id, std::uint64_t revision, base::time_point now);
+    outcome on_upstream_removed(const std::string& id, const store_revision& revision, base::time_point now);
     /// Records that the store could not be read: for `missing_grace` from `now` no missing
     /// upstream is ended.
     void on_store_failure(base::time_point now) { registry_.store_failed(now); }
--- a/include/galenabay/steer/upstream_entry.hpp
+++ b/include/galenabay/steer/upstream_entry.hpp
@@ -3,6 +3,7 @@
 #include <galenabay/base/endpoint.hpp>
 #include <galenabay/base/time.hpp>
 #include <galenabay/steer/packet_header.hpp>
+#include <galenabay/steer/store_revision.hpp>
 
 #include <compare>
 #include <cstdint>
@@ -29,7 +30,7 @@
     /// Remaining time for which the upstream is slow after its start.
     base::duration warm_up_left{0};
     /// Store revision at which the registration last changed.
-    std::uint64_t revision = 0;
+    store_revision revision;
 
     friend auto operator<=>(const upstream_entry&, const upstream_entry&) = default;
 };
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -119,10 +119,10 @@
     change put(const upstream_entry& entry, base::time_point now);
     /// Marks the upstream as missing: since `revision` the store no longer lists it, or
     /// lists it with unusable fields.
-    change remove(const std::string& id, std::uint64_t revision, base::time_point now);
+    change remove(const std::string& id, const store_revision& revision, base::time_point now);
     /// Applies a complete list as of `revision`. Upstreams that it does not contain are
     /// missing, except those that changed after `revision`.
-    std::vector<change> replace_all(const std::vector<upstream_entry>& entries, std::uint64_t revision,
+    std::vector<change> replace_all(const std::vector<upstream_entry>& entries, const store_revision& revision,
                                     base::time_point now);
     /// Records that the store could not be read: registrations may expire although their
     /// upstreams are alive.
@@ -161,13 +161,13 @@
     /// Latest change of an id that was applied.
     struct known_revision
     {
-        std::uint64_t revision = 0;
+        store_revision revision;
         bool removed = false;
         base::time_point at{};
     };
 
     /// Records a change of the id. Returns false when it is not newer than the last one.
-    bool record_revision(const std::string& id, std::uint64_t revision, bool removed, base::time_point now);
+    bool record_revision(const std::string& id, const store_revision& revision, bool removed, base::time_point now);
     /// Counts a registration that was not applied, unless it says what is known.
     void count_outdated(const upstream_entry& entry);
     change mark_missing(upstream_incarnation& incarnation, base::time_point now);
--- a/schema/edge.capnp
+++ b/schema/edge.capnp
@@ -43,6 +43,8 @@
   # Time until the next status; 0 for the default.
   storeLost @14 :Bool;
   # The host is to watch the store, and its last calls failed.
+  upstreamsEpoch @15 :UInt64;
+  # Epoch of `upstreamsRevision`: it rises when the store returns from an older copy.
 }
 
 struct UpstreamVotes {
@@ -88,6 +90,7 @@
   votes @5 :List(UpstreamVotes);
   relayed @6 :Bool;
   # Passed on by a host that does not collect; not passed on again.
+  upstreamsEpoch @7 :UInt64;
 }
 
 struct LoadDigest {
@@ -113,12 +116,15 @@
   draining @8 :Bool;
   warmUpLeftUs @9 :Int64;
   revision @10 :UInt64;
+  epoch @11 :UInt64;
+  # Epoch of `revision`; 0 when unknown.
 }
 
 struct RemovedUpstream {
   # A registration that was removed from the store at `revision`.
   id @0 :Text;
   revision @1 :UInt64;
+  epoch @2 :UInt64;
 }
 
 struct WeightedService {
@@ -150,6 +156,8 @@
   removed @3 :List(RemovedUpstream);
   dataCentre @4 :Text;
   # Data centre of the host that sends the datagram.
+  previousEpoch @5 :UInt64;
+  epoch @6 :UInt64;
 }
 
 struct EdgeState {
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -179,7 +179,7 @@
     }
 }
 
-void packet_worker::process_outcome(const steer::steerer::outcome& effects, std::uint64_t revision,
+void packet_worker::process_outcome(const steer::steerer::outcome& effects, const steer::store_revision& revision,
                                     base::time_point now)
 {
     for (const auto& change : effects.changes)
@@ -208,7 +208,7 @@
 void packet_worker::tick(base::time_point now)
 {
     next_tick_ = now + steer::steerer::tick_interval;
-    process_outcome(steerer_.on_tick(now), 0, now);
+    process_outcome(steerer_.on_tick(now), {}, now);
     if (snapshot_due_ && steerer_.is_ready())
     {
         publish_snapshot();
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -70,14 +70,15 @@
     void apply(const store_update& update);
     void apply_configuration(const store_update& update);
     void apply_upstreams(const store_update& update);
-    void process_outcome(const steer::steerer::outcome& effects, std::uint64_t revision, base::time_point now);
+    void process_outcome(const steer::steerer::outcome& effects, const steer::store_revision& revision,
+                         base::time_point now);
     void send_resets(const std::vector<steer::lost_flow>& resets, base::time_point now);
     void apply_hosts(const store_update& update);
     void apply_peer_state(const store_update& update);
     void apply_changes(const peers::upstream_changes& changes);
-    void adopt(const steer::configuration& next, std::uint64_t revision);
+    void adopt(const steer::configuration& next, const steer::store_revision& revision);
     /// Sends the changes that a watch returned to the other hosts.
-    void send_changes(const store_update& update, std::uint64_t previous_revision);
+    void send_changes(const store_update& update, const steer::store_revision& previous_revision);
     void exchange_with_peers(base::time_point now);
     /// Decides whether this host watches the store and collects loads, and logs a change.
     void update_roles(base::time_point now);
@@ -109,7 +110,7 @@
     /// Configuration in force, in the form that is served to other hosts.
     std::shared_ptr<const peers::edge_state> configuration_;
     /// Revision of the last change of the upstreams that was applied.
-    std::uint64_t upstreams_revision_ = 0;
+    steer::store_revision upstreams_revision_;
     /// The configuration or the upstreams changed since the last snapshot.
     bool snapshot_due_ = false;
     /// `steerer::silence_count` at the last urgent status.
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -92,7 +92,7 @@
         {
             log_.probe(*upstream, completed.result, effects.resets.size(), now);
         }
-        process_outcome(effects, 0, now);
+        process_outcome(effects, {}, now);
     }
 }
 
--- a/src/edge/packet_worker_updates.cpp
+++ b/src/edge/packet_worker_updates.cpp
@@ -99,7 +99,7 @@
     }
 }
 
-void packet_worker::adopt(const steer::configuration& next, std::uint64_t revision)
+void packet_worker::adopt(const steer::configuration& next, const steer::store_revision& revision)
 {
     const auto before = steerer_.routes().version();
     const bool adopted = steerer_.on_configuration(next);
@@ -112,7 +112,8 @@
         .with("version", next.version)
         .with("before", before)
         .with("routes", next.routes.size())
-        .with("revision", revision);
+        .with("revision", revision.number)
+        .with("epoch", revision.epoch);
     metrics_.version.Set(static_cast<double>(steerer_.routes().version()));
 }
 
@@ -139,6 +140,8 @@
     }
     if (update.what == store_update::kind::list)
     {
+        // The list may be empty, or older than the last change of the epoch before.
+        upstreams_revision_ = std::max(upstreams_revision_, {.epoch = update.revision.epoch, .number = 0});
         std::vector<steer::upstream_entry> entries;
         for (const auto& object : update.objects)
         {
@@ -163,7 +166,7 @@
     }
 }
 
-void packet_worker::send_changes(const store_update& update, std::uint64_t previous_revision)
+void packet_worker::send_changes(const store_update& update, const steer::store_revision& previous_revision)
 {
     peers::upstream_changes changes{.previous_revision = previous_revision,
                                     .revision = upstreams_revision_,
--- a/src/edge/registration_worker.cpp
+++ b/src/edge/registration_worker.cpp
@@ -129,7 +129,7 @@
     if (!updates_.push(std::make_shared<const store_update>(store_update{.what = store_update::kind::list,
                                                                          .objects_of = adapter::object_kind::hosts,
                                                                          .objects = std::move(hosts),
-                                                                         .revision = 0,
+                                                                         .revision = {},
                                                                          .state = {},
                                                                          .received_at = base::steady_now()})))
     {
--- a/src/edge/steering_log.cpp
+++ b/src/edge/steering_log.cpp
@@ -56,7 +56,7 @@
     }
 }
 
-void steering_log::upstream(const steer::upstream_registry::change& change, std::uint64_t revision,
+void steering_log::upstream(const steer::upstream_registry::change& change, const steer::store_revision& revision,
                             base::time_point now)
 {
     if (change.incarnation == nullptr || !upstreams_.allow(now))
@@ -72,7 +72,8 @@
         .with("started_ms", upstream.entry.started_ms)
         .with("token", upstream.token)
         .with("flows", upstream.flows)
-        .with("revision", revision);
+        .with("revision", revision.number)
+        .with("epoch", revision.epoch);
 }
 
 void steering_log::probe(const steer::upstream_incarnation& upstream, steer::probe_result result, std::size_t resets,
@@ -105,14 +106,16 @@
     }
 }
 
-void steering_log::refused(const adapter::store_object& object, std::uint64_t revision, base::time_point now)
+void steering_log::refused(const adapter::store_object& object, const steer::store_revision& revision,
+                           base::time_point now)
 {
     if (refused_.allow(now))
     {
         log_event{log_level::warning, "object_refused"}
             .with("id", object.name)
             .with("field", object.fault)
-            .with("revision", revision);
+            .with("revision", revision.number)
+            .with("epoch", revision.epoch);
     }
 }
 
--- a/src/edge/steering_log.hpp
+++ b/src/edge/steering_log.hpp
@@ -19,14 +19,15 @@
     void packet(const steer::packet_header& header, const steer::steering_decision& decision, std::uint64_t version,
                 base::time_point now);
     /// Logs a change of an upstream at a store revision.
-    void upstream(const steer::upstream_registry::change& change, std::uint64_t revision, base::time_point now);
+    void upstream(const steer::upstream_registry::change& change, const steer::store_revision& revision,
+                  base::time_point now);
     /// Logs an attempt to connect to an upstream and the number of flows reset by it.
     void probe(const steer::upstream_incarnation& upstream, steer::probe_result result, std::size_t resets,
                base::time_point now);
     /// Logs the reset of a flow that was decided without a packet of the flow.
     void reset(const steer::lost_flow& lost, base::time_point now);
     /// Logs an object of the store that cannot be used.
-    void refused(const adapter::store_object& object, std::uint64_t revision, base::time_point now);
+    void refused(const adapter::store_object& object, const steer::store_revision& revision, base::time_point now);
     /// Logs how many lines of each kind were suppressed since the last call.
     void summarize();
 
--- a/src/edge/store_update.hpp
+++ b/src/edge/store_update.hpp
@@ -29,7 +29,7 @@
     kind what = kind::failure;
     adapter::object_kind objects_of = adapter::object_kind::configuration;
     std::vector<adapter::store_object> objects;
-    std::uint64_t revision = 0;
+    steer::store_revision revision;
     std::shared_ptr<const peers::edge_state> state;
     /// When the answer arrived.
     base::time_point received_at{};
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -79,6 +79,8 @@
     /// Returns true when a complete list has been read, so that no call is due unless this
     /// host follows the store.
     bool has_list() const noexcept { return listed_; }
+    /// Revision of the last complete list or of the last answer to a watch.
+    const steer::store_revision& position() const noexcept { return position_; }
     /// Number of calls that failed since the last answer.
     int failures() const noexcept { return backoff_.failures(); }
 
@@ -93,7 +95,6 @@
     bool may_be_stale_ = true;
     /// The list was current, so that a watch can continue from it.
     bool can_watch_ = false;
-    /// Revision of the list or of the last answer to a watch.
     steer::store_revision position_;
     std::string after_;
     base::time_point not_before_{};
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -47,7 +47,7 @@
     std::uint64_t last = 0;
     for (const auto& object : page.objects)
     {
-        last = std::max(last, object.revision);
+        last = std::max(last, object.revision.number);
     }
     return last;
 }
@@ -139,7 +139,8 @@
         .with("kind", name_of(kind_))
         .with("address", peer.to_string())
         .with("version", state.value().configuration.version)
-        .with("revision", state.value().upstreams.revision);
+        .with("revision", state.value().upstreams.revision.number)
+        .with("epoch", state.value().upstreams.revision.epoch);
     enqueue({.what = store_update::kind::peer_state,
              .objects_of = kind_,
              .objects = {},
@@ -177,7 +178,7 @@
         enqueue({.what = store_update::kind::list,
                  .objects_of = kind_,
                  .objects = std::exchange(listed_, {}),
-                 .revision = watch_.next().revision,
+                 .revision = {.epoch = call.may_be_stale ? 0 : page.revision.epoch, .number = watch_.position().number},
                  .state = {},
                  .received_at = now});
     }
@@ -191,7 +192,7 @@
         return;
     }
     const auto& page = answer.value();
-    observe_epoch(page, watch_.next().revision);
+    observe_epoch(page, watch_.position().number);
     if (watch_.failures() > 0)
     {
         log_event{log_level::info, "store_regained"}
@@ -206,7 +207,7 @@
         enqueue({.what = store_update::kind::changes,
                  .objects_of = kind_,
                  .objects = page.objects,
-                 .revision = page.revision.number,
+                 .revision = page.revision,
                  .state = {},
                  .received_at = now});
     }
@@ -230,7 +231,7 @@
     enqueue({.what = store_update::kind::failure,
              .objects_of = kind_,
              .objects = {},
-             .revision = 0,
+             .revision = {},
              .state = {},
              .received_at = now});
 }
--- a/src/peers/fleet_exchange.cpp
+++ b/src/peers/fleet_exchange.cpp
@@ -285,7 +285,8 @@
                : select_collector([&](const known_collector& one) { return one.configuration_version > version; }, now);
 }
 
-std::optional<base::endpoint> fleet_exchange::with_newer_upstreams(std::uint64_t revision, base::time_point now)
+std::optional<base::endpoint> fleet_exchange::with_newer_upstreams(const steer::store_revision& revision,
+                                                                   base::time_point now)
 {
     const auto local = peers_.with_newer_upstreams(revision, random_, now);
     return local ? local
--- a/src/peers/fleet_exchange_messages.cpp
+++ b/src/peers/fleet_exchange_messages.cpp
@@ -58,7 +58,7 @@
 
 /// Returns the part of `changes` that starts at entry `begin`; `previous` is the revision
 /// of the part before, so that a receiver detects a lost part.
-upstream_changes part_of(const upstream_changes& changes, std::size_t begin, std::uint64_t previous)
+upstream_changes part_of(const upstream_changes& changes, std::size_t begin, const steer::store_revision& previous)
 {
     const auto end = std::min(begin + max_entries, changes.entries.size());
     const bool is_last = end == changes.entries.size();
--- a/src/peers/message_codec.cpp
+++ b/src/peers/message_codec.cpp
@@ -36,7 +36,8 @@
     out.setSlots(from.slots);
     out.setDraining(from.draining);
     out.setWarmUpLeftUs(from.warm_up_left.count());
-    out.setRevision(from.revision);
+    out.setRevision(from.revision.number);
+    out.setEpoch(from.revision.epoch);
 }
 
 steer::upstream_entry read_upstream(schema::UpstreamEntry::Reader in)
@@ -50,13 +51,15 @@
             .slots = in.getSlots() == 0 ? 1 : in.getSlots(),
             .draining = in.getDraining(),
             .warm_up_left = base::duration{in.getWarmUpLeftUs()},
-            .revision = in.getRevision()};
+            .revision = {.epoch = in.getEpoch(), .number = in.getRevision()}};
 }
 
 void write_changes(const upstream_changes& from, schema::UpstreamChanges::Builder out)
 {
-    out.setPreviousRevision(from.previous_revision);
-    out.setRevision(from.revision);
+    out.setPreviousRevision(from.previous_revision.number);
+    out.setPreviousEpoch(from.previous_revision.epoch);
+    out.setRevision(from.revision.number);
+    out.setEpoch(from.revision.epoch);
     out.setDataCentre(from.data_centre);
     auto entries = out.initEntries(static_cast<unsigned>(from.entries.size()));
     for (unsigned i = 0; i < entries.size(); ++i)
@@ -67,14 +70,15 @@
     for (unsigned i = 0; i < removed.size(); ++i)
     {
         removed[i].setId(from.removed[i].id);
-        removed[i].setRevision(from.removed[i].revision);
+        removed[i].setRevision(from.removed[i].revision.number);
+        removed[i].setEpoch(from.removed[i].revision.epoch);
     }
 }
 
 upstream_changes read_changes(schema::UpstreamChanges::Reader in)
 {
-    upstream_changes changes{.previous_revision = in.getPreviousRevision(),
-                             .revision = in.getRevision(),
+    upstream_changes changes{.previous_revision = {.epoch = in.getPreviousEpoch(), .number = in.getPreviousRevision()},
+                             .revision = {.epoch = in.getEpoch(), .number = in.getRevision()},
                              .entries = {},
                              .removed = {},
                              .data_centre = in.getDataCentre()};
@@ -84,7 +88,8 @@
     }
     for (const auto entry : in.getRemoved())
     {
-        changes.removed.push_back({.id = entry.getId(), .revision = entry.getRevision()});
+        changes.removed.push_back(
+            {.id = entry.getId(), .revision = {.epoch = entry.getEpoch(), .number = entry.getRevision()}});
     }
     return changes;
 }
@@ -223,7 +228,8 @@
     write_collector(from.collector, out.initCollector());
     out.setFollowsStore(from.follows_store);
     out.setConfigurationVersion(from.configuration_version);
-    out.setUpstreamsRevision(from.upstreams_revision);
+    out.setUpstreamsRevision(from.upstreams_revision.number);
+    out.setUpstreamsEpoch(from.upstreams_revision.epoch);
     out.setRelayed(from.relayed);
     write_page(from.page, out.initPage());
     write_votes(from.votes, out.initVotes(static_cast<unsigned>(from.votes.size())));
@@ -234,7 +240,7 @@
     return {.collector = read_collector(in.getCollector()),
             .follows_store = in.getFollowsStore(),
             .configuration_version = in.getConfigurationVersion(),
-            .upstreams_revision = in.getUpstreamsRevision(),
+            .upstreams_revision = {.epoch = in.getUpstreamsEpoch(), .number = in.getUpstreamsRevision()},
             .page = read_page(in.getPage()),
             .votes = read_votes(in.getVotes()),
             .relayed = in.getRelayed()};
@@ -267,7 +273,8 @@
     out.setFollowsStore(from.follows_store);
     out.setLeaving(from.leaving);
     out.setConfigurationVersion(from.configuration_version);
-    out.setUpstreamsRevision(from.upstreams_revision);
+    out.setUpstreamsRevision(from.upstreams_revision.number);
+    out.setUpstreamsEpoch(from.upstreams_revision.epoch);
     out.setWithLoads(from.with_loads);
     out.setJoining(from.joining);
     out.setStoreLost(from.store_lost);
@@ -287,7 +294,7 @@
             .store_lost = in.getStoreLost(),
             .leaving = in.getLeaving(),
             .configuration_version = in.getConfigurationVersion(),
-            .upstreams_revision = in.getUpstreamsRevision(),
+            .upstreams_revision = {.epoch = in.getUpstreamsEpoch(), .number = in.getUpstreamsRevision()},
             .with_loads = in.getWithLoads(),
             .loads = read_loads(in.getLoads()),
             .silent = read_tokens(in.getSilent()),
--- a/src/peers/peer_view.cpp
+++ b/src/peers/peer_view.cpp
@@ -233,8 +233,8 @@
     return select_peer([&](const host_status& status) { return status.configuration_version > version; }, random, now);
 }
 
-std::optional<base::endpoint> peer_view::with_newer_upstreams(std::uint64_t revision, base::random_source& random,
-                                                              base::time_point now) const
+std::optional<base::endpoint> peer_view::with_newer_upstreams(const steer::store_revision& revision,
+                                                              base::random_source& random, base::time_point now) const
 {
     return select_peer([&](const host_status& status) { return status.upstreams_revision > revision; }, random, now);
 }
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -75,7 +75,7 @@
     return adopted;
 }
 
-steerer::outcome steerer::on_upstream_list(const std::vector<upstream_entry>& entries, std::uint64_t revision,
+steerer::outcome steerer::on_upstream_list(const std::vector<upstream_entry>& entries, const store_revision& revision,
                                            base::time_point now)
 {
     has_upstreams_ = true;
@@ -87,7 +87,8 @@
     return process_changes({registry_.put(entry, now)});
 }
 
-steerer::outcome steerer::on_upstream_removed(const std::string& id, std::uint64_t revision, base::time_point now)
+steerer::outcome steerer::on_upstream_removed(const std::string& id, const store_revision& revision,
+                                              base::time_point now)
 {
     return process_changes({registry_.remove(id, revision, now)});
 }
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -37,7 +37,7 @@
     return token == 0 ? 1 : token;
 }
 
-bool upstream_registry::record_revision(const std::string& id, std::uint64_t revision, bool removed,
+bool upstream_registry::record_revision(const std::string& id, const store_revision& revision, bool removed,
                                         base::time_point now)
 {
     auto& known = revisions_[id];
@@ -111,7 +111,8 @@
     incarnation.missing_since.reset();
 }
 
-upstream_registry::change upstream_registry::remove(const std::string& id, std::uint64_t revision, base::time_point now)
+upstream_registry::change upstream_registry::remove(const std::string& id, const store_revision& revision,
+                                                    base::time_point now)
 {
     if (!record_revision(id, revision, true, now))
     {
@@ -132,7 +133,8 @@
 }
 
 std::vector<upstream_registry::change> upstream_registry::replace_all(const std::vector<upstream_entry>& entries,
-                                                                      std::uint64_t revision, base::time_point now)
+                                                                      const store_revision& revision,
+                                                                      base::time_point now)
 {
     std::vector<change> changes;
     std::unordered_set<std::string_view> listed;
--- a/tests/peers/fleet_exchange_test.cpp
+++ b/tests/peers/fleet_exchange_test.cpp
@@ -277,8 +277,11 @@
     virtual_fleet fleet{3, 8};
     fleet.run(8s);
     auto* watcher = fleet.collectors("centre-0").front();
-    const upstream_changes changes{
-        .previous_revision = 1, .revision = 2, .entries = {}, .removed = {}, .data_centre = {}};
+    const upstream_changes changes{.previous_revision = {.epoch = 1, .number = 1},
+                                   .revision = {.epoch = 1, .number = 2},
+                                   .entries = {},
+                                   .removed = {},
+                                   .data_centre = {}};
     fleet.send(*watcher, watcher->exchange->on_changes(changes, fleet.now()));
     fleet.run(1s);
     for (const auto& one : fleet.hosts())
@@ -414,3 +417,24 @@
     const auto rate = measure_control(2, 250, 500);
     CHECK(rate.largest <= static_cast<double>(2 * exchange_options{}.digest_bytes_per_second));
 }
+
+// Hosts took the state of a host from before a restore of the store for the newer one, because
+// its revision had the larger number, and so undid later reports.
+TEST(fleet_exchange, upstreams_of_a_later_epoch_are_newer_whatever_their_number)
+{
+    virtual_fleet fleet{2, 3};
+    for (auto& one : fleet.hosts())
+    {
+        one.own.upstreams_revision = {.epoch = 1, .number = 90};
+    }
+    auto& restored = fleet.hosts().front();
+    restored.own.upstreams_revision = {.epoch = 2, .number = 20};
+    fleet.run(8s);
+    CHECK_FALSE(restored.exchange->with_newer_upstreams({2, 20}, fleet.now()).has_value());
+    std::size_t behind = 0;
+    for (auto& one : fleet.hosts())
+    {
+        behind += one.exchange->with_newer_upstreams({1, 90}, fleet.now()) == restored.address ? 1 : 0;
+    }
+    CHECK(behind >= 2);
+}
--- a/tests/peers/message_codec_test.cpp
+++ b/tests/peers/message_codec_test.cpp
@@ -20,7 +20,7 @@
             .slots = 3,
             .draining = true,
             .warm_up_left = std::chrono::milliseconds{250},
-            .revision = 12};
+            .revision = {.epoch = 3, .number = 12}};
 }
 
 host_status make_status()
@@ -33,7 +33,7 @@
             .store_lost = true,
             .leaving = false,
             .configuration_version = 7,
-            .upstreams_revision = 12,
+            .upstreams_revision = {.epoch = 3, .number = 12},
             .with_loads = true,
             .loads = {{.token = 9, .flows = 3, .open_requests = 1}},
             .silent = {9, 10},
@@ -72,7 +72,7 @@
     const load_summary summary{.collector = make_stamp(),
                                .follows_store = true,
                                .configuration_version = 7,
-                               .upstreams_revision = 12,
+                               .upstreams_revision = {.epoch = 3, .number = 12},
                                .page = make_page(),
                                .votes = {{.token = 9, .silent = 2, .unreachable = 1}},
                                .relayed = true};
@@ -97,10 +97,10 @@
 
 TEST(message_codec, encodes_and_decodes_changes)
 {
-    const upstream_changes changes{.previous_revision = 10,
-                                   .revision = 12,
+    const upstream_changes changes{.previous_revision = {.epoch = 2, .number = 40},
+                                   .revision = {.epoch = 3, .number = 12},
                                    .entries = {make_entry("i-1"), make_entry("i-2")},
-                                   .removed = {{.id = "i-3", .revision = 11}},
+                                   .removed = {{.id = "i-3", .revision = {.epoch = 3, .number = 11}}},
                                    .data_centre = "east"};
     const auto decoded = decode_message(encode(message{changes}));
     CHECK(std::get<upstream_changes>(decoded.value()) == changes);
@@ -112,7 +112,7 @@
     state.configuration.version = 7;
     state.configuration.routes.push_back(
         {.name = "r", .address = 1, .port = 80, .services = {{.service = "a", .weight = 90}}});
-    state.upstreams.revision = 12;
+    state.upstreams.revision = {.epoch = 3, .number = 12};
     state.upstreams.entries.push_back(make_entry("i-1"));
     CHECK(decode_state(encode(state)).value() == state);
 }
--- a/tests/steer/steer_fixture.hpp
+++ b/tests/steer/steer_fixture.hpp
@@ -31,7 +31,8 @@
             .data_centre = "east",
             .slots = 3,
             .draining = false,
-            .warm_up_left = 0us};
+            .warm_up_left = 0us,
+            .revision = {}};
 }
 
 inline configuration make_configuration(std::uint64_t version, std::vector<weighted_service> services = {{"feed", 1}})
@@ -87,7 +88,7 @@
     explicit test_host(std::vector<upstream_entry> upstreams, std::uint64_t seed = 7) : core{{}, seed}
     {
         core.on_configuration(make_configuration(1));
-        core.on_upstream_list(upstreams, 0, at(0s));
+        core.on_upstream_list(upstreams, {}, at(0s));
         core.on_tick(at(0s));
     }
 
--- a/tests/steer/steerer_test.cpp
+++ b/tests/steer/steerer_test.cpp
@@ -95,7 +95,7 @@
 {
     const auto before = make_upstream("i-1", 1);
     test_host host{{before, make_upstream("i-2", 2)}};
-    host.core.on_upstream_removed("i-1", 0, at(1s));
+    host.core.on_upstream_removed("i-1", {}, at(1s));
     auto successor = make_upstream("i-9", 9, 5000, "other");
     successor.address = before.address;
     host.core.on_upstream(successor, at(2s));
@@ -111,7 +111,7 @@
     test_host host{{lost, make_upstream("i-2", 2)}};
     host.core.on_packet(data(1, token_of(lost), 1, 5), at(0s));
     host.run_until(1s);
-    host.core.on_upstream_removed("i-1", 0, at(1s));
+    host.core.on_upstream_removed("i-1", {}, at(1s));
     LONGS_EQUAL(0, host.run_until(3400ms).resets.size());
     LONGS_EQUAL(1, host.run_until(4s).resets.size());
 }
@@ -126,7 +126,7 @@
         host.run_until(now);
         host.core.on_store_failure(at(now));
     }
-    host.core.on_upstream_list({make_upstream("i-2", 2)}, 0, at(6s));
+    host.core.on_upstream_list({make_upstream("i-2", 2)}, {}, at(6s));
     LONGS_EQUAL(0, host.run_until(7500ms).resets.size());
     host.core.on_upstream(expired, at(7500ms));
     LONGS_EQUAL(0, host.run_until(20s).resets.size());
@@ -137,7 +137,7 @@
 {
     test_host host{{make_upstream("i-1", 1)}};
     host.core.on_store_failure(at(1s));
-    host.core.on_upstream_list({}, 0, at(2s));
+    host.core.on_upstream_list({}, {}, at(2s));
     check_action(steering_action::forward, host.core.on_packet(syn(1), at(2s)));
 }
 
@@ -233,7 +233,7 @@
     check_reason(steering_reason::not_ready, fresh.on_packet(syn(1), at(0s)));
     fresh.on_configuration(make_configuration(1));
     CHECK_FALSE(fresh.is_ready());
-    fresh.on_upstream_list({}, 0, at(0s));
+    fresh.on_upstream_list({}, {}, at(0s));
     CHECK(fresh.is_ready());
 }
 
--- a/tests/steer/upstream_selection_test.cpp
+++ b/tests/steer/upstream_selection_test.cpp
@@ -30,7 +30,7 @@
         entries.push_back(make_upstream_in("east", number));
         entries.push_back(make_upstream_in("west", 10 + number));
     }
-    core.on_upstream_list(entries, 0, at(0s));
+    core.on_upstream_list(entries, {}, at(0s));
     for (const auto& entry : entries)
     {
         const auto flows = entry.data_centre == "east" ? local_flows : remote_flows;
--- a/tests/store_stub/restored_store_test.cpp
+++ b/tests/store_stub/restored_store_test.cpp
@@ -133,7 +133,7 @@
         store.put("config", "main", configuration(2));
         store.put("servers", "i-1", registration("ready", 2));
         CHECK(holds_within(start_bound, [&] { return version_in_force() == 2; }));
-        CHECK(holds_within(start_bound, [&] { return upstream() && upstream()->revision > 10; }));
+        CHECK(holds_within(start_bound, [&] { return upstream() && upstream()->revision.number > 10; }));
     }
 };
 
