Order registrations across epochs by the upstream's own sequence

Callers would see: new flows on a draining upstream, or on one that left, from the return of the store until the upstream or its lease corrects the entry; and flows reset on upstreams that had started after the copy was made. Cause: the older copy lists upstreams as they were. The store's order of changes says nothing across epochs. Change: across epochs a registration is newer when the upstream sent it later (start time, then its own sequence); removals and lists of the present epoch count as before, an equal entry that is listed again is used again, and a late report does not bring back what is gone since. A new epoch counts as a failure of the store, so that unlisted upstreams have the usual time to register again. It works because the upstream's own order does not depend on the store. Evidence: four of six new registry tests failed before this change (run before it: a_restored_copy_does_not_undo_..., ..._does_not_bring_back_..., a_report_of_ an_earlier_epoch_..., a_new_epoch_counts_as_a_failure_...), all pass now.

--- a/include/galenabay/steer/upstream_entry.hpp
+++ b/include/galenabay/steer/upstream_entry.hpp
@@ -29,6 +29,8 @@
     bool draining = false;
     /// Remaining time for which the upstream is slow after its start.
     base::duration warm_up_left{0};
+    /// Rises with each registration that the upstream sends, until it restarts.
+    std::uint64_t sequence = 0;
     /// Store revision at which the registration last changed.
     store_revision revision;
 
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -159,15 +159,29 @@
 
 private:
     /// Latest change of an id that was applied.
-    struct known_revision
+    struct known_change
     {
         store_revision revision;
         bool removed = false;
         base::time_point at{};
+        /// Epoch of the registration that was applied last, and its place among those that
+        /// the upstream sent.
+        std::uint64_t content_epoch = 0;
+        std::uint64_t started_ms = 0;
+        std::uint64_t sequence = 0;
     };
 
-    /// Records a change of the id. Returns false when it is not newer than the last one.
-    bool record_revision(const std::string& id, const store_revision& revision, bool removed, base::time_point now);
+    /// Returns true when a registration is newer than what is known of the upstream. Within
+    /// an epoch the store's order decides. Across epochs the upstream's own order does: an
+    /// older copy of the store may list what the upstream has replaced since.
+    static bool is_newer(const upstream_entry& entry, const known_change& known);
+    /// Records a registration. Returns false when it must not be applied.
+    bool record_registration(const upstream_entry& entry, base::time_point now);
+    /// Records a removal. Returns false when a later change of the id is known.
+    bool record_removal(const std::string& id, const store_revision& revision, base::time_point now);
+    /// Treats a new epoch as a failure of the store: upstreams that started after its copy
+    /// was made are not listed until they register again.
+    void observe_epoch(std::uint64_t epoch, base::time_point now);
     /// Counts a registration that was not applied, unless it says what is known.
     void count_outdated(const upstream_entry& entry);
     change mark_missing(upstream_incarnation& incarnation, base::time_point now);
@@ -178,7 +192,8 @@
     std::unordered_map<upstream_token, std::unique_ptr<upstream_incarnation>> by_token_;
     std::unordered_map<std::string, upstream_incarnation*> by_id_;
     std::unordered_map<std::string, std::vector<upstream_incarnation*>> by_service_;
-    std::unordered_map<std::string, known_revision> revisions_;
+    std::unordered_map<std::string, known_change> known_;
+    std::uint64_t epoch_ = 0;
     std::optional<base::time_point> store_failed_at_;
     std::uint64_t outdated_count_ = 0;
 };
--- a/schema/edge.capnp
+++ b/schema/edge.capnp
@@ -118,6 +118,8 @@
   revision @10 :UInt64;
   epoch @11 :UInt64;
   # Epoch of `revision`; 0 when unknown.
+  sequence @12 :UInt64;
+  # Rises with each registration that the upstream sends, until it restarts.
 }
 
 struct RemovedUpstream {
--- a/src/peers/message_codec.cpp
+++ b/src/peers/message_codec.cpp
@@ -36,6 +36,7 @@
     out.setSlots(from.slots);
     out.setDraining(from.draining);
     out.setWarmUpLeftUs(from.warm_up_left.count());
+    out.setSequence(from.sequence);
     out.setRevision(from.revision.number);
     out.setEpoch(from.revision.epoch);
 }
@@ -51,6 +52,7 @@
             .slots = in.getSlots() == 0 ? 1 : in.getSlots(),
             .draining = in.getDraining(),
             .warm_up_left = base::duration{in.getWarmUpLeftUs()},
+            .sequence = in.getSequence(),
             .revision = {.epoch = in.getEpoch(), .number = in.getRevision()}};
 }
 
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -37,18 +37,71 @@
     return token == 0 ? 1 : token;
 }
 
-bool upstream_registry::record_revision(const std::string& id, const store_revision& revision, bool removed,
-                                        base::time_point now)
+bool upstream_registry::is_newer(const upstream_entry& entry, const known_change& known)
 {
-    auto& known = revisions_[id];
-    if (revision < known.revision || (revision == known.revision && known.removed && !removed))
+    const auto order = entry.sequence <=> known.sequence;
+    if (entry.revision.epoch == known.revision.epoch && known.content_epoch == known.revision.epoch)
+    {
+        return entry.revision > known.revision || (entry.revision == known.revision && !known.removed && order >= 0);
+    }
+    if (known.removed && entry.revision < known.revision)
+    {
+        return false;
+    }
+    if (entry.started_ms == 0 || entry.started_ms != known.started_ms)
+    {
+        return entry.started_ms == 0 ? entry.revision > known.revision : entry.started_ms > known.started_ms;
+    }
+    return order > 0 || (order == 0 && entry.revision > known.revision);
+}
+
+bool upstream_registry::record_registration(const upstream_entry& entry, base::time_point now)
+{
+    observe_epoch(entry.revision.epoch, now);
+    auto [row, is_new] = known_.try_emplace(entry.id);
+    auto& known = row->second;
+    const bool applied = is_new || is_newer(entry, known);
+    // Later changes of the epoch are compared with this one, whatever it says.
+    known.revision = std::max(known.revision, entry.revision);
+    if (applied)
+    {
+        known = {.revision = known.revision,
+                 .removed = false,
+                 .at = now,
+                 .content_epoch = entry.revision.epoch,
+                 .started_ms = entry.started_ms,
+                 .sequence = entry.sequence};
+    }
+    return applied;
+}
+
+bool upstream_registry::record_removal(const std::string& id, const store_revision& revision, base::time_point now)
+{
+    observe_epoch(revision.epoch, now);
+    auto& known = known_[id];
+    if (revision < known.revision)
     {
         return false;
     }
-    known = {.revision = revision, .removed = removed, .at = now};
+    known.revision = revision;
+    known.removed = true;
+    known.at = now;
+    known.content_epoch = revision.epoch;
     return true;
 }
 
+void upstream_registry::observe_epoch(std::uint64_t epoch, base::time_point now)
+{
+    if (epoch <= epoch_)
+    {
+        return;
+    }
+    if (std::exchange(epoch_, epoch) != 0)
+    {
+        store_failed(now);
+    }
+}
+
 void upstream_registry::count_outdated(const upstream_entry& entry)
 {
     const auto known = by_id_.find(entry.id);
@@ -60,9 +113,13 @@
 
 upstream_registry::change upstream_registry::put(const upstream_entry& entry, base::time_point now)
 {
-    if (!record_revision(entry.id, entry.revision, false, now))
+    if (!record_registration(entry, now))
     {
         count_outdated(entry);
+        if (const auto known = by_id_.find(entry.id); known != by_id_.end())
+        {
+            known->second->entry.revision = known_[entry.id].revision;
+        }
         return {};
     }
     auto kind = upstream_change::added;
@@ -107,6 +164,7 @@
 void upstream_registry::update(upstream_incarnation& incarnation, const upstream_entry& entry, base::time_point now)
 {
     incarnation.entry = entry;
+    incarnation.entry.revision = known_[entry.id].revision;
     incarnation.warm_at = now + entry.warm_up_left;
     incarnation.missing_since.reset();
 }
@@ -114,7 +172,7 @@
 upstream_registry::change upstream_registry::remove(const std::string& id, const store_revision& revision,
                                                     base::time_point now)
 {
-    if (!record_revision(id, revision, true, now))
+    if (!record_removal(id, revision, now))
     {
         return {};
     }
@@ -136,6 +194,7 @@
                                                                       const store_revision& revision,
                                                                       base::time_point now)
 {
+    observe_epoch(revision.epoch, now);
     std::vector<change> changes;
     std::unordered_set<std::string_view> listed;
     for (const auto& entry : entries)
@@ -187,7 +246,7 @@
                       return incarnation.ended && incarnation.flows == 0 &&
                              now - incarnation.ended_at >= limits_.retention;
                   });
-    std::erase_if(revisions_,
+    std::erase_if(known_,
                   [&](const auto& row) { return row.second.removed && now - row.second.at >= limits_.retention; });
     return ended;
 }
--- a/tests/peers/message_codec_test.cpp
+++ b/tests/peers/message_codec_test.cpp
@@ -20,6 +20,7 @@
             .slots = 3,
             .draining = true,
             .warm_up_left = std::chrono::milliseconds{250},
+            .sequence = 31,
             .revision = {.epoch = 3, .number = 12}};
 }
 
--- a/tests/steer/steer_fixture.hpp
+++ b/tests/steer/steer_fixture.hpp
@@ -32,6 +32,7 @@
             .slots = 3,
             .draining = false,
             .warm_up_left = 0us,
+            .sequence = 0,
             .revision = {}};
 }
 
--- a/tests/steer/upstream_registry_test.cpp
+++ b/tests/steer/upstream_registry_test.cpp
@@ -16,6 +16,17 @@
     return entry;
 }
 
+/// A registration with its place among those that the upstream sent.
+upstream_entry sent_as(std::uint64_t sequence, const store_revision& revision, bool draining = false)
+{
+    auto entry = at_revision(revision.number, draining, revision.epoch);
+    entry.started_ms = 1'785'880'304'094;
+    entry.sequence = sequence;
+    return entry;
+}
+
+const upstream_token sent_token = token_of(sent_as(1, {1, 1}));
+
 } // namespace
 
 TEST_GROUP(upstream_registry)
@@ -80,3 +91,73 @@
     LONGS_EQUAL(0, registry.replace_all({}, {1, 60}, at(2s)).size());
     CHECK(registry.remove("i-1", {2, 26}, at(2s)).kind == upstream_change::missing);
 }
+
+// A draining upstream got new flows again, because the store's older copy lists it as ready.
+TEST(upstream_registry, a_restored_copy_does_not_undo_a_later_report_of_the_upstream)
+{
+    registry.put(sent_as(4, {1, 10}), at(0s));
+    registry.put(sent_as(7, {1, 40}, true), at(1s));
+    registry.replace_all({sent_as(4, {2, 10})}, {2, 20}, at(2s));
+    CHECK(registry.find(sent_token)->entry.draining);
+    CHECK(registry.put(sent_as(9, {2, 21}, false), at(3s)).kind == upstream_change::updated);
+    CHECK_FALSE(registry.find(sent_token)->entry.draining);
+    CHECK(registry.remove("i-1", {2, 22}, at(4s)).kind == upstream_change::missing);
+}
+
+// An upstream that had left was used again, because the store's older copy lists it.
+TEST(upstream_registry, a_restored_copy_does_not_bring_back_an_upstream_that_left)
+{
+    registry.put(sent_as(4, {1, 10}), at(0s));
+    registry.put(sent_as(7, {1, 40}, true), at(1s));
+    registry.remove("i-1", {1, 41}, at(2s));
+    registry.replace_all({sent_as(4, {2, 10})}, {2, 20}, at(3s));
+    CHECK(registry.find(sent_token)->missing_since.has_value());
+    // The upstream runs after all: it registers again.
+    CHECK(registry.put(sent_as(8, {2, 21}), at(4s)).kind == upstream_change::updated);
+}
+
+// An upstream whose registration expired before the restore, and which the copy lists
+// unchanged, must not stay unused: a live one causes no further change of its entry.
+TEST(upstream_registry, an_expired_upstream_that_the_restored_copy_lists_is_used)
+{
+    registry.put(sent_as(4, {1, 10}), at(0s));
+    registry.remove("i-1", {1, 41}, at(2s));
+    CHECK(registry.put(sent_as(4, {2, 10}), at(3s)).kind == upstream_change::updated);
+    CHECK(registry.remove("i-1", {1, 45}, at(3s)).kind == upstream_change::none);
+}
+
+// A host of the lost history passes on a later report than the copy has; one about an upstream
+// that is gone since the restore comes too late.
+TEST(upstream_registry, a_report_of_an_earlier_epoch_counts_unless_the_upstream_is_gone_since)
+{
+    registry.put(sent_as(4, {2, 10}), at(0s));
+    registry.put(sent_as(7, {1, 40}, true), at(1s));
+    CHECK(registry.find(sent_token)->entry.draining);
+    registry.put(sent_as(4, {2, 10}), at(1s));
+    CHECK(registry.find(sent_token)->entry.draining);
+    LONGS_EQUAL(1, registry.replace_all({}, {2, 25}, at(2s)).size());
+    registry.remove("i-1", {2, 26}, at(2s));
+    registry.put(sent_as(8, {1, 41}), at(3s));
+    CHECK(registry.find(sent_token)->missing_since.has_value());
+}
+
+// Flows were reset and load moved away from upstreams that register again a moment after the
+// restore: the copy is from before they started.
+TEST(upstream_registry, a_new_epoch_counts_as_a_failure_of_the_store)
+{
+    registry.put(sent_as(4, {1, 40}), at(0s));
+    registry.replace_all({}, {2, 20}, at(10s));
+    CHECK(registry.may_have_expired(*registry.find(sent_token)));
+    LONGS_EQUAL(0, registry.expire(at(12s)).size());
+    CHECK_FALSE(registry.is_store_settled(at(12s)));
+    LONGS_EQUAL(1, registry.expire(at(13s)).size());
+}
+
+// The first known epoch is no news about the store.
+TEST(upstream_registry, the_first_epoch_is_no_failure_of_the_store)
+{
+    auto stale = sent_as(4, {0, 40});
+    registry.replace_all({stale}, {0, 40}, at(0s));
+    registry.replace_all({sent_as(4, {1, 40})}, {1, 41}, at(1s));
+    CHECK(registry.is_store_settled(at(1s)));
+}
