Check a host's entry as soon as the store has returned from an older copy

Callers saw: none directly. A host that starts without usable seeds finds the fleet through the entries of the collecting hosts; after a restore they were gone for up to a minute, or named lost hosts, and the new host steered alone. Cause: same class as the revisions: 'registered' is knowledge about one history of the store and outlived it. The entry was checked once in 60 s, by a list that may be stale. Change: registration_schedule (pure) binds the knowledge to the epoch in which it was certain; a host with an entry makes one current list in a new epoch and writes the entry again when it is gone. Hosts without an entry make no call. The epoch reaches hosts that do not watch through the others' statuses.

--- a/src/edge/registration_worker.cpp
+++ b/src/edge/registration_worker.cpp
@@ -20,15 +20,6 @@
 using base::log_level;
 using std::chrono::milliseconds;
 
-/// Pause between attempts to read or write the hosts' entries.
-constexpr base::duration retry_pause = milliseconds{1'000};
-/// Interval at which a host checks that its entry is still there and looks for hosts that
-/// it has no status of: long enough to cost next to nothing.
-constexpr base::duration refresh_interval = std::chrono::seconds{60};
-/// The same interval while no other host is live: a host that starts without usable seeds
-/// finds the others here.
-constexpr base::duration lonely_refresh_interval = milliseconds{1'000};
-
 } // namespace
 
 registration_worker::registration_worker(peers::member self, shared_state& state, edge_metrics& metrics,
@@ -52,58 +43,67 @@
     }
 }
 
+registration_schedule::situation registration_worker::situation() const
+{
+    return {.alone = state_.alone.load(),
+            .should_register = state_.should_register.load(),
+            .store_epoch = state_.store_epoch.load()};
+}
+
 void registration_worker::run_step()
 {
-    const auto answered_pause = state_.alone.load() ? lonely_refresh_interval : refresh_interval;
-    const auto pause = succeeded_ ? answered_pause : retry_pause;
-    if (base::steady_now() - attempted_at_ >= pause)
-    {
-        attempted_at_ = base::steady_now();
-        succeeded_ = report(refresh());
-    }
-    else if (succeeded_ && !registered_ && state_.should_register.load())
+    using step = registration_schedule::step;
+    switch (schedule_.next(situation(), base::steady_now()))
     {
-        attempted_at_ = base::steady_now();
-        succeeded_ = report(write_entry());
+    case step::list:
+        report(refresh(adapter::read_freshness::may_be_stale));
+        break;
+    case step::list_current:
+        report(refresh(adapter::read_freshness::latest));
+        break;
+    case step::write:
+        report(write_entry());
+        break;
+    case step::wait:
+        break;
     }
-    // After a failure the next attempt waits for `retry_pause`.
-    const bool awaits_role = succeeded_ && !registered_;
-    const auto limit = std::chrono::ceil<milliseconds>(std::min(retry_pause, pause));
-    remove_entries(state_.wait_for_registration_work(awaits_role, limit));
+    const auto limit = std::chrono::ceil<milliseconds>(schedule_.longest_wait(situation()));
+    remove_entries(state_.wait_for_registration_work(schedule_.awaits_role(), limit));
 }
 
-bool registration_worker::report(const base::result<void>& done)
+void registration_worker::report(const base::result<void>& done)
 {
     if (!done)
     {
+        schedule_.on_failed(base::steady_now());
         metrics_.store_failures(adapter::object_kind::hosts).Increment();
         log_event{log_level::warning, "registration_failed"}.with(done.error());
     }
-    return static_cast<bool>(done);
 }
 
-base::result<void> registration_worker::refresh()
+base::result<void> registration_worker::refresh(adapter::read_freshness freshness)
 {
     auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, store_answer_timeout);
-    BOOST_OUTCOME_TRY(hosts, list_hosts(client, adapter::read_freshness::may_be_stale));
-    registered_ = is_registered(hosts);
-    return enqueue_hosts(std::move(hosts));
+    BOOST_OUTCOME_TRY(listed, list_hosts(client, freshness));
+    const bool is_current = freshness == adapter::read_freshness::latest;
+    schedule_.on_listed(is_registered(listed.objects), is_current ? listed.epoch : 0, base::steady_now());
+    return enqueue_hosts(std::move(listed.objects));
 }
 
 base::result<void> registration_worker::write_entry()
 {
     auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, store_answer_timeout);
     metrics_.store_calls(adapter::object_kind::hosts).Increment();
-    BOOST_OUTCOME_TRY(client.put_host(self_.name, self_.address, self_.data_centre));
-    registered_ = true;
-    log_event{log_level::info, "registered"}.with("address", self_.address.to_string());
+    BOOST_OUTCOME_TRY(epoch, client.put_host(self_.name, self_.address, self_.data_centre));
+    schedule_.on_written(epoch, base::steady_now());
+    log_event{log_level::info, "registered"}.with("address", self_.address.to_string()).with("epoch", epoch);
     return base::outcome::success();
 }
 
-base::result<std::vector<adapter::store_object>> registration_worker::list_hosts(adapter::store_client& client,
-                                                                                 adapter::read_freshness freshness)
+base::result<registration_worker::host_list> registration_worker::list_hosts(adapter::store_client& client,
+                                                                             adapter::read_freshness freshness)
 {
-    std::vector<adapter::store_object> hosts;
+    host_list listed;
     std::string after;
     for (bool more = true; more;)
     {
@@ -112,9 +112,11 @@
         // An unusable object may be the last one of a page.
         more = page.more && page.last_name != after;
         after = page.last_name;
-        hosts.insert(hosts.end(), page.objects.begin(), page.objects.end());
+        // With a restore between two pages, the first ones may be out of date.
+        listed.epoch = listed.objects.empty() ? page.revision.epoch : std::min(listed.epoch, page.revision.epoch);
+        listed.objects.insert(listed.objects.end(), page.objects.begin(), page.objects.end());
     }
-    return hosts;
+    return listed;
 }
 
 bool registration_worker::is_registered(const std::vector<adapter::store_object>& hosts) const
--- a/src/edge/registration_worker.hpp
+++ b/src/edge/registration_worker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge_metrics.hpp"
+#include "registration_schedule.hpp"
 #include "shared_state.hpp"
 #include "store_update.hpp"
 
@@ -19,7 +20,8 @@
 /// Reads the addresses of other hosts from the platform's store, removes those of lost hosts,
 /// and writes this host's own once it collects loads, on a thread of its own. Hosts that start
 /// later find the fleet through these entries when the seeds in their settings are down. A
-/// host that finds its entry from an earlier start does not write it again.
+/// host that finds its entry from an earlier start does not write it again, unless the store
+/// has returned from an older copy since and lost it.
 class registration_worker
 {
 public:
@@ -34,14 +36,20 @@
     void run();
     /// Reads the list or writes the entry when it is due, and waits for the next work.
     void run_step();
-    /// Logs and counts a failure. Returns true when there was none.
-    bool report(const base::result<void>& done);
+    registration_schedule::situation situation() const;
+    /// Logs and counts a failure.
+    void report(const base::result<void>& done);
     /// Reads the entries of all hosts and passes them to the packet thread.
-    base::result<void> refresh();
+    base::result<void> refresh(adapter::read_freshness freshness);
     /// Writes the entry of this host.
     base::result<void> write_entry();
-    base::result<std::vector<adapter::store_object>> list_hosts(adapter::store_client& client,
-                                                                adapter::read_freshness freshness);
+    /// Entries of all hosts, and the epoch of the store's answers.
+    struct host_list
+    {
+        std::vector<adapter::store_object> objects;
+        std::uint64_t epoch = 0;
+    };
+    base::result<host_list> list_hosts(adapter::store_client& client, adapter::read_freshness freshness);
     bool is_registered(const std::vector<adapter::store_object>& hosts) const;
     base::result<void> enqueue_hosts(std::vector<adapter::store_object> hosts);
     void remove_entries(const std::vector<std::string>& lost);
@@ -51,11 +59,7 @@
     edge_metrics& metrics_;
     update_ring& updates_;
     net::wakeup_event& consumer_;
-    /// The store lists this host with its address.
-    bool registered_ = false;
-    /// The last attempt to read the list or to write the entry, and whether it succeeded.
-    base::time_point attempted_at_{};
-    bool succeeded_ = false;
+    registration_schedule schedule_;
     std::thread thread_;
 };
 
--- a/src/edge/shared_state.hpp
+++ b/src/edge/shared_state.hpp
@@ -34,11 +34,22 @@
     std::atomic<bool> follows{false};
     /// The store should list this host, so that others find the fleet through it.
     std::atomic<bool> should_register{false};
+    /// Latest known epoch of the store.
+    std::atomic<std::uint64_t> store_epoch{0};
     /// No other host is live.
     std::atomic<bool> alone{true};
     /// Time of the last packet from a router, in microseconds of the steady clock.
     std::atomic<std::int64_t> last_packet_us{0};
 
+    /// Records an epoch of the store that this or another host has seen.
+    void observe_store_epoch(std::uint64_t epoch)
+    {
+        auto known = store_epoch.load();
+        while (epoch > known && !store_epoch.compare_exchange_weak(known, epoch))
+        {
+        }
+    }
+
     bool stopping() const noexcept { return stop_.load(); }
     /// Makes the threads of the workers end.
     void stop()
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -249,7 +249,8 @@
             .with("revision", page.revision.number)
             .with("position", position);
     }
-    metrics_.store_epoch.Set(static_cast<double>(epoch));
+    state_.observe_store_epoch(epoch);
+    metrics_.store_epoch.Set(static_cast<double>(state_.store_epoch.load()));
 }
 
 void store_worker::enqueue(store_update update)
--- a/tests/store_stub/restored_store_test.cpp
+++ b/tests/store_stub/restored_store_test.cpp
@@ -12,6 +12,8 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 using namespace galenabay;
 using namespace std::chrono_literals;
@@ -60,33 +62,29 @@
     return condition();
 }
 
-} // namespace
-
-/// One entry host and a store that returns to an older copy. The store's revisions after the
-/// copy are given out again, until the store passes the host's position.
-TEST_GROUP(restored_store)
+/// An entry host in the process of the test.
+struct test_host
 {
-    base::endpoint store_address = next_endpoint();
     base::endpoint peers = next_endpoint();
-    edge_soak::store_stub store{store_address};
-    std::unique_ptr<edge::edge_host> host;
+    std::unique_ptr<edge::edge_host> running;
 
-    void start_host()
+    void start(const std::string& name, const base::endpoint& store, std::vector<base::endpoint> seeds = {})
     {
-        auto started = edge::edge_host::start({.host = "edge-1",
+        auto started = edge::edge_host::start({.host = name,
                                                .data_centre = "east",
                                                .packets = next_endpoint(),
                                                .readiness = next_endpoint(),
                                                .peers = peers,
-                                               .seeds = {},
-                                               .store = store_address,
+                                               .seeds = std::move(seeds),
+                                               .store = store,
                                                .config_bound = in_force_bound,
                                                .stop_bound = 1s,
                                                .flow_age_limit = 60s},
                                               0);
         CHECK(started.has_value());
-        host = std::make_unique<edge::edge_host>(std::move(started).value());
+        running = std::make_unique<edge::edge_host>(std::move(started).value());
     }
+    /// Returns the state of one kind of objects that the host serves to other hosts.
     std::optional<peers::edge_state> state(const std::string& kind) const
     {
         const auto answer = net::http_session::make(peers, 500ms)
@@ -111,6 +109,22 @@
         return known && !known->upstreams.entries.empty() ? std::optional{known->upstreams.entries.front()}
                                                           : std::nullopt;
     }
+};
+
+} // namespace
+
+/// An entry host and a store that returns to an older copy. The store's revisions after the
+/// copy are given out again, until the store passes the host's position.
+TEST_GROUP(restored_store)
+{
+    base::endpoint store_address = next_endpoint();
+    edge_soak::store_stub store{store_address};
+    test_host host;
+
+    bool lists_host(const std::string& name)
+    {
+        return store.handle("GET", "/objects/galenabay-hosts", "").body.find(name) != std::string::npos;
+    }
     /// Lets the store's revision rise by `count`.
     void advance(int count)
     {
@@ -126,14 +140,14 @@
     {
         store.put("config", "main", configuration(1));
         store.put("servers", "i-1", registration("ready", 1));
-        start_host();
-        CHECK(holds_within(start_bound, [&] { return version_in_force() == 1 && upstream(); }));
+        host.start("edge-1", store_address);
+        CHECK(holds_within(start_bound, [&] { return host.version_in_force() == 1 && host.upstream(); }));
         store.save_copy();
         advance(10);
         store.put("config", "main", configuration(2));
         store.put("servers", "i-1", registration("ready", 2));
-        CHECK(holds_within(start_bound, [&] { return version_in_force() == 2; }));
-        CHECK(holds_within(start_bound, [&] { return upstream() && upstream()->revision.number > 10; }));
+        CHECK(holds_within(start_bound, [&] { return host.version_in_force() == 2; }));
+        CHECK(holds_within(start_bound, [&] { return host.upstream() && host.upstream()->revision.number > 10; }));
     }
 };
 
@@ -148,7 +162,7 @@
     store.put("config", "main", configuration(3));
     advance(30);
     store.set_fault(edge_soak::store_fault::none);
-    CHECK(holds_within(in_force_bound, [&] { return version_in_force() == 3; }));
+    CHECK(holds_within(in_force_bound, [&] { return host.version_in_force() == 3; }));
 }
 
 // New flows went to an upstream that had reported that it drains: the report had a smaller
@@ -158,7 +172,7 @@
     run_until_restore();
     store.restore();
     store.put("servers", "i-1", registration("draining", 3));
-    CHECK(holds_within(in_force_bound, [&] { return upstream() && upstream()->draining; }));
+    CHECK(holds_within(in_force_bound, [&] { return host.upstream() && host.upstream()->draining; }));
 }
 
 // An upstream stayed in use after its registration was removed at a smaller revision than the
@@ -172,7 +186,7 @@
     CHECK(holds_within(in_force_bound,
                        [&]
                        {
-                           const auto known = state("servers");
+                           const auto known = host.state("servers");
                            return known && known->upstreams.entries.size() == 1 &&
                                   known->upstreams.entries.front().id == "i-2";
                        }));
@@ -193,6 +207,23 @@
     store.put("config", "main", configuration(2));
     store.put("config", "main", configuration(3));
     advance(30);
-    start_host();
-    CHECK(holds_within(start_bound + in_force_bound, [&] { return version_in_force() == 3; }));
+    host.start("edge-1", store_address);
+    CHECK(holds_within(start_bound + in_force_bound, [&] { return host.version_in_force() == 3; }));
+}
+
+// A host that started without usable seeds did not find the fleet: the restored store had lost
+// the entries of the collecting hosts, which wrote them again only after a minute.
+TEST(restored_store, entries_of_hosts_are_written_again)
+{
+    store.put("servers", "i-1", registration("ready", 1));
+    store.put("config", "main", configuration(1));
+    store.save_copy();
+    test_host other;
+    host.start("edge-1", store_address, {other.peers});
+    other.start("edge-2", store_address, {host.peers});
+    const auto are_listed = [&] { return lists_host("edge-1") && lists_host("edge-2"); };
+    CHECK(holds_within(2 * start_bound, are_listed));
+    store.restore();
+    CHECK_FALSE(are_listed());
+    CHECK(holds_within(start_bound, are_listed));
 }
