--- a/tests/store_stub/restored_store_test.cpp
+++ b/tests/store_stub/restored_store_test.cpp
@@ -68,10 +68,11 @@
     base::endpoint peers = next_endpoint();
     std::unique_ptr<edge::edge_host> running;
 
-    void start(const std::string& name, const base::endpoint& store, std::vector<base::endpoint> seeds = {})
+    void start(const std::string& name, const base::endpoint& store, std::vector<base::endpoint> seeds = {},
+               const std::string& data_centre = "east")
     {
         auto started = edge::edge_host::start({.host = name,
-                                               .data_centre = "east",
+                                               .data_centre = data_centre,
                                                .packets = next_endpoint(),
                                                .readiness = next_endpoint(),
                                                .peers = peers,
@@ -227,3 +228,28 @@
     CHECK_FALSE(are_listed());
     CHECK(holds_within(start_bound, are_listed));
 }
+
+// Hosts that started after the restore kept the older configuration of the store's copy while
+// another data centre had the accepted one: a host that watches the store did not read it.
+TEST(restored_store, a_new_host_takes_the_accepted_configuration_that_the_copy_lacks)
+{
+    store.put("servers", "i-1", registration("ready", 1));
+    store.put("config", "main", configuration(1));
+    store.save_copy();
+    store.put("config", "main", configuration(2));
+    host.start("edge-1", store_address);
+    CHECK(holds_within(start_bound, [&] { return host.version_in_force() == 2; }));
+    store.restore();
+    // Stale answers are no older than the restore. Without seeds the hosts find each other
+    // after both have begun to watch the store.
+    CHECK(holds_within(start_bound,
+                       [&]
+                       {
+                           const auto stale = store.handle("GET", "/objects/config?allow-stale=1", "").body;
+                           return stale.find(configuration(1)) != std::string::npos;
+                       }));
+    test_host started;
+    started.start("edge-2", store_address, {}, "west");
+    CHECK(holds_within(start_bound, [&] { return started.version_in_force() == 1; }));
+    CHECK(holds_within(start_bound + in_force_bound, [&] { return started.version_in_force() == 2; }));
+}
