Own interface: read a revision that was accepted under a reissued version

Operators saw: after the platform was restored from a backup and a set applied again, hosts that were away meanwhile keep the revision of before, without an alarm, until the next apply. A watch waits until the manifest's version differs from the one that was read; the restored platform had given that version out again, for another revision. Change: after a watch without a change, which already reads the manifest to see that it exists, number and digest are compared with those that were read last. Evidence: store_logic.a_revision_accepted_under_a_reissued_version_is_read failed before, passes now. The test's client passes the watched version on to the store; before, it ignored it.

--- a/src/platform/store_logic.hpp
+++ b/src/platform/store_logic.hpp
@@ -69,7 +69,7 @@
         BOOST_OUTCOME_TRY(found, client_.watch(manifest_key, after, wait));
         if (found.version == 0)
         {
-            return after == 0 ? std::optional<stored_revision>{} : check_manifest_exists();
+            return after == 0 ? std::optional<stored_revision>{} : find_unwatched_change(after);
         }
         BOOST_OUTCOME_TRY(content, parse_manifest(found.value));
         return load(stored_manifest{found.version, std::move(content)});
@@ -77,8 +77,7 @@
 
     base::result<std::optional<stored_revision>> fetch(std::uint64_t after, std::chrono::milliseconds wait)
     {
-        const auto [version, number] = last_read_;
-        return wait.count() > 0 && number == after ? watch(version, wait) : read();
+        return wait.count() > 0 && last_read_.number == after ? watch(last_read_.version, wait) : read();
     }
 
     base::result<stored_revision> accept(const config::accepted_revision& next, std::uint64_t expected)
@@ -159,12 +158,19 @@
     }
 
 private:
-    /// Called after a watch that timed out, because a watch does not report that the
-    /// platform lost the manifest. Number 0 means that nothing was ever accepted.
-    base::result<std::optional<stored_revision>> check_manifest_exists()
+    /// Called after a watch from version `after` that timed out, because a watch does not
+    /// report that the platform lost the manifest, or was restored from a backup and gave out
+    /// the version again. Number 0 means that nothing was ever accepted.
+    base::result<std::optional<stored_revision>> find_unwatched_change(std::uint64_t after)
     {
         BOOST_OUTCOME_TRY(present, read_manifest());
-        return present.version != 0 ? std::nullopt : std::optional{stored_revision{}};
+        if (present.version == 0)
+        {
+            return std::optional{stored_revision{}};
+        }
+        const bool is_known =
+            present.content.number == last_read_.number && present.content.digest == last_read_.digest;
+        return after != last_read_.version || is_known ? std::optional<stored_revision>{} : load(present);
     }
 
     base::result<stored_manifest> read_manifest() const
@@ -196,7 +202,7 @@
     {
         BOOST_OUTCOME_TRY(chunks, chunks_.read(source.content));
         BOOST_OUTCOME_TRY(revision, config::decode_chunks(header_of(source.content), chunks));
-        last_read_ = {source.version, revision.number};
+        last_read_ = {.version = source.version, .number = revision.number, .digest = source.content.digest};
         return std::optional{stored_revision{source.version, std::move(revision)}};
     }
 
@@ -353,8 +359,14 @@
     Client client_;
     retry_policy<Time> retry_;
     chunk_store<Client, Time> chunks_;
-    /// Manifest version and number of the revision that was read last.
-    std::pair<std::uint64_t, std::uint64_t> last_read_{0, 0};
+    /// The revision that was read last.
+    struct known_manifest
+    {
+        std::uint64_t version = 0;
+        std::uint64_t number = 0;
+        std::string digest;
+    };
+    known_manifest last_read_;
 };
 
 } // namespace galenabay::platform
--- a/tests/platform/store_logic_test.cpp
+++ b/tests/platform/store_logic_test.cpp
@@ -70,9 +70,11 @@
         return outcome.status == stub::write_status::done ? base::result<void>{base::outcome::success()}
                                                           : failed(base::error_code::conflict);
     }
-    base::result<platform::object> watch(const std::string& key, std::uint64_t, std::chrono::milliseconds) const
+    base::result<platform::object> watch(const std::string& key, std::uint64_t after,
+                                         std::chrono::milliseconds wait) const
     {
-        return get(key);
+        const auto found = objects->watch(key, after, wait);
+        return found ? platform::object{found->key, found->version, found->value} : platform::object{key, 0, {}};
     }
 };
 
@@ -213,3 +215,20 @@
 {
     check_seed(1647);
 }
+
+// Hosts kept an old revision: the platform, restored from a copy, had accepted the next one under
+// the version at which they had read the old one, so that their watch saw no change.
+TEST(store_logic, a_revision_accepted_under_a_reissued_version_is_read)
+{
+    const auto lost = store().accept(config::make_next_revision(nullptr, with_weight(1), "ann", 1), 0).value();
+    auto reader = store();
+    CHECK(reader.read().value().has_value());
+    CHECK(objects.restore(0));
+    auto next = config::make_next_revision(&lost.revision, with_weight(2), "ben", 2);
+    const auto accepted = store().accept(next, 0).value();
+    LONGS_EQUAL(lost.manifest_version, accepted.manifest_version);
+    const auto found = reader.fetch(lost.revision.number, 1ms);
+    CHECK(found.has_value() && found.value().has_value());
+    CHECK(found.value()->revision == next);
+    CHECK_FALSE(reader.fetch(next.number, 1ms).value().has_value());
+}
