Own interface: do not replace a revision under a reissued version

Operators saw: an apply that was planned before the platform's restore replaced a revision that had been accepted after it, without a conflict; both had the same number. Cause: the conditional write names a version of the manifest, and the restored platform had given the expected version out again. Change: accept refuses when the manifest has the number of the new revision or a larger one: a new revision is always numbered above the one that it replaces. Evidence: store_logic.a_revision_under_a_reissued_version_is_not_replaced_by_ its_equal_in_number failed before, passes now.

--- a/src/platform/store_logic.hpp
+++ b/src/platform/store_logic.hpp
@@ -85,7 +85,9 @@
         const auto chunks = config::encode_chunks(next);
         const auto wanted = manifest_of(next, chunks);
         BOOST_OUTCOME_TRY(present, retry_.run([&] { return read_manifest_since(expected); }));
-        if (present.version != expected)
+        // A platform that was restored from a backup may give out the expected version again.
+        const bool is_reissued = present.version != 0 && present.content.number >= next.number;
+        if (present.version != expected || is_reissued)
         {
             return conflict_error(present.content);
         }
--- a/tests/platform/store_logic_test.cpp
+++ b/tests/platform/store_logic_test.cpp
@@ -232,3 +232,18 @@
     CHECK(found.value()->revision == next);
     CHECK_FALSE(reader.fetch(next.number, 1ms).value().has_value());
 }
+
+// An apply replaced a revision that it had not read: the platform, restored from a copy, had
+// accepted that one under the version that the apply expected.
+TEST(store_logic, a_revision_under_a_reissued_version_is_not_replaced_by_its_equal_in_number)
+{
+    const auto lost = store().accept(config::make_next_revision(nullptr, with_weight(1), "ann", 1), 0).value();
+    const auto planned = config::make_next_revision(&lost.revision, with_weight(2), "ann", 2);
+    CHECK(objects.restore(0));
+    const auto other = store().accept(config::make_next_revision(&lost.revision, with_weight(3), "ben", 2), 0).value();
+    LONGS_EQUAL(lost.manifest_version, other.manifest_version);
+    const auto refused = store().accept(planned, lost.manifest_version);
+    CHECK_FALSE(refused.has_value());
+    CHECK(refused.error().code() == base::error_code::conflict);
+    CHECK(store().read().value()->revision == other.revision);
+}
