Soak: the store returns from an older copy

It now takes a copy, and some seconds later goes silent and returns to it, with its revisions given out again; the operator and live upstreams write again, entries of dead ones expire. Upstreams number their registrations.

--- a/tools/edge_soak/fault_injector.cpp
+++ b/tools/edge_soak/fault_injector.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include <array>
+#include <utility>
 
 namespace galenabay::edge_soak
 {
@@ -54,7 +55,7 @@
 
 void fault_injector::begin_fault(double now)
 {
-    switch (random_.below(9))
+    switch (random_.below(10))
     {
     case 0:
     case 1:
@@ -73,6 +74,9 @@
         ++results_.faults["configuration"];
         change_configuration();
         break;
+    case 6:
+        restore_store(now);
+        break;
     default:
         upstream_fault(now);
         break;
@@ -114,6 +118,31 @@
     schedule(now + 0.5 + 4.0 * random_.unit(), [this](double) { store_.set_fault(store_fault::none); });
 }
 
+void fault_injector::restore_store(double now)
+{
+    if (std::exchange(restore_pending_, true))
+    {
+        return;
+    }
+    ++results_.faults["store_restored"];
+    store_.save_copy();
+    const auto lost_at = now + 1.0 + 6.0 * random_.unit();
+    schedule(lost_at, [this](double) { store_.set_fault(store_fault::silent); });
+    schedule(lost_at + 0.2 + 2.0 * random_.unit(),
+             [this](double at)
+             {
+                 store_.restore();
+                 store_.set_fault(store_fault::none);
+                 if (!configuration_.empty())
+                 {
+                     store_.put("config", "main", configuration_);
+                 }
+                 upstreams_.register_again();
+                 schedule(at + registration_ttl_s, [this](double) { upstreams_.unregister_dead(); });
+                 restore_pending_ = false;
+             });
+}
+
 std::size_t fault_injector::pick_upstream()
 {
     std::vector<std::size_t> alive;
@@ -179,7 +208,8 @@
 void fault_injector::change_configuration()
 {
     version_ += 1 + random_.below(4);
-    store_.put("config", "main", configuration_text(version_, random_.below(60)));
+    configuration_ = configuration_text(version_, random_.below(60));
+    store_.put("config", "main", configuration_);
 }
 
 } // namespace galenabay::edge_soak
--- a/tools/edge_soak/fault_injector.hpp
+++ b/tools/edge_soak/fault_injector.hpp
@@ -33,6 +33,8 @@
     void begin_fault(double now);
     void host_fault(double now);
     void store_fault_for(double now, store_fault fault, const char* name);
+    /// Returns the store to a copy of this moment, after a while in which changes are made.
+    void restore_store(double now);
     void upstream_fault(double now);
     void change_configuration();
     /// Selects a live upstream that does not drain; `upstreams_.size()` if too few are left.
@@ -46,6 +48,9 @@
     std::multimap<double, scheduled_action> scheduled_;
     double next_fault_ = 4;
     std::uint64_t version_ = 1;
+    /// The configuration that the operator wrote last; empty for the first one.
+    std::string configuration_;
+    bool restore_pending_ = false;
 };
 
 /// Returns the operator's configuration: a route to `feed`, a route to `vault`, and `extra`
--- a/tools/edge_soak/store_stub.cpp
+++ b/tools/edge_soak/store_stub.cpp
@@ -155,6 +155,20 @@
     }
 }
 
+std::vector<std::string> store_stub::names(const std::string& kind) const
+{
+    const std::lock_guard lock{mutex_};
+    std::vector<std::string> found;
+    if (const auto stored = objects_.find(kind); stored != objects_.end())
+    {
+        for (const auto& [name, stored_object] : stored->second)
+        {
+            found.push_back(name);
+        }
+    }
+    return found;
+}
+
 void store_stub::set_fault(store_fault fault)
 {
     const std::lock_guard lock{mutex_};
--- a/tools/edge_soak/store_stub.hpp
+++ b/tools/edge_soak/store_stub.hpp
@@ -39,6 +39,8 @@
     /// Writes an object's `spec` (JSON text); unchanged text causes no event.
     void put(const std::string& kind, const std::string& name, const std::string& spec);
     void remove(const std::string& kind, const std::string& name);
+    /// Returns the names of the objects of a kind.
+    std::vector<std::string> names(const std::string& kind) const;
     void set_fault(store_fault fault);
     store_fault fault() const;
     /// Keeps a copy of the objects for `restore`.
--- a/tools/edge_soak/upstream_fleet.cpp
+++ b/tools/edge_soak/upstream_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <galenabay/base/invariant.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <cstdlib>
@@ -53,17 +54,19 @@
     entry->number = ++next_number_;
     entry->id = "i-" + hex(entry->number);
     entry->born = next_born_ += 1000;
+    entry->sequence = 0;
     write(*entry);
     upstreams_.push_back(std::move(entry));
 }
 
-void upstream_fleet::write(const upstream& entry)
+void upstream_fleet::write(upstream& entry)
 {
+    ++entry.sequence;
     store_.put("servers", entry.id,
                R"({"service":")" + entry.service + R"(","address":")" + entry.address.to_string() + R"(","zone":")" +
                    entry.data_centre + R"(","version":"v1","max-concurrency":3,"state":")" +
-                   (entry.draining ? "draining" : "ready") + R"(","warmup-left-ms":0,"sequence":1,"born":)" +
-                   std::to_string(entry.born) + "}");
+                   (entry.draining ? "draining" : "ready") + R"(","warmup-left-ms":0,"sequence":)" +
+                   std::to_string(entry.sequence) + R"(,"born":)" + std::to_string(entry.born) + "}");
 }
 
 void upstream_fleet::crash(std::size_t index)
@@ -77,10 +80,35 @@
     store_.remove("servers", upstreams_[index]->id);
 }
 
+void upstream_fleet::register_again()
+{
+    for (const auto& entry : upstreams_)
+    {
+        if (entry->alive)
+        {
+            write(*entry);
+        }
+    }
+}
+
+void upstream_fleet::unregister_dead()
+{
+    for (const auto& id : store_.names("servers"))
+    {
+        const bool is_live = std::any_of(upstreams_.begin(), upstreams_.end(),
+                                         [&](const auto& entry) { return entry->alive && entry->id == id; });
+        if (!is_live)
+        {
+            store_.remove("servers", id);
+        }
+    }
+}
+
 void upstream_fleet::restart(std::size_t index)
 {
     auto next = std::make_unique<upstream>(*upstreams_[index]);
     next->born = next_born_ += 1000;
+    next->sequence = 0;
     next->alive = true;
     next->draining = false;
     next->flows.clear();
--- a/tools/edge_soak/upstream_fleet.hpp
+++ b/tools/edge_soak/upstream_fleet.hpp
@@ -39,6 +39,8 @@
     std::string id;
     std::uint64_t number = 0;
     /// Start time in the store; larger for each later incarnation.
+    /// Number of registrations that this incarnation has sent.
+    std::uint64_t sequence = 0;
     std::uint64_t born = 0;
     std::string service;
     std::string data_centre;
@@ -64,6 +66,10 @@
     /// Stops an upstream; its registration stays until `unregister` removes it.
     void crash(std::size_t index);
     /// Restarts a crashed upstream with the same id and address and a later `born`.
+    /// Writes the registrations of all live upstreams, as they do after a restore of the store.
+    void register_again();
+    /// Removes the registrations of upstreams that do not run: their leases have expired.
+    void unregister_dead();
     void restart(std::size_t index);
     /// Replaces an upstream by a new one of another service at the same address.
     void replace(std::size_t index, const std::string& service);
@@ -85,7 +91,7 @@
     std::size_t find_holder(const steer::flow_key& flow) const;
 
 private:
-    void write(const upstream& entry);
+    void write(upstream& entry);
     void handle(std::size_t socket, std::span<const unsigned char> bytes, double now);
     void serve(upstream& entry, const wire_packet& packet, double now);
     void open(upstream& entry, const wire_packet& packet, double now);
