--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -10,6 +10,7 @@
 #include <galenabay/net/packet.hpp>
 #include <galenabay/net/udp_socket.hpp>
 #include <galenabay/net/wakeup_event.hpp>
+#include <galenabay/peers/upstreams_position.hpp>
 #include <galenabay/steer/steerer.hpp>
 
 #include <array>
@@ -109,8 +110,7 @@
     bool collects_ = false;
     /// Configuration in force, in the form that is served to other hosts.
     std::shared_ptr<const peers::edge_state> configuration_;
-    /// Revision of the last change of the upstreams that was applied.
-    steer::store_revision upstreams_revision_;
+    peers::upstreams_position upstreams_position_;
     /// The configuration or the upstreams changed since the last snapshot.
     bool snapshot_due_ = false;
     /// `steerer::silence_count` at the last urgent status.
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -138,7 +138,7 @@
             state_.request_read(adapter::object_kind::configuration, *newer);
         }
     }
-    const auto ahead = peers_.exchange().with_newer_upstreams(upstreams_revision_, now);
+    const auto ahead = peers_.exchange().with_newer_upstreams(upstreams_position_.revision(), now);
     if (!ahead)
     {
         behind_since_.reset();
@@ -162,7 +162,7 @@
     own.store_lost = state_.follows.load() && !state_.store_reachable();
     own.leaving = state_.draining.load();
     own.configuration_version = steerer_.routes().version();
-    own.upstreams_revision = upstreams_revision_;
+    own.upstreams_revision = upstreams_position_.revision();
     steerer_.registry().for_each(
         [&](const steer::upstream_incarnation& upstream)
         {
@@ -190,7 +190,7 @@
 void packet_worker::publish_snapshot()
 {
     auto state = std::make_shared<peers::edge_state>();
-    state->upstreams.revision = upstreams_revision_;
+    state->upstreams.revision = upstreams_position_.revision();
     steerer_.registry().for_each(
         [&](const steer::upstream_incarnation& upstream)
         {
--- a/src/edge/packet_worker_updates.cpp
+++ b/src/edge/packet_worker_updates.cpp
@@ -91,11 +91,10 @@
         adopt(update.state->configuration, update.revision);
     }
     const auto& upstreams = update.state->upstreams;
-    if (update.objects_of == adapter::object_kind::upstreams && upstreams.revision > upstreams_revision_)
+    if (update.objects_of == adapter::object_kind::upstreams && upstreams_position_.on_state(upstreams))
     {
         const auto now = base::steady_now();
         process_outcome(steerer_.on_upstream_list(upstreams.entries, upstreams.revision, now), upstreams.revision, now);
-        upstreams_revision_ = upstreams.revision;
     }
 }
 
@@ -133,15 +132,14 @@
 void packet_worker::apply_upstreams(const store_update& update)
 {
     const auto now = base::steady_now();
-    const auto previous_revision = upstreams_revision_;
+    const auto previous_revision = upstreams_position_.revision();
     for (const auto& object : update.objects)
     {
-        upstreams_revision_ = std::max(upstreams_revision_, object.revision);
+        upstreams_position_.on_change(object.revision);
     }
     if (update.what == store_update::kind::list)
     {
-        // The list may be empty, or older than the last change of the epoch before.
-        upstreams_revision_ = std::max(upstreams_revision_, {.epoch = update.revision.epoch, .number = 0});
+        upstreams_position_.on_list(update.revision.epoch);
         std::vector<steer::upstream_entry> entries;
         for (const auto& object : update.objects)
         {
@@ -169,7 +167,7 @@
 void packet_worker::send_changes(const store_update& update, const steer::store_revision& previous_revision)
 {
     peers::upstream_changes changes{.previous_revision = previous_revision,
-                                    .revision = upstreams_revision_,
+                                    .revision = upstreams_position_.revision(),
                                     .entries = {},
                                     .removed = {},
                                     .data_centre = {}};
@@ -198,11 +196,7 @@
     {
         process_outcome(steerer_.on_upstream_removed(removed.id, removed.revision, now), removed.revision, now);
     }
-    // After a gap the revision is left as it is, so that this host reads the complete state.
-    if (changes.previous_revision <= upstreams_revision_)
-    {
-        upstreams_revision_ = std::max(upstreams_revision_, changes.revision);
-    }
+    upstreams_position_.on_changes(changes);
     snapshot_due_ = true;
 }
 
