Publish an adopted configuration before other hosts are told of it

Hosts that asked in between got the version of before (configuration_ignored) and asked again after 300 ms and the next status. Change: the configuration is published when it is adopted.

--- a/src/edge/packet_worker_updates.cpp
+++ b/src/edge/packet_worker_updates.cpp
@@ -106,6 +106,11 @@
     {
         configuration_ =
             std::make_shared<const peers::edge_state>(peers::edge_state{.configuration = next, .upstreams = {}});
+        if (steerer_.is_ready())
+        {
+            // Others ask for it as soon as the urgent status tells them of the version.
+            state_.publish(adapter::object_kind::configuration, configuration_);
+        }
     }
     log_event{log_level::info, adopted ? "configuration_adopted" : "configuration_ignored"}
         .with("version", next.version)
