--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -48,6 +48,8 @@
       peers{gauge(registry_, "galenabay_peers", "Other hosts that are live")},
       follows_store{
           gauge(registry_, "galenabay_follows_store", "1 while this host watches the store for its data centre")},
+      configuration_behind{gauge(registry_, "galenabay_configuration_behind_seconds",
+                                 "Time for which another host is known to have a newer configuration")},
       store_epoch{gauge(registry_, "galenabay_store_epoch",
                         "Epoch of the store's last answer; it rises when the store returns from an older copy")},
       outdated_changes{gauge(registry_, "galenabay_outdated_changes",
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -60,6 +60,8 @@
     prometheus::Gauge& ready;
     prometheus::Gauge& peers;
     prometheus::Gauge& follows_store;
+    /// Seconds for which another host is known to have a newer configuration.
+    prometheus::Gauge& configuration_behind;
     prometheus::Gauge& store_epoch;
     prometheus::Gauge& outdated_changes;
     prometheus::Gauge& collects;
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -224,6 +224,7 @@
     metrics_.peers.Set(static_cast<double>(peers_.exchange().live_count(now)));
     metrics_.covered_hosts.Set(static_cast<double>(peers_.exchange().covered_hosts(now)));
     metrics_.flows.Set(static_cast<double>(steerer_.flow_count()));
+    report_behind(now);
     state_.observe_store_epoch(upstreams_position_.revision().epoch);
     metrics_.store_epoch.Set(static_cast<double>(state_.store_epoch.load()));
     metrics_.outdated_changes.Set(static_cast<double>(steerer_.registry().outdated_count()));
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -88,6 +88,8 @@
     void apply_remote_view(base::time_point now);
     /// Requests a read from another host that has newer state.
     void catch_up(base::time_point now);
+    /// Logs and measures that this host knows of a newer configuration and does not get it.
+    void report_behind(base::time_point now);
     /// Returns the status of this host for the others.
     peers::host_status status(base::time_point now);
     /// Replaces the state that this host serves to other hosts.
@@ -118,6 +120,8 @@
     base::time_point next_urgent_{};
     base::time_point next_remote_view_{};
     base::time_point next_configuration_read_{};
+    /// When another host was first seen to have a newer configuration; empty when none has.
+    std::optional<base::time_point> configuration_behind_since_;
     /// When another host was first seen to have newer upstreams; empty when none has.
     std::optional<base::time_point> behind_since_;
     net::wakeup_event wakeup_;
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -20,6 +20,8 @@
 constexpr base::duration urgent_interval = std::chrono::milliseconds{300};
 /// Pause between two reads of the configuration: longer than another host takes to answer.
 constexpr base::duration read_pause = std::chrono::milliseconds{300};
+/// Time after which a newer configuration of another host should long be in force here.
+constexpr base::duration behind_alarm = std::chrono::seconds{3};
 /// Time that the changes sent by the watching host may take to arrive here.
 constexpr base::duration changes_grace = std::chrono::milliseconds{300};
 
@@ -129,14 +131,16 @@
 
 void packet_worker::catch_up(base::time_point now)
 {
-    if (now >= next_configuration_read_)
+    const auto newer = peers_.exchange().with_newer_configuration(steerer_.routes().version(), now);
+    if (!newer)
     {
-        const auto newer = peers_.exchange().with_newer_configuration(steerer_.routes().version(), now);
-        if (newer)
-        {
-            next_configuration_read_ = now + read_pause;
-            state_.request_read(adapter::object_kind::configuration, *newer);
-        }
+        configuration_behind_since_.reset();
+    }
+    else if (now >= next_configuration_read_)
+    {
+        configuration_behind_since_ = configuration_behind_since_.value_or(now);
+        next_configuration_read_ = now + read_pause;
+        state_.request_read(adapter::object_kind::configuration, *newer);
     }
     const auto ahead = peers_.exchange().with_newer_upstreams(upstreams_position_.revision(), now);
     if (!ahead)
@@ -155,6 +159,18 @@
     }
 }
 
+void packet_worker::report_behind(base::time_point now)
+{
+    const auto behind = configuration_behind_since_ ? now - *configuration_behind_since_ : base::duration{0};
+    metrics_.configuration_behind.Set(std::chrono::duration<double>(behind).count());
+    if (behind >= behind_alarm)
+    {
+        log_event{log_level::warning, "configuration_behind"}
+            .with("version", steerer_.routes().version())
+            .with("behind_ms", std::chrono::duration_cast<std::chrono::milliseconds>(behind).count());
+    }
+}
+
 peers::host_status packet_worker::status(base::time_point now)
 {
     peers::host_status own;
