Confirm a stale first list by a digest of the upstreams

Cause: the objects of a stale list have no epoch, so every host that starts took all others for newer and read their whole state; above 64 KiB, some 700 upstreams, it would have read a current list from the store instead, as many times as hosts start. Change: statuses carry a digest of what steering knows of the upstreams. A host with an unconfirmed list and an equal digest takes over the other's position. Tests: digest, position, view, codec.

--- a/include/galenabay/peers/fleet_exchange.hpp
+++ b/include/galenabay/peers/fleet_exchange.hpp
@@ -154,6 +154,12 @@
     std::optional<base::endpoint> with_newer_configuration(std::uint64_t version, base::time_point now);
     std::optional<base::endpoint> with_newer_upstreams(const steer::store_revision& revision, base::time_point now);
 
+    /// As in `peer_view`.
+    std::optional<steer::store_revision> upstreams_revision_of(std::uint64_t digest, base::time_point now) const
+    {
+        return peers_.upstreams_revision_of(digest, now);
+    }
+
     /// Returns the sum of the other hosts' load on each upstream, with the time since the
     /// latest answer that any of them saw.
     load_totals remote_loads(base::time_point now) const;
--- a/include/galenabay/peers/host_status.hpp
+++ b/include/galenabay/peers/host_status.hpp
@@ -44,6 +44,8 @@
     std::uint64_t configuration_version = 0;
     /// Store revision of the last change of the upstreams that the host applied.
     steer::store_revision upstreams_revision;
+    /// Digest of the upstreams that the host knows; 0 for none.
+    std::uint64_t upstreams_digest = 0;
     /// `loads` is filled. Only the collectors of the data centre receive it, because it is many
     /// times larger than the rest.
     bool with_loads = false;
--- a/include/galenabay/peers/peer_view.hpp
+++ b/include/galenabay/peers/peer_view.hpp
@@ -100,6 +100,11 @@
     std::optional<base::endpoint> with_newer_upstreams(const steer::store_revision& revision,
                                                        base::random_source& random, base::time_point now) const;
 
+    /// Returns the largest revision up to which a live host of this data centre has applied
+    /// the changes of the upstreams while it knows what `digest` describes; nullopt when none
+    /// does.
+    std::optional<steer::store_revision> upstreams_revision_of(std::uint64_t digest, base::time_point now) const;
+
     /// Adds the loads that live hosts of this data centre report to `totals`.
     void add_loads(load_totals& totals, base::time_point now) const;
     /// Number of live hosts of this data centre that report their loads to this one.
--- a/include/galenabay/peers/upstreams_position.hpp
+++ b/include/galenabay/peers/upstreams_position.hpp
@@ -29,6 +29,15 @@
             advance(changes.revision);
         }
     }
+    /// Records that another host, which has applied all changes up to `revision`, knows the
+    /// same upstreams. Only a host that has nothing but a list of unknown epoch relies on that.
+    void on_equal_state(const steer::store_revision& revision)
+    {
+        if (revision_.epoch == 0)
+        {
+            advance(revision);
+        }
+    }
     /// Records the complete state of another host. Returns false when it is not newer.
     bool on_state(const upstream_changes& state)
     {
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -151,6 +151,9 @@
             visit(*incarnation);
         }
     }
+    /// Returns a digest of the listed upstreams and of what steering uses of them; equal on
+    /// hosts that know the same, and never 0.
+    std::uint64_t digest() const;
     /// Number of registrations that were not applied because a later change of the id was,
     /// and that differ from what is known.
     std::uint64_t outdated_count() const noexcept { return outdated_count_; }
--- a/schema/edge.capnp
+++ b/schema/edge.capnp
@@ -45,6 +45,8 @@
   # The host is to watch the store, and its last calls failed.
   upstreamsEpoch @15 :UInt64;
   # Epoch of `upstreamsRevision`: it rises when the store returns from an older copy.
+  upstreamsDigest @16 :UInt64;
+  # Digest of the upstreams that the host knows; 0 for none.
 }
 
 struct UpstreamVotes {
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -142,6 +142,13 @@
         next_configuration_read_ = now + read_pause;
         state_.request_read(adapter::object_kind::configuration, *newer);
     }
+    if (upstreams_position_.revision().epoch == 0)
+    {
+        // The first list was from an unknown time. Most often it is current, and a digest tells
+        // that without a transfer of the whole state.
+        const auto equal = peers_.exchange().upstreams_revision_of(steerer_.registry().digest(), now);
+        upstreams_position_.on_equal_state(equal.value_or(steer::store_revision{}));
+    }
     const auto ahead = peers_.exchange().with_newer_upstreams(upstreams_position_.revision(), now);
     if (!ahead)
     {
@@ -179,6 +186,7 @@
     own.leaving = state_.draining.load();
     own.configuration_version = steerer_.routes().version();
     own.upstreams_revision = upstreams_position_.revision();
+    own.upstreams_digest = steerer_.registry().digest();
     steerer_.registry().for_each(
         [&](const steer::upstream_incarnation& upstream)
         {
--- a/src/peers/message_codec.cpp
+++ b/src/peers/message_codec.cpp
@@ -1,6 +1,6 @@
 #include <galenabay/peers/message_codec.hpp>
 
-#include <generated/edge.capnp.h>
+#include "load_sums_codec.hpp"
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
@@ -117,155 +117,6 @@
     return tokens;
 }
 
-void write_loads(const std::vector<upstream_load>& from, capnp::List<schema::UpstreamLoad>::Builder out)
-{
-    for (unsigned i = 0; i < out.size(); ++i)
-    {
-        out[i].setToken(from[i].token);
-        out[i].setFlows(from[i].flows);
-        out[i].setOpenRequests(from[i].open_requests);
-        out[i].setAnsweredMsAgo(static_cast<std::uint32_t>(from[i].answered_ago.count()));
-    }
-}
-
-std::vector<upstream_load> read_loads(capnp::List<schema::UpstreamLoad>::Reader in)
-{
-    std::vector<upstream_load> loads;
-    loads.reserve(in.size());
-    for (const auto load : in)
-    {
-        loads.push_back({.token = load.getToken(),
-                         .flows = load.getFlows(),
-                         .open_requests = load.getOpenRequests(),
-                         .answered_ago = std::chrono::milliseconds{load.getAnsweredMsAgo()}});
-    }
-    return loads;
-}
-
-void write_votes(const std::vector<upstream_votes>& from, capnp::List<schema::UpstreamVotes>::Builder out)
-{
-    for (unsigned i = 0; i < out.size(); ++i)
-    {
-        out[i].setToken(from[i].token);
-        out[i].setSilent(from[i].silent);
-        out[i].setUnreachable(from[i].unreachable);
-    }
-}
-
-std::vector<upstream_votes> read_votes(capnp::List<schema::UpstreamVotes>::Reader in)
-{
-    std::vector<upstream_votes> votes;
-    votes.reserve(in.size());
-    for (const auto vote : in)
-    {
-        votes.push_back({.token = vote.getToken(), .silent = vote.getSilent(), .unreachable = vote.getUnreachable()});
-    }
-    return votes;
-}
-
-void write_member(const member& from, schema::Member::Builder out)
-{
-    out.setName(from.name);
-    out.setAddress(from.address.v4());
-    out.setPort(from.address.port());
-    out.setDataCentre(from.data_centre);
-}
-
-member read_member(schema::Member::Reader in)
-{
-    return {.name = in.getName(),
-            .address = base::endpoint::make_v4(in.getAddress(), in.getPort()),
-            .data_centre = in.getDataCentre()};
-}
-
-void write_members(const std::vector<member>& from, capnp::List<schema::Member>::Builder out)
-{
-    for (unsigned i = 0; i < out.size(); ++i)
-    {
-        write_member(from[i], out[i]);
-    }
-}
-
-std::vector<member> read_members(capnp::List<schema::Member>::Reader in)
-{
-    std::vector<member> members;
-    members.reserve(in.size());
-    for (const auto one : in)
-    {
-        members.push_back(read_member(one));
-    }
-    return members;
-}
-
-void write_collector(const collector_stamp& from, schema::Collector::Builder out)
-{
-    write_member(from.sender, out.initMember());
-    out.setStartedUs(from.started_us);
-    out.setSequence(from.sequence);
-    out.setHosts(from.hosts);
-}
-
-collector_stamp read_collector(schema::Collector::Reader in)
-{
-    return {.sender = read_member(in.getMember()),
-            .started_us = in.getStartedUs(),
-            .sequence = in.getSequence(),
-            .hosts = in.getHosts()};
-}
-
-void write_page(const load_page& from, schema::LoadPage::Builder out)
-{
-    out.setFirst(from.first);
-    out.setLast(from.last);
-    write_loads(from.loads, out.initLoads(static_cast<unsigned>(from.loads.size())));
-}
-
-load_page read_page(schema::LoadPage::Reader in)
-{
-    return {.first = in.getFirst(), .last = in.getLast(), .loads = read_loads(in.getLoads())};
-}
-
-void write_summary(const load_summary& from, schema::LoadSummary::Builder out)
-{
-    write_collector(from.collector, out.initCollector());
-    out.setFollowsStore(from.follows_store);
-    out.setConfigurationVersion(from.configuration_version);
-    out.setUpstreamsRevision(from.upstreams_revision.number);
-    out.setUpstreamsEpoch(from.upstreams_revision.epoch);
-    out.setRelayed(from.relayed);
-    write_page(from.page, out.initPage());
-    write_votes(from.votes, out.initVotes(static_cast<unsigned>(from.votes.size())));
-}
-
-load_summary read_summary(schema::LoadSummary::Reader in)
-{
-    return {.collector = read_collector(in.getCollector()),
-            .follows_store = in.getFollowsStore(),
-            .configuration_version = in.getConfigurationVersion(),
-            .upstreams_revision = {.epoch = in.getUpstreamsEpoch(), .number = in.getUpstreamsRevision()},
-            .page = read_page(in.getPage()),
-            .votes = read_votes(in.getVotes()),
-            .relayed = in.getRelayed()};
-}
-
-void write_digest(const load_digest& from, schema::LoadDigest::Builder out)
-{
-    write_collector(from.collector, out.initCollector());
-    out.setRemoteHosts(from.remote_hosts);
-    write_page(from.page, out.initPage());
-    write_votes(from.remote_votes, out.initRemoteVotes(static_cast<unsigned>(from.remote_votes.size())));
-    write_members(from.members, out.initMembers(static_cast<unsigned>(from.members.size())));
-}
-
-load_digest read_digest(schema::LoadDigest::Reader in)
-{
-    return {.collector = read_collector(in.getCollector()),
-            .remote_hosts = in.getRemoteHosts(),
-            .page = read_page(in.getPage()),
-            .remote_votes = read_votes(in.getRemoteVotes()),
-            .members = read_members(in.getMembers())};
-}
-
 void write_status(const host_status& from, schema::HostStatus::Builder out)
 {
     out.setName(from.name);
@@ -277,6 +128,7 @@
     out.setConfigurationVersion(from.configuration_version);
     out.setUpstreamsRevision(from.upstreams_revision.number);
     out.setUpstreamsEpoch(from.upstreams_revision.epoch);
+    out.setUpstreamsDigest(from.upstreams_digest);
     out.setWithLoads(from.with_loads);
     out.setJoining(from.joining);
     out.setStoreLost(from.store_lost);
@@ -297,6 +149,7 @@
             .leaving = in.getLeaving(),
             .configuration_version = in.getConfigurationVersion(),
             .upstreams_revision = {.epoch = in.getUpstreamsEpoch(), .number = in.getUpstreamsRevision()},
+            .upstreams_digest = in.getUpstreamsDigest(),
             .with_loads = in.getWithLoads(),
             .loads = read_loads(in.getLoads()),
             .silent = read_tokens(in.getSilent()),
--- a/src/peers/peer_view.cpp
+++ b/src/peers/peer_view.cpp
@@ -239,6 +239,20 @@
     return select_peer([&](const host_status& status) { return status.upstreams_revision > revision; }, random, now);
 }
 
+std::optional<steer::store_revision> peer_view::upstreams_revision_of(std::uint64_t digest, base::time_point now) const
+{
+    std::optional<steer::store_revision> found;
+    for_each_live(now,
+                  [&](const peer& other)
+                  {
+                      if (other.status.upstreams_digest == digest)
+                      {
+                          found = std::max(found, std::optional{other.status.upstreams_revision});
+                      }
+                  });
+    return found;
+}
+
 void peer_view::add_loads(load_totals& totals, base::time_point now) const
 {
     for_each_live(now,
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -264,6 +264,27 @@
     return known == by_service_.end() ? none : known->second;
 }
 
+std::uint64_t upstream_registry::digest() const
+{
+    constexpr std::uint64_t empty_digest = 1;
+    std::uint64_t sum = 0;
+    for (const auto& [token, incarnation] : by_token_)
+    {
+        if (incarnation->ended || incarnation->missing_since)
+        {
+            continue;
+        }
+        const auto& entry = incarnation->entry;
+        auto row = base::mix(base::hash_text(entry.id), entry.started_ms);
+        row = base::mix(row, base::hash_text(entry.service));
+        row = base::mix(row, base::hash_text(entry.data_centre));
+        row = base::mix(row, (std::uint64_t{entry.address.v4()} << 16U) | entry.address.port());
+        // A sum does not depend on the order of the rows.
+        sum += base::mix(row, (std::uint64_t{entry.slots} << 1U) | (entry.draining ? 1U : 0U));
+    }
+    return sum == 0 ? empty_digest : sum;
+}
+
 bool upstream_registry::is_store_settled(base::time_point now) const
 {
     return !store_failed_at_ || now - *store_failed_at_ >= limits_.missing_grace;
--- a/tests/peers/message_codec_test.cpp
+++ b/tests/peers/message_codec_test.cpp
@@ -35,6 +35,7 @@
             .leaving = false,
             .configuration_version = 7,
             .upstreams_revision = {.epoch = 3, .number = 12},
+            .upstreams_digest = 41,
             .with_loads = true,
             .loads = {{.token = 9, .flows = 3, .open_requests = 1}},
             .silent = {9, 10},
--- a/tests/peers/peer_view_test.cpp
+++ b/tests/peers/peer_view_test.cpp
@@ -329,3 +329,24 @@
     named.erase(std::unique(named.begin(), named.end()), named.end());
     LONGS_EQUAL(2, named.size());
 }
+
+TEST(peer_view, an_equal_digest_of_a_live_local_host_names_its_revision)
+{
+    peer_view view{name_of_host(0), "east"};
+    auto older = make_status(1, 1);
+    older.upstreams_digest = 41;
+    older.upstreams_revision = {.epoch = 1, .number = 90};
+    auto newer = make_status(2, 1);
+    newer.upstreams_digest = 41;
+    newer.upstreams_revision = {.epoch = 2, .number = 20};
+    auto other = make_status(3, 1);
+    other.upstreams_digest = 42;
+    other.upstreams_revision = {.epoch = 3, .number = 20};
+    view.on_status(older, address_of(1), at(0s));
+    view.on_status(newer, address_of(2), at(0s));
+    view.on_status(other, address_of(3), at(0s));
+    const steer::store_revision expected{.epoch = 2, .number = 20};
+    CHECK(view.upstreams_revision_of(41, at(0s)) == expected);
+    CHECK_FALSE(view.upstreams_revision_of(43, at(0s)).has_value());
+    CHECK_FALSE(view.upstreams_revision_of(41, at(30s)).has_value());
+}
--- a/tests/peers/upstreams_position_test.cpp
+++ b/tests/peers/upstreams_position_test.cpp
@@ -69,3 +69,14 @@
     CHECK_FALSE(position.on_state(between({}, {1, 99})));
     check_at({2, 20});
 }
+
+// A starting host read the whole state of another host, or the store, although its stale list
+// was current: its list has no epoch, so any host passed for newer.
+TEST(upstreams_position, an_equal_state_confirms_a_list_of_unknown_epoch_only)
+{
+    position.on_change({0, 40});
+    position.on_equal_state({2, 35});
+    check_at({2, 35});
+    position.on_equal_state({2, 50});
+    check_at({2, 35});
+}
--- a/tests/steer/upstream_registry_test.cpp
+++ b/tests/steer/upstream_registry_test.cpp
@@ -161,3 +161,23 @@
     registry.replace_all({sent_as(4, {1, 40})}, {1, 41}, at(1s));
     CHECK(registry.is_store_settled(at(1s)));
 }
+
+TEST(upstream_registry, the_digest_tells_whether_two_hosts_know_the_same_upstreams)
+{
+    upstream_registry other{upstream_registry::limits{}};
+    CHECK(registry.digest() != 0);
+    CHECK(registry.digest() == other.digest());
+    const auto second = make_upstream("i-2", 2);
+    registry.put(sent_as(4, {0, 10}), at(0s));
+    CHECK(registry.digest() != other.digest());
+    registry.put(second, at(0s));
+    other.put(second, at(5s));
+    other.put(sent_as(6, {2, 31}), at(5s));
+    CHECK(registry.digest() == other.digest());
+    other.put(sent_as(7, {2, 32}, true), at(6s));
+    CHECK(registry.digest() != other.digest());
+    registry.put(sent_as(7, {2, 32}, true), at(6s));
+    CHECK(registry.digest() == other.digest());
+    other.remove("i-2", {2, 33}, at(7s));
+    CHECK(registry.digest() != other.digest());
+}
