--- a/bench/bench_control.cpp
+++ b/bench/bench_control.cpp
@@ -7,7 +7,7 @@
 #include <galenabay/config/codec.hpp>
 #include <galenabay/config/load.hpp>
 #include <galenabay/daemon/balancer.hpp>
-#include <galenabay/platform/revision_store.hpp>
+#include <galenabay/object_api/revision_store.hpp>
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -120,7 +120,7 @@
         std::cerr << "bench_control: " << set.error() << '\n';
         return false;
     }
-    const platform::revision_store store{platform::object_client::make(platform, platform_timeout)};
+    const object_api::revision_store store{object_api::object_client::make(platform, platform_timeout)};
     return store.accept(config::make_next_revision(nullptr, std::move(set).value(), "bench", 0), 0).has_value();
 }
 
--- a/bench/bench_revision.cpp
+++ b/bench/bench_revision.cpp
@@ -5,7 +5,7 @@
 #include <galenabay/config/codec.hpp>
 #include <galenabay/config/diff.hpp>
 #include <galenabay/config/revision_log.hpp>
-#include <galenabay/platform/status_codec.hpp>
+#include <galenabay/object_api/status_codec.hpp>
 #include <galenabay/revision/watcher.hpp>
 
 #include <tools/platform_stub/server.hpp>
@@ -103,7 +103,7 @@
 
     live_figures run()
     {
-        platform::revision_store store{platform::object_client::make(platform_, 3000ms)};
+        object_api::revision_store store{object_api::object_client::make(platform_, 3000ms)};
         auto latest = store.accept(config::make_next_revision(nullptr, bench::make_small_set(), "bench", 0), 0).value();
         server_.state().apply("{\"delay_ms\": " + std::to_string(slow_call.count()) + "}");
         for (const auto& host : fleet_)
@@ -206,7 +206,7 @@
         document.hosts.push_back(
             {"host-" + std::to_string(10'000 + i), "", membership::host_state::ready, 123'456 + i % 2, true, 0});
     }
-    return static_cast<double>(platform::encode_status(document).size());
+    return static_cast<double>(object_api::encode_status(document).size());
 }
 
 /// Returns the CPU time in milliseconds that a host spends from the receipt of a
@@ -232,8 +232,8 @@
     figures.status_bytes = status_document_bytes();
     stub::server server{unlimited_settings()};
     const auto endpoint = base::endpoint::parse("127.0.0.1", server.port()).value();
-    platform::revision_store writer{platform::object_client::make(endpoint, 3000ms)};
-    platform::revision_store reader{platform::object_client::make(endpoint, 3000ms)};
+    object_api::revision_store writer{object_api::object_client::make(endpoint, 3000ms)};
+    object_api::revision_store reader{object_api::object_client::make(endpoint, 3000ms)};
     const auto first =
         writer.accept(config::make_next_revision(nullptr, bench::make_large_set(), "bench", 0), 0).value();
     static_cast<void>(reader.read().value());
--- a/bench/revision_bench/live_fleet.cpp
+++ b/bench/revision_bench/live_fleet.cpp
@@ -22,7 +22,8 @@
 } // namespace
 
 live_host::live_host(std::size_t index, const base::endpoint& platform, bool reaches_platform)
-    : index_{index}, reaches_platform_{reaches_platform}, store_{platform::object_client::make(platform, call_timeout)},
+    : index_{index}, reaches_platform_{reaches_platform}, store_{object_api::object_client::make(platform,
+                                                                                                 call_timeout)},
       follower_{revision::follower_settings{.seed = index + 1}}
 {
 }
@@ -88,7 +89,7 @@
 
 void live_host::process_fetch_result()
 {
-    std::optional<base::result<std::optional<platform::stored_revision>>> fetch_result;
+    std::optional<base::result<std::optional<object_api::stored_revision>>> fetch_result;
     {
         const std::lock_guard lock{fetch_mutex_};
         fetch_result = std::exchange(fetch_result_, std::nullopt);
--- a/bench/revision_bench/live_fleet.hpp
+++ b/bench/revision_bench/live_fleet.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <galenabay/config/revision_log.hpp>
-#include <galenabay/platform/revision_store.hpp>
+#include <galenabay/object_api/revision_store.hpp>
 #include <galenabay/revision/follower.hpp>
 
 #include <atomic>
@@ -54,7 +54,7 @@
 
     std::size_t index_;
     bool reaches_platform_;
-    platform::revision_store store_;
+    object_api::revision_store store_;
     revision::follower follower_;
     clock::time_point started_ = clock::now();
     clock::time_point next_heartbeat_ = started_;
@@ -65,7 +65,7 @@
 
     std::mutex fetch_mutex_;
     std::optional<revision::fetch_from_platform> requested_fetch_;
-    std::optional<base::result<std::optional<platform::stored_revision>>> fetch_result_;
+    std::optional<base::result<std::optional<object_api::stored_revision>>> fetch_result_;
 
     std::atomic<std::uint64_t> number_{0};
     std::atomic<std::uint64_t> reversions_{0};
--- a/bench/revision_torture/fake_platform.cpp
+++ b/bench/revision_torture/fake_platform.cpp
@@ -1,6 +1,6 @@
 #include "fake_platform.hpp"
 
-#include <src/platform/chunk_store.hpp>
+#include <src/object_api/chunk_store.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -19,9 +19,9 @@
 constexpr auto repair_time = 30s;
 const std::string manifest_name = "config/manifest";
 
-platform::object convert(const stub::stored_object& stored)
+object_api::object convert(const stub::stored_object& stored)
 {
-    return platform::object{stored.key, stored.version, stored.value};
+    return object_api::object{stored.key, stored.version, stored.value};
 }
 
 base::error disconnected_error(const char* step)
@@ -52,7 +52,7 @@
     return base::error::make(code, step, "platform", "injected fault");
 }
 
-base::result<platform::object> fake_platform::get(const std::string& key)
+base::result<object_api::object> fake_platform::get(const std::string& key)
 {
     simulate_latency();
     if (down_)
@@ -64,17 +64,17 @@
         return make_error(error_code::exhausted, "get");
     }
     const auto stored = should_inject(rates_.stale) ? objects_.get_previous(key) : objects_.get(key);
-    return stored ? base::result<platform::object>{convert(*stored)} : make_error(error_code::not_found, "get");
+    return stored ? base::result<object_api::object>{convert(*stored)} : make_error(error_code::not_found, "get");
 }
 
-base::result<std::vector<platform::object>> fake_platform::list(const std::string& prefix)
+base::result<std::vector<object_api::object>> fake_platform::list(const std::string& prefix)
 {
     simulate_latency();
     if (down_)
     {
         return make_error(error_code::unavailable, "list");
     }
-    std::vector<platform::object> rows;
+    std::vector<object_api::object> rows;
     for (const auto& stored : objects_.list(prefix))
     {
         rows.push_back(convert(stored));
@@ -135,16 +135,16 @@
     return restored_at_ && queue_.now() - *restored_at_ < repair_time;
 }
 
-bool fake_platform::has_all_chunks(const platform::manifest& content) const
+bool fake_platform::has_all_chunks(const object_api::manifest& content) const
 {
     return std::all_of(content.chunks.begin(), content.chunks.end(),
                        [&](const std::string& chunk)
-                       { return objects_.get(platform::chunk_prefix + chunk).has_value(); });
+                       { return objects_.get(object_api::chunk_prefix + chunk).has_value(); });
 }
 
 void fake_platform::record_manifest(const std::string& text)
 {
-    const auto parsed = platform::parse_manifest(text).value();
+    const auto parsed = object_api::parse_manifest(text).value();
     commit_log_.committed.emplace(parsed.number, parsed.digest);
     if (++commit_log_.manifest_counts[text] > 1)
     {
@@ -169,7 +169,7 @@
         return make_error(error_code::conflict, "remove");
     }
     const auto manifest = objects_.get(manifest_name);
-    if (manifest && !was_just_restored() && !has_all_chunks(platform::parse_manifest(manifest->value).value()))
+    if (manifest && !was_just_restored() && !has_all_chunks(object_api::parse_manifest(manifest->value).value()))
     {
         violation_ = "a chunk of the accepted set was removed";
     }
@@ -187,14 +187,14 @@
     }
 }
 
-base::result<platform::object> fake_client::get(const std::string& key) const
+base::result<object_api::object> fake_client::get(const std::string& key) const
 {
-    return is_disconnected() ? base::result<platform::object>{disconnected_error("get")} : target_->get(key);
+    return is_disconnected() ? base::result<object_api::object>{disconnected_error("get")} : target_->get(key);
 }
 
-base::result<std::vector<platform::object>> fake_client::list(const std::string& prefix) const
+base::result<std::vector<object_api::object>> fake_client::list(const std::string& prefix) const
 {
-    return is_disconnected() ? base::result<std::vector<platform::object>>{disconnected_error("list")}
+    return is_disconnected() ? base::result<std::vector<object_api::object>>{disconnected_error("list")}
                              : target_->list(prefix);
 }
 
@@ -210,8 +210,8 @@
     return is_disconnected() ? base::result<void>{disconnected_error("remove")} : target_->remove(key, expected);
 }
 
-base::result<platform::object> fake_client::watch(const std::string& key, std::uint64_t,
-                                                  std::chrono::milliseconds) const
+base::result<object_api::object> fake_client::watch(const std::string& key, std::uint64_t,
+                                                    std::chrono::milliseconds) const
 {
     return get(key);
 }
--- a/bench/revision_torture/fake_platform.hpp
+++ b/bench/revision_torture/fake_platform.hpp
@@ -3,9 +3,9 @@
 #include "virtual_time.hpp"
 
 #include <galenabay/base/random.hpp>
-#include <galenabay/platform/object_client.hpp>
+#include <galenabay/object_api/object_client.hpp>
 
-#include <src/platform/manifest.hpp>
+#include <src/object_api/manifest.hpp>
 #include <tools/platform_stub/object_store.hpp>
 
 #include <cstdint>
@@ -52,8 +52,8 @@
 public:
     fake_platform(event_queue& queue, base::random_source& random) : queue_{queue}, random_{random} {}
 
-    base::result<platform::object> get(const std::string& key);
-    base::result<std::vector<platform::object>> list(const std::string& prefix);
+    base::result<object_api::object> get(const std::string& key);
+    base::result<std::vector<object_api::object>> list(const std::string& prefix);
     base::result<std::uint64_t> put(const std::string& key, const std::string& value, std::uint64_t expected);
     base::result<void> remove(const std::string& key, std::uint64_t expected);
 
@@ -81,7 +81,7 @@
     /// Records a committed manifest and checks that its set is complete.
     void record_manifest(const std::string& text);
     bool was_just_restored() const;
-    bool has_all_chunks(const platform::manifest& content) const;
+    bool has_all_chunks(const object_api::manifest& content) const;
 
     event_queue& queue_;
     base::random_source& random_;
@@ -106,13 +106,13 @@
     {
     }
 
-    base::result<platform::object> get(const std::string& key) const;
-    base::result<std::vector<platform::object>> list(const std::string& prefix) const;
-    base::result<std::vector<platform::object>> list_keys(const std::string& prefix) const { return list(prefix); }
+    base::result<object_api::object> get(const std::string& key) const;
+    base::result<std::vector<object_api::object>> list(const std::string& prefix) const;
+    base::result<std::vector<object_api::object>> list_keys(const std::string& prefix) const { return list(prefix); }
     base::result<std::uint64_t> put(const std::string& key, const std::string& value, std::uint64_t expected) const;
     base::result<void> remove(const std::string& key, std::uint64_t expected) const;
-    base::result<platform::object> watch(const std::string& key, std::uint64_t after,
-                                         std::chrono::milliseconds wait) const;
+    base::result<object_api::object> watch(const std::string& key, std::uint64_t after,
+                                           std::chrono::milliseconds wait) const;
 
 private:
     bool is_disconnected() const { return disconnected_ != nullptr && *disconnected_; }
--- a/bench/revision_torture/world.cpp
+++ b/bench/revision_torture/world.cpp
@@ -358,11 +358,11 @@
     owner.upstreams[random_.below(owner.upstreams.size())].weight = 1 + static_cast<std::uint32_t>(random_.below(5));
 }
 
-void world::check_apply_result(const base::result<platform::stored_revision>& result,
+void world::check_apply_result(const base::result<object_api::stored_revision>& result,
                                const config::accepted_revision& next, std::size_t restores)
 {
     const auto& commits = platform_.commits();
-    const auto text = platform::to_json(platform::manifest_of(next, config::encode_chunks(next)));
+    const auto text = object_api::to_json(object_api::manifest_of(next, config::encode_chunks(next)));
     if (result)
     {
         ++outcome_.accepted;
@@ -450,8 +450,8 @@
         apply_change(true);
     }
     queue_.run_for(recovery_time);
-    const auto manifest = platform_.objects().get(platform::manifest_key);
-    const auto newest = platform::parse_manifest(manifest->value).value();
+    const auto manifest = platform_.objects().get(object_api::manifest_key);
+    const auto newest = object_api::parse_manifest(manifest->value).value();
     for (const auto& each : hosts_)
     {
         if (!each.in_force || each.in_force->number != newest.number ||
@@ -475,18 +475,18 @@
     std::set<std::string> referenced;
     const auto add_referenced = [&](const std::string& text)
     {
-        const auto content = platform::parse_manifest(text).value();
+        const auto content = object_api::parse_manifest(text).value();
         for (const auto& chunk : content.chunks)
         {
-            referenced.insert(platform::chunk_prefix + chunk);
+            referenced.insert(object_api::chunk_prefix + chunk);
         }
     };
-    add_referenced(platform_.objects().get(platform::manifest_key)->value);
-    for (const auto& row : platform_.objects().list(platform::history_prefix))
+    add_referenced(platform_.objects().get(object_api::manifest_key)->value);
+    for (const auto& row : platform_.objects().list(object_api::history_prefix))
     {
         add_referenced(row.value);
     }
-    for (const auto& row : platform_.objects().list(platform::chunk_prefix))
+    for (const auto& row : platform_.objects().list(object_api::chunk_prefix))
     {
         if (!referenced.contains(row.key))
         {
--- a/bench/revision_torture/world.hpp
+++ b/bench/revision_torture/world.hpp
@@ -8,7 +8,7 @@
 #include <galenabay/config/revision_log.hpp>
 #include <galenabay/revision/follower.hpp>
 
-#include <src/platform/store_logic.hpp>
+#include <src/object_api/store_logic.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -52,7 +52,7 @@
     outcome run();
 
 private:
-    using logic = platform::store_logic<fake_client, virtual_time>;
+    using logic = object_api::store_logic<fake_client, virtual_time>;
 
     struct host
     {
@@ -84,7 +84,7 @@
     void change_service_set(config::service_set& set);
     /// Accepts a set in place of one whose content a restore took, as an operator forces it.
     void replace_unreadable(logic& store);
-    void check_apply_result(const base::result<platform::stored_revision>& outcome,
+    void check_apply_result(const base::result<object_api::stored_revision>& outcome,
                             const config::accepted_revision& next, std::size_t restores);
     void inject_fault();
     /// Ends the faults, waits for convergence and checks the final state.
--- a/daemons/galenactl.cpp
+++ b/daemons/galenactl.cpp
@@ -4,7 +4,7 @@
 #include <galenabay/control/fleet_status.hpp>
 #include <galenabay/control/plan.hpp>
 #include <galenabay/control/wait.hpp>
-#include <galenabay/platform/acceptance.hpp>
+#include <galenabay/object_api/acceptance.hpp>
 
 #include <boost/program_options.hpp>
 
@@ -153,7 +153,7 @@
 {
 public:
     explicit session(const command_line& line)
-        : line_{line}, client_{platform::object_client::make(line.platform, call_timeout)}, store_{client_}
+        : line_{line}, client_{object_api::object_client::make(line.platform, call_timeout)}, store_{client_}
     {
     }
 
@@ -221,7 +221,8 @@
         for (const auto& entry : entries.value())
         {
             std::cout << "revision " << entry.number << " author " << entry.author << " time "
-                      << platform::format_time(entry.accepted_at) << " digest " << config::to_hex(entry.digest) << '\n';
+                      << object_api::format_time(entry.accepted_at) << " digest " << config::to_hex(entry.digest)
+                      << '\n';
         }
         return done;
     }
@@ -259,8 +260,8 @@
     }
 
     const command_line& line_;
-    platform::object_client client_;
-    platform::revision_store store_;
+    object_api::object_client client_;
+    object_api::revision_store store_;
 };
 
 int run_on_files(const command_line& line)
--- a/include/galenabay/control/apply.hpp
+++ b/include/galenabay/control/apply.hpp
@@ -2,8 +2,8 @@
 
 #include <galenabay/base/result.hpp>
 #include <galenabay/config/service_set.hpp>
-#include <galenabay/platform/object_client.hpp>
-#include <galenabay/platform/revision_store.hpp>
+#include <galenabay/object_api/object_client.hpp>
+#include <galenabay/object_api/revision_store.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -39,7 +39,7 @@
 {
     /// False if an equal set was the newest accepted one and nothing was written.
     bool changed = false;
-    platform::stored_revision stored;
+    object_api::stored_revision stored;
 };
 
 /// Accepts a set as the next revision.
@@ -48,7 +48,7 @@
 /// its author, its time and the entries that differ), `refused` (a hazard that is not
 /// forced, hosts have a newer revision than the platform, or the content of the accepted
 /// set is lost), else those of `revision_store`.
-base::result<apply_outcome> apply(const platform::revision_store& store, const platform::object_client& client,
+base::result<apply_outcome> apply(const object_api::revision_store& store, const object_api::object_client& client,
                                   const apply_request& request);
 
 } // namespace galenabay::control
--- a/include/galenabay/control/fleet_status.hpp
+++ b/include/galenabay/control/fleet_status.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <galenabay/base/result.hpp>
-#include <galenabay/platform/object_client.hpp>
+#include <galenabay/object_api/object_client.hpp>
 #include <galenabay/revision/status_document.hpp>
 
 #include <compare>
@@ -42,10 +42,10 @@
 };
 
 /// Reads the list of hosts and all status documents with two calls to the platform.
-base::result<fleet_status> read_fleet_status(const platform::object_client& client);
+base::result<fleet_status> read_fleet_status(const object_api::object_client& client);
 
 /// Returns the largest revision number in any status document; 0 if there is none.
-base::result<std::uint64_t> newest_in_force(const platform::object_client& client);
+base::result<std::uint64_t> newest_in_force(const object_api::object_client& client);
 
 /// Returns true if the host reports `number` or a newer revision in force and its
 /// reports have not stopped.
--- a/include/galenabay/control/plan.hpp
+++ b/include/galenabay/control/plan.hpp
@@ -2,7 +2,7 @@
 
 #include <galenabay/base/result.hpp>
 #include <galenabay/config/diff.hpp>
-#include <galenabay/platform/revision_store.hpp>
+#include <galenabay/object_api/revision_store.hpp>
 
 #include <cstdint>
 #include <string>
@@ -25,7 +25,7 @@
 };
 
 /// Compares a set with the newest accepted revision; writes nothing.
-base::result<plan> make_plan(const platform::revision_store& store, const config::service_set& next);
+base::result<plan> make_plan(const object_api::revision_store& store, const config::service_set& next);
 
 /// Returns lines for an operator: each change, its effect on flows, and each hazard.
 std::vector<std::string> describe(const plan& value);
--- a/include/galenabay/control/wait.hpp
+++ b/include/galenabay/control/wait.hpp
@@ -2,7 +2,7 @@
 
 #include <galenabay/base/result.hpp>
 #include <galenabay/control/fleet_status.hpp>
-#include <galenabay/platform/object_client.hpp>
+#include <galenabay/object_api/object_client.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -16,7 +16,7 @@
 /// Calls `progress` with one line whenever the status changes.
 ///
 /// Errors: `timeout`, with the lagging hosts as detail.
-base::result<void> wait_in_force(const platform::object_client& client, std::uint64_t number,
+base::result<void> wait_in_force(const object_api::object_client& client, std::uint64_t number,
                                  std::chrono::milliseconds timeout,
                                  const std::function<void(const std::string&)>& progress);
 
--- a/include/galenabay/platform/object_client.hpp
+++ b/include/galenabay/object_api/object_client.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 /// Maximum size of an object's value, in bytes.
@@ -74,4 +74,4 @@
     std::chrono::milliseconds timeout_;
 };
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/include/galenabay/platform/revision_store.hpp
+++ b/include/galenabay/object_api/revision_store.hpp
@@ -2,7 +2,7 @@
 
 #include <galenabay/base/result.hpp>
 #include <galenabay/config/accepted_revision.hpp>
-#include <galenabay/platform/object_client.hpp>
+#include <galenabay/object_api/object_client.hpp>
 
 #include <chrono>
 #include <compare>
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 /// A revision and the platform version of the manifest that names it.
@@ -101,4 +101,4 @@
     std::unique_ptr<state> state_;
 };
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/include/galenabay/platform/status_codec.hpp
+++ b/include/galenabay/object_api/status_codec.hpp
@@ -5,7 +5,7 @@
 
 #include <string>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 /// Returns the JSON form of a status document. Hosts that differ in nothing but their
@@ -21,4 +21,4 @@
 /// Returns "starting", "ready" or "leaving".
 const char* name_of(membership::host_state state);
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/control/apply.cpp
+++ b/src/control/apply.cpp
@@ -3,7 +3,7 @@
 #include <galenabay/config/codec.hpp>
 #include <galenabay/config/diff.hpp>
 #include <galenabay/control/fleet_status.hpp>
-#include <galenabay/platform/acceptance.hpp>
+#include <galenabay/object_api/acceptance.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -24,7 +24,7 @@
 }
 
 /// Adds to `conflict` the entries in which the set in force differs from `wanted`.
-base::error explain_conflict(const base::error& conflict, const platform::revision_store& store,
+base::error explain_conflict(const base::error& conflict, const object_api::revision_store& store,
                              const config::service_set& wanted)
 {
     const auto winner = store.read();
@@ -45,7 +45,7 @@
 base::error stale_plan_error(const config::accepted_revision& present)
 {
     return base::error::make(error_code::conflict, "apply", present.author,
-                             platform::describe_acceptance(present.number, present.author, present.accepted_at));
+                             object_api::describe_acceptance(present.number, present.author, present.accepted_at));
 }
 
 bool is_forced(const apply_request& request, const std::string& name)
@@ -55,8 +55,8 @@
 
 /// Chooses a number above every number that a host has in force. After a restore of
 /// the platform from a backup these can be larger than the platform's own number.
-base::result<std::uint64_t> choose_revision_number(const platform::object_client& client, const apply_request& request,
-                                                   std::uint64_t next_number)
+base::result<std::uint64_t> choose_revision_number(const object_api::object_client& client,
+                                                   const apply_request& request, std::uint64_t next_number)
 {
     BOOST_OUTCOME_TRY(newest, newest_in_force(client));
     if (newest < next_number)
@@ -75,8 +75,8 @@
 
 /// Accepts a set in place of one whose content is lost: a restore of the platform from a
 /// backup may keep the manifest and take a part that it names.
-base::result<apply_outcome> replace_unreadable(const platform::revision_store& store,
-                                               const platform::object_client& client, const apply_request& request,
+base::result<apply_outcome> replace_unreadable(const object_api::revision_store& store,
+                                               const object_api::object_client& client, const apply_request& request,
                                                const base::error& lost)
 {
     if (!is_forced(request, unreadable_set))
@@ -99,7 +99,7 @@
 
 } // namespace
 
-base::result<apply_outcome> apply(const platform::revision_store& store, const platform::object_client& client,
+base::result<apply_outcome> apply(const object_api::revision_store& store, const object_api::object_client& client,
                                   const apply_request& request)
 {
     auto read = store.read();
--- a/src/control/fleet_status.cpp
+++ b/src/control/fleet_status.cpp
@@ -1,6 +1,6 @@
 #include <galenabay/control/fleet_status.hpp>
 
-#include <galenabay/platform/status_codec.hpp>
+#include <galenabay/object_api/status_codec.hpp>
 
 #include <algorithm>
 #include <map>
@@ -12,16 +12,16 @@
 namespace
 {
 
-base::result<std::vector<revision::status_document>> read_documents(const platform::object_client& client)
+base::result<std::vector<revision::status_document>> read_documents(const object_api::object_client& client)
 {
     BOOST_OUTCOME_TRY(objects, client.list(revision::status_prefix));
     // Sorted by version, so that the document written last overrides earlier ones.
     std::sort(objects.begin(), objects.end(),
-              [](const platform::object& a, const platform::object& b) { return a.version < b.version; });
+              [](const object_api::object& a, const object_api::object& b) { return a.version < b.version; });
     std::vector<revision::status_document> documents;
     for (const auto& row : objects)
     {
-        BOOST_OUTCOME_TRY(document, platform::decode_status(row.value));
+        BOOST_OUTCOME_TRY(document, object_api::decode_status(row.value));
         documents.push_back(std::move(document));
     }
     return documents;
@@ -70,7 +70,7 @@
 
 } // namespace
 
-base::result<fleet_status> read_fleet_status(const platform::object_client& client)
+base::result<fleet_status> read_fleet_status(const object_api::object_client& client)
 {
     BOOST_OUTCOME_TRY(rows, client.hosts());
     BOOST_OUTCOME_TRY(documents, read_documents(client));
@@ -91,7 +91,7 @@
     return fleet;
 }
 
-base::result<std::uint64_t> newest_in_force(const platform::object_client& client)
+base::result<std::uint64_t> newest_in_force(const object_api::object_client& client)
 {
     BOOST_OUTCOME_TRY(documents, read_documents(client));
     std::uint64_t newest = 0;
--- a/src/control/plan.cpp
+++ b/src/control/plan.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-base::result<plan> make_plan(const platform::revision_store& store, const config::service_set& next)
+base::result<plan> make_plan(const object_api::revision_store& store, const config::service_set& next)
 {
     BOOST_OUTCOME_TRY(stored, store.read());
     plan built;
--- a/src/control/wait.cpp
+++ b/src/control/wait.cpp
@@ -31,7 +31,7 @@
     return line;
 }
 
-base::result<void> wait_in_force(const platform::object_client& client, std::uint64_t number,
+base::result<void> wait_in_force(const object_api::object_client& client, std::uint64_t number,
                                  std::chrono::milliseconds timeout,
                                  const std::function<void(const std::string&)>& progress)
 {
--- a/src/daemon/platform_worker.cpp
+++ b/src/daemon/platform_worker.cpp
@@ -1,7 +1,7 @@
 #include "platform_worker.hpp"
 
 #include <galenabay/base/steady_clock.hpp>
-#include <galenabay/platform/object_client.hpp>
+#include <galenabay/object_api/object_client.hpp>
 
 #include <chrono>
 #include <thread>
@@ -27,8 +27,8 @@
 
 platform_worker::platform_worker(const base::endpoint& platform, std::uint32_t calls_per_second, metric_table& metrics,
                                  const thread_state& state)
-    : platform_{platform}, metrics_{metrics}, state_{state}, store_{platform::object_client::make(platform,
-                                                                                                  call_timeout)},
+    : platform_{platform}, metrics_{metrics}, state_{state}, store_{object_api::object_client::make(platform,
+                                                                                                    call_timeout)},
       budget_{calls_per_second, calls_per_second}, requests_{queue_size}, events_{queue_size}
 {
 }
@@ -79,7 +79,7 @@
 
 void platform_worker::list_hosts()
 {
-    auto listed = platform::object_client::make(platform_, call_timeout).hosts();
+    auto listed = object_api::object_client::make(platform_, call_timeout).hosts();
     count_call(listed.has_value());
     if (listed)
     {
@@ -93,7 +93,7 @@
 
 void platform_worker::list_objects(const list_objects_request& request)
 {
-    const auto listed = platform::object_client::make(platform_, call_timeout).list(request.prefix);
+    const auto listed = object_api::object_client::make(platform_, call_timeout).list(request.prefix);
     count_call(listed.has_value());
     objects_listed outcome;
     if (listed)
@@ -109,13 +109,13 @@
 void platform_worker::remove(const remove_request& request)
 {
     count_call(
-        platform::object_client::make(platform_, call_timeout).remove(request.key, request.expected).has_value());
+        object_api::object_client::make(platform_, call_timeout).remove(request.key, request.expected).has_value());
 }
 
 void platform_worker::write(const write_request& request)
 {
     const auto written =
-        platform::object_client::make(platform_, call_timeout).put(request.key, request.value, request.expected);
+        object_api::object_client::make(platform_, call_timeout).put(request.key, request.value, request.expected);
     count_call(written.has_value());
     object_written outcome{request.key, 0, std::nullopt};
     if (written)
@@ -131,7 +131,7 @@
 
 void platform_worker::read(const read_request& request)
 {
-    auto found = platform::object_client::make(platform_, call_timeout).get(request.key);
+    auto found = object_api::object_client::make(platform_, call_timeout).get(request.key);
     count_call(found.has_value() || found.error().code() == base::error_code::not_found);
     object_read outcome{request.key, "", 0, std::nullopt};
     if (found)
--- a/src/daemon/platform_worker.hpp
+++ b/src/daemon/platform_worker.hpp
@@ -11,7 +11,7 @@
 #include <galenabay/base/token_bucket.hpp>
 #include <galenabay/config/accepted_revision.hpp>
 #include <galenabay/membership/host.hpp>
-#include <galenabay/platform/revision_store.hpp>
+#include <galenabay/object_api/revision_store.hpp>
 
 #include <atomic>
 #include <cstdint>
@@ -140,7 +140,7 @@
     metric_table& metrics_;
     const thread_state& state_;
     std::atomic<bool> partitioned_{false};
-    platform::revision_store store_;
+    object_api::revision_store store_;
     base::token_bucket budget_;
     base::ring<platform_request> requests_;
     base::ring<platform_event> events_;
--- a/src/daemon/status_reporter.cpp
+++ b/src/daemon/status_reporter.cpp
@@ -1,6 +1,6 @@
 #include "status_reporter.hpp"
 
-#include <galenabay/platform/status_codec.hpp>
+#include <galenabay/object_api/status_codec.hpp>
 
 #include <chrono>
 #include <variant>
@@ -85,7 +85,7 @@
         {
             auto document = write->document;
             document.written_at = seconds_since_epoch();
-            platform_calls_.submit(write_request{write->key, platform::encode_status(document), write->expected});
+            platform_calls_.submit(write_request{write->key, object_api::encode_status(document), write->expected});
         }
         else if (std::holds_alternative<revision::list_statuses>(each))
         {
@@ -114,7 +114,7 @@
             aggregator_.on_read_failure(now);
             return;
         }
-        const auto document = platform::decode_status(read->value);
+        const auto document = object_api::decode_status(read->value);
         aggregator_.on_status_read(read->version, document ? document.value().writer : "", now);
     }
     else if (const auto* listed = std::get_if<objects_listed>(&event))
--- a/src/platform/base64.cpp
+++ b/src/object_api/base64.cpp
@@ -7,7 +7,7 @@
 #include <iterator>
 #include <sstream>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 std::string to_base64(std::span<const std::byte> bytes)
@@ -36,4 +36,4 @@
     }
 }
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/platform/base64.hpp
+++ b/src/object_api/base64.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 /// Encodes `bytes` without line breaks.
@@ -16,4 +16,4 @@
 /// Decodes Base64. Errors: `malformed`.
 base::result<std::vector<std::byte>> from_base64(const std::string& text);
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/platform/chunk_store.hpp
+++ b/src/object_api/chunk_store.hpp
@@ -5,7 +5,7 @@
 #include "retry.hpp"
 
 #include <galenabay/config/codec.hpp>
-#include <galenabay/platform/object_client.hpp>
+#include <galenabay/object_api/object_client.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -15,7 +15,7 @@
 #include <utility>
 #include <vector>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 using chunk = std::vector<std::byte>;
@@ -197,4 +197,4 @@
     return removed;
 }
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/platform/json_text.cpp
+++ b/src/object_api/json_text.cpp
@@ -5,7 +5,7 @@
 
 #include <sstream>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 namespace
@@ -44,4 +44,4 @@
     return text.str();
 }
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/platform/json_text.hpp
+++ b/src/object_api/json_text.hpp
@@ -6,7 +6,7 @@
 
 #include <string>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 /// Parses a JSON object whose depth is bounded. Errors: `malformed`, with the given
@@ -17,4 +17,4 @@
 /// Serializes a JSON object.
 std::string to_text(const Poco::JSON::Object& json);
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/platform/manifest.cpp
+++ b/src/object_api/manifest.cpp
@@ -2,7 +2,7 @@
 
 #include "json_text.hpp"
 
-#include <galenabay/platform/acceptance.hpp>
+#include <galenabay/object_api/acceptance.hpp>
 
 #include <Poco/DateTimeFormat.h>
 #include <Poco/DateTimeFormatter.h>
@@ -14,7 +14,7 @@
 #include <cctype>
 #include <utility>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 namespace
@@ -126,4 +126,4 @@
                                            Poco::DateTimeFormat::ISO8601_FORMAT);
 }
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/platform/manifest.hpp
+++ b/src/object_api/manifest.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 /// Metadata of one accepted revision and the names of its chunks. Plain value.
@@ -34,4 +34,4 @@
 /// Returns the revision that the manifest describes, without services and lineage.
 config::accepted_revision header_of(const manifest& source);
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/platform/object_client.cpp
+++ b/src/object_api/object_client.cpp
@@ -1,4 +1,4 @@
-#include <galenabay/platform/object_client.hpp>
+#include <galenabay/object_api/object_client.hpp>
 
 #include "json_text.hpp"
 
@@ -10,7 +10,7 @@
 
 #include <utility>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 namespace
@@ -204,4 +204,4 @@
                       [](const Object& json) { return rows_of(json, "hosts", to_host); });
 }
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/platform/retry.hpp
+++ b/src/object_api/retry.hpp
@@ -6,7 +6,7 @@
 #include <chrono>
 #include <thread>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 /// Returns true if the same call may succeed later.
@@ -67,4 +67,4 @@
     }
 };
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/platform/revision_store.cpp
+++ b/src/object_api/revision_store.cpp
@@ -1,11 +1,11 @@
-#include <galenabay/platform/revision_store.hpp>
+#include <galenabay/object_api/revision_store.hpp>
 
 #include "retry.hpp"
 #include "store_logic.hpp"
 
 #include <utility>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 class revision_store::state : public store_logic<object_client, steady_time>
@@ -66,4 +66,4 @@
     return state_->read_revision(number);
 }
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/platform/status_codec.cpp
+++ b/src/object_api/status_codec.cpp
@@ -1,4 +1,4 @@
-#include <galenabay/platform/status_codec.hpp>
+#include <galenabay/object_api/status_codec.hpp>
 
 #include "json_text.hpp"
 
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 namespace
@@ -153,4 +153,4 @@
     }
 }
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/platform/store_logic.cpp
+++ b/src/object_api/store_logic.cpp
@@ -3,7 +3,7 @@
 #include <cstdio>
 #include <iterator>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 std::string history_key(std::uint64_t number)
@@ -31,4 +31,4 @@
     return built;
 }
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/src/platform/store_logic.hpp
+++ b/src/object_api/store_logic.hpp
@@ -5,8 +5,8 @@
 #include "retry.hpp"
 
 #include <galenabay/config/codec.hpp>
-#include <galenabay/platform/acceptance.hpp>
-#include <galenabay/platform/revision_store.hpp>
+#include <galenabay/object_api/acceptance.hpp>
+#include <galenabay/object_api/revision_store.hpp>
 
 #include <algorithm>
 #include <set>
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-namespace galenabay::platform
+namespace galenabay::object_api
 {
 
 inline constexpr const char* manifest_key = "config/manifest";
@@ -371,4 +371,4 @@
     known_manifest last_read_;
 };
 
-} // namespace galenabay::platform
+} // namespace galenabay::object_api
--- a/tests/control/apply_test.cpp
+++ b/tests/control/apply_test.cpp
@@ -4,7 +4,7 @@
 #include <galenabay/control/fleet_status.hpp>
 #include <galenabay/control/plan.hpp>
 #include <galenabay/control/wait.hpp>
-#include <galenabay/platform/status_codec.hpp>
+#include <galenabay/object_api/status_codec.hpp>
 
 #include <tools/platform_stub/server.hpp>
 
@@ -40,9 +40,9 @@
 TEST_GROUP(apply)
 {
     stub::server server{unlimited()};
-    platform::object_client client =
-        platform::object_client::make(base::endpoint::parse("127.0.0.1", server.port()).value(), 2000ms);
-    platform::revision_store store{client, 3000ms};
+    object_api::object_client client =
+        object_api::object_client::make(base::endpoint::parse("127.0.0.1", server.port()).value(), 2000ms);
+    object_api::revision_store store{client, 3000ms};
 
     base::result<control::apply_outcome> apply(const config::service_set& set, const char* author = "ann",
                                                std::optional<std::uint64_t> expected = {},
@@ -54,7 +54,7 @@
     void put_status(const std::vector<revision::host_status>& hosts)
     {
         const revision::status_document document{"west", "a", 1, 0, hosts};
-        server.objects().put("status/west", platform::encode_status(document), {});
+        server.objects().put("status/west", object_api::encode_status(document), {});
     }
 
     static revision::host_status host(const char* name, std::uint64_t number, std::uint64_t silent_s = 0)
@@ -89,7 +89,7 @@
     STRCMP_CONTAINS("unreadable-set", refused.error().detail().c_str());
     const auto replaced = apply(example_set(70), "ann", {}, {control::unreadable_set}).value();
     LONGS_EQUAL(2, replaced.stored.revision.number);
-    platform::revision_store other{client, 3000ms};
+    object_api::revision_store other{client, 3000ms};
     LONGS_EQUAL(70, other.read().value()->revision.set.services[0].upstreams[0].weight);
 }
 
@@ -168,7 +168,7 @@
     const auto write = [&](const char* data_centre, const revision::host_status& status)
     {
         const revision::status_document document{data_centre, "a", 1, 0, {status}};
-        server.objects().put(std::string{"status/"} + data_centre, platform::encode_status(document), {});
+        server.objects().put(std::string{"status/"} + data_centre, object_api::encode_status(document), {});
     };
     auto reported_by_other = host("c", 2);
     reported_by_other.data_centre = "zenith";
--- a/tests/platform/object_client_test.cpp
+++ b/tests/object_api/object_client_test.cpp
@@ -1,4 +1,4 @@
-#include <galenabay/platform/object_client.hpp>
+#include <galenabay/object_api/object_client.hpp>
 
 #include <tools/platform_stub/server.hpp>
 
@@ -12,8 +12,8 @@
 TEST_GROUP(object_client)
 {
     stub::server server{stub::server_settings{}};
-    platform::object_client client =
-        platform::object_client::make(base::endpoint::parse("127.0.0.1", server.port()).value(), 2000ms);
+    object_api::object_client client =
+        object_api::object_client::make(base::endpoint::parse("127.0.0.1", server.port()).value(), 2000ms);
 
     template <typename Result> void check_error(base::error_code expected, const Result& outcome)
     {
@@ -60,7 +60,7 @@
 
 TEST(object_client, value_of_the_maximum_size_is_accepted)
 {
-    const std::string largest(platform::max_object_size, '/');
+    const std::string largest(object_api::max_object_size, '/');
     CHECK(client.put("a", largest, 0).has_value());
     CHECK(client.get("a").value().value == largest);
     check_error(base::error_code::out_of_range, client.put("b", largest + "/", 0));
@@ -81,13 +81,14 @@
 {
     server.state().apply(R"({"delay_ms": 300})");
     const auto short_timeout_client =
-        platform::object_client::make(base::endpoint::parse("127.0.0.1", server.port()).value(), 50ms);
+        object_api::object_client::make(base::endpoint::parse("127.0.0.1", server.port()).value(), 50ms);
     check_error(base::error_code::timeout, short_timeout_client.put("a", "one", 0));
 }
 
 TEST(object_client, closed_port_is_unavailable)
 {
-    const auto unreachable_client = platform::object_client::make(base::endpoint::parse("127.0.0.1:1").value(), 200ms);
+    const auto unreachable_client =
+        object_api::object_client::make(base::endpoint::parse("127.0.0.1:1").value(), 200ms);
     check_error(base::error_code::unavailable, unreachable_client.put("a", "one", 0));
 }
 
--- a/tests/platform/revision_store_test.cpp
+++ b/tests/object_api/revision_store_test.cpp
@@ -1,6 +1,6 @@
 #include <galenabay/config/codec.hpp>
 #include <galenabay/config/load.hpp>
-#include <galenabay/platform/revision_store.hpp>
+#include <galenabay/object_api/revision_store.hpp>
 
 #include <tools/platform_stub/server.hpp>
 
@@ -49,14 +49,14 @@
 {
     stub::server server{unlimited()};
 
-    platform::object_client client()
+    object_api::object_client client()
     {
         const auto endpoint = base::endpoint::parse("127.0.0.1", server.port()).value();
-        return platform::object_client::make(endpoint, 2000ms);
+        return object_api::object_client::make(endpoint, 2000ms);
     }
-    platform::revision_store store(std::chrono::milliseconds retry_timeout = 3000ms)
+    object_api::revision_store store(std::chrono::milliseconds retry_timeout = 3000ms)
     {
-        return platform::revision_store{client(), retry_timeout};
+        return object_api::revision_store{client(), retry_timeout};
     }
     void fault(const std::string& json)
     {
@@ -64,10 +64,10 @@
     }
 
     /// Accepts one revision for each of the weights, in order.
-    platform::stored_revision accept_all(const std::vector<std::uint32_t>& weights)
+    object_api::stored_revision accept_all(const std::vector<std::uint32_t>& weights)
     {
         auto writer = store();
-        platform::stored_revision latest;
+        object_api::stored_revision latest;
         for (const auto weight : weights)
         {
             const auto* previous = latest.manifest_version == 0 ? nullptr : &latest.revision;
@@ -209,16 +209,16 @@
 TEST(revision_store, keeps_history_and_removes_unreferenced_chunks)
 {
     std::vector<std::uint32_t> weights;
-    for (std::uint32_t weight = 1; weight <= platform::max_history + 10; ++weight)
+    for (std::uint32_t weight = 1; weight <= object_api::max_history + 10; ++weight)
     {
         weights.push_back(weight);
     }
     server.objects().put("config/chunks/left-over", "x", 0);
     const auto latest = accept_all(weights);
     const auto entries = store().history().value();
-    CHECK(entries.size() <= platform::max_history + 2);
+    CHECK(entries.size() <= object_api::max_history + 2);
     LONGS_EQUAL(latest.revision.number, entries.front().number);
-    CHECK(server.objects().list("config/chunks/").size() <= platform::max_history + 2);
+    CHECK(server.objects().list("config/chunks/").size() <= object_api::max_history + 2);
     CHECK_FALSE(server.objects().get("config/chunks/left-over").has_value());
     for (const auto& entry : entries)
     {
--- a/tests/platform/status_codec_test.cpp
+++ b/tests/object_api/status_codec_test.cpp
@@ -1,5 +1,5 @@
 #include <galenabay/base/random.hpp>
-#include <galenabay/platform/status_codec.hpp>
+#include <galenabay/object_api/status_codec.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -26,7 +26,7 @@
 
 TEST(status_codec, round_trip_preserves_the_document)
 {
-    CHECK(platform::decode_status(platform::encode_status(example)).value() == example);
+    CHECK(object_api::decode_status(object_api::encode_status(example)).value() == example);
 }
 
 TEST(status_codec, malformed_text_is_refused)
@@ -34,13 +34,13 @@
     for (const char* text : {"", "[]", "{", "{}", R"({"data_centre":"w","writer":"a","incarnation":-1,"written_at":0})",
                              R"({"data_centre":"w","writer":"a","incarnation":1,"written_at":0,"groups":[3]})"})
     {
-        CHECK(platform::decode_status(text).error().code() == base::error_code::malformed);
+        CHECK(object_api::decode_status(text).error().code() == base::error_code::malformed);
     }
 }
 
 TEST(status_codec, mutated_text_does_not_crash)
 {
-    const auto whole = platform::encode_status(example);
+    const auto whole = object_api::encode_status(example);
     for (std::uint64_t seed = 1; seed <= 2000; ++seed)
     {
         base::random_source random{seed};
@@ -49,6 +49,6 @@
         {
             text[random.below(text.size())] = static_cast<char>(random.below(256));
         }
-        static_cast<void>(platform::decode_status(text));
+        static_cast<void>(object_api::decode_status(text));
     }
 }
--- a/tests/platform/store_logic_test.cpp
+++ b/tests/object_api/store_logic_test.cpp
@@ -1,5 +1,5 @@
 #include <bench/revision_torture/world.hpp>
-#include <src/platform/store_logic.hpp>
+#include <src/object_api/store_logic.hpp>
 #include <tools/platform_stub/object_store.hpp>
 
 #include <galenabay/base/random.hpp>
@@ -31,25 +31,25 @@
     stub::object_store* objects;
     std::map<std::string, std::function<void()>>* before_change;
 
-    base::result<platform::object> get(const std::string& key) const
+    base::result<object_api::object> get(const std::string& key) const
     {
         const auto found = objects->get(key);
         if (!found)
         {
             return failed(base::error_code::not_found);
         }
-        return platform::object{found->key, found->version, found->value};
+        return object_api::object{found->key, found->version, found->value};
     }
-    base::result<std::vector<platform::object>> list(const std::string& prefix) const
+    base::result<std::vector<object_api::object>> list(const std::string& prefix) const
     {
-        std::vector<platform::object> rows;
+        std::vector<object_api::object> rows;
         for (const auto& row : objects->list(prefix))
         {
             rows.push_back({row.key, row.version, row.value});
         }
         return rows;
     }
-    base::result<std::vector<platform::object>> list_keys(const std::string& prefix) const { return list(prefix); }
+    base::result<std::vector<object_api::object>> list_keys(const std::string& prefix) const { return list(prefix); }
     base::result<std::uint64_t> put(const std::string& key, const std::string& value, std::uint64_t expected) const
     {
         if (auto node = before_change->extract(key))
@@ -70,11 +70,11 @@
         return outcome.status == stub::write_status::done ? base::result<void>{base::outcome::success()}
                                                           : failed(base::error_code::conflict);
     }
-    base::result<platform::object> watch(const std::string& key, std::uint64_t after,
-                                         std::chrono::milliseconds wait) const
+    base::result<object_api::object> watch(const std::string& key, std::uint64_t after,
+                                           std::chrono::milliseconds wait) const
     {
         const auto found = objects->watch(key, after, wait);
-        return found ? platform::object{found->key, found->version, found->value} : platform::object{key, 0, {}};
+        return found ? object_api::object{found->key, found->version, found->value} : object_api::object{key, 0, {}};
     }
 };
 
@@ -95,7 +95,7 @@
 
 TEST_GROUP(store_logic)
 {
-    using logic = platform::store_logic<hooked_client, platform::steady_time>;
+    using logic = object_api::store_logic<hooked_client, object_api::steady_time>;
 
     stub::object_store objects;
     std::map<std::string, std::function<void()>> before_change;
@@ -116,23 +116,23 @@
     const auto first = store().accept(config::make_next_revision(nullptr, with_weight(1), "ann", 1), 0).value();
     const auto equal = config::make_next_revision(&first.revision, with_weight(2), "ben", 2);
     config::accepted_revision third;
-    platform::stored_revision second;
+    object_api::stored_revision second;
     // Before the operator under test lists unreferenced chunks, another one accepts the
     // equal set and a third one writes the chunks of the next set.
-    const auto key = std::string{platform::chunk_prefix} + platform::chunk_name(config::encode_chunks(equal).at(0));
+    const auto key = std::string{object_api::chunk_prefix} + object_api::chunk_name(config::encode_chunks(equal).at(0));
     before_change[key] = [&]
     {
         second = store().accept(equal, first.manifest_version).value();
         third = config::make_next_revision(&second.revision, with_weight(3), "cat", 3);
         for (const auto& chunk : config::encode_chunks(third))
         {
-            const auto name = std::string{platform::chunk_prefix} + platform::chunk_name(chunk);
-            CHECK(objects.put(name, platform::to_base64(chunk), 0).status == stub::write_status::done);
+            const auto name = std::string{object_api::chunk_prefix} + object_api::chunk_name(chunk);
+            CHECK(objects.put(name, object_api::to_base64(chunk), 0).status == stub::write_status::done);
         }
     };
     CHECK(hooked_store().accept(equal, first.manifest_version).has_value());
-    const auto text = platform::to_json(platform::manifest_of(third, config::encode_chunks(third)));
-    CHECK(objects.put(platform::manifest_key, text, second.manifest_version).status == stub::write_status::done);
+    const auto text = object_api::to_json(object_api::manifest_of(third, config::encode_chunks(third)));
+    CHECK(objects.put(object_api::manifest_key, text, second.manifest_version).status == stub::write_status::done);
     CHECK(store().read().value()->revision == third);
 }
 
@@ -142,8 +142,8 @@
     const auto second = config::make_next_revision(&first.revision, with_weight(2), "ben", 2);
     const auto third = config::make_next_revision(&second, with_weight(3), "cat", 3);
     const auto chunk = config::encode_chunks(third).at(0);
-    const auto key = std::string{platform::chunk_prefix} + platform::chunk_name(chunk);
-    CHECK(objects.put(key, platform::to_base64(chunk), 0).status == stub::write_status::done);
+    const auto key = std::string{object_api::chunk_prefix} + object_api::chunk_name(chunk);
+    CHECK(objects.put(key, object_api::to_base64(chunk), 0).status == stub::write_status::done);
     // The second operator has listed the unreferenced chunk and committed. Before it
     // removes the chunk, the third one accepts a revision that references it.
     before_change[key] = [&]
@@ -168,8 +168,8 @@
 TEST(store_logic, mutated_manifest_does_not_crash_the_parser)
 {
     const auto next = config::make_next_revision(nullptr, with_weight(1), "ann", 1);
-    const auto whole = platform::to_json(platform::manifest_of(next, config::encode_chunks(next)));
-    CHECK(platform::parse_manifest(whole).has_value());
+    const auto whole = object_api::to_json(object_api::manifest_of(next, config::encode_chunks(next)));
+    CHECK(object_api::parse_manifest(whole).has_value());
     for (std::uint64_t seed = 1; seed <= 2000; ++seed)
     {
         base::random_source random{seed};
@@ -178,7 +178,7 @@
         {
             text[random.below(text.size())] = static_cast<char>(random.below(256));
         }
-        if (const auto parsed = platform::parse_manifest(text); parsed.has_value())
+        if (const auto parsed = object_api::parse_manifest(text); parsed.has_value())
         {
             CHECK(parsed.value().number > 0);
             LONGS_EQUAL(64, parsed.value().digest.size());
