A complete list counts for what it does not contain

Callers would see: flows to an upstream that is gone, for good: a registration that arrives after the list from which the upstream is missing was applied, and no further event of the store corrects it. Cause: a list marked unlisted upstreams as missing and did not record at which revision they were gone; an upstream that had ended by then was not recorded. Change: an unlisted upstream is recorded as removed at the list's revision, and one that is unknown needs a registration later than the latest list.

--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -197,6 +197,8 @@
     std::unordered_map<std::string, std::vector<upstream_incarnation*>> by_service_;
     std::unordered_map<std::string, known_change> known_;
     std::uint64_t epoch_ = 0;
+    /// Revision of the latest complete list: what it does not contain was gone by then.
+    store_revision listed_at_;
     std::optional<base::time_point> store_failed_at_;
     std::uint64_t outdated_count_ = 0;
 };
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -58,6 +58,10 @@
 bool upstream_registry::record_registration(const upstream_entry& entry, base::time_point now)
 {
     observe_epoch(entry.revision.epoch, now);
+    if (!by_id_.contains(entry.id) && entry.revision < listed_at_)
+    {
+        return false;
+    }
     auto [row, is_new] = known_.try_emplace(entry.id);
     auto& known = row->second;
     const bool applied = is_new || is_newer(entry, known);
@@ -207,7 +211,7 @@
     }
     for (const auto& [id, incarnation] : by_id_)
     {
-        if (listed.contains(id) || incarnation->entry.revision > revision)
+        if (listed.contains(id) || !record_removal(id, revision, now))
         {
             continue;
         }
@@ -216,6 +220,7 @@
             changes.push_back(made);
         }
     }
+    listed_at_ = std::max(listed_at_, revision);
     return changes;
 }
 
