galenactl inspect: the platform's store and its hosts, read-only

A library (inspect) reads the store through the adapter and the hosts' state as other hosts do; the report is pure. Tests: the report, and a host with the store stub; usage and an unreachable store by hand (exit codes 2 and 1). The test hosts of restored_store move to a header that both use. galena_edged is not changed.

--- a/daemons/galenactl.cpp
+++ b/daemons/galenactl.cpp
@@ -4,6 +4,7 @@
 #include <galenabay/control/fleet_status.hpp>
 #include <galenabay/control/plan.hpp>
 #include <galenabay/control/wait.hpp>
+#include <galenabay/inspect/read_fleet.hpp>
 #include <galenabay/object_api/acceptance.hpp>
 
 #include <boost/program_options.hpp>
@@ -46,6 +47,8 @@
     std::vector<std::string> forced;
     std::string author;
     std::optional<std::uint64_t> to;
+    std::optional<base::endpoint> store;
+    std::vector<base::endpoint> hosts;
 };
 
 std::string default_author()
@@ -62,7 +65,9 @@
         "  galenactl plan FILE...       show what applying them would change\n"
         "  galenactl apply FILE...      accept the files as one set\n"
         "  galenactl status             show the revision that each host has in force\n"
-        "  galenactl history            list accepted revisions; --to N applies one again\n\n"
+        "  galenactl history            list accepted revisions; --to N applies one again\n"
+        "  galenactl inspect            users' platform: show what --store holds and what each\n"
+        "                               listed host, and each --host, has in force; read-only\n\n"
         "Example: galenactl apply --platform 127.0.0.1:7000 --wait examples/alliance.yaml\n\n"
         "Exit codes: 0 done, 1 failed, 2 bad input or usage, 3 conflict with another\n"
         "operator's change, 4 not in force on every live host (in time)\n\n"
@@ -78,6 +83,9 @@
     add("force", options::value<std::vector<std::string>>()->composing(),
         "accept a change that breaks flows, by the name that plan shows; repeatable");
     add("author", options::value<std::string>()->default_value(default_author()), "author of the revision");
+    add("store", options::value<std::string>(), "inspect: ADDRESS:PORT of the platform's store");
+    add("host", options::value<std::vector<std::string>>()->composing(),
+        "inspect: ADDRESS:PORT at which a host serves others; repeatable");
     add("to", options::value<std::uint64_t>(), "history: accept the content of revision N again");
     return description;
 }
@@ -119,6 +127,19 @@
     {
         line.to = values["to"].as<std::uint64_t>();
     }
+    if (values.count("store") > 0)
+    {
+        BOOST_OUTCOME_TRY(store, base::endpoint::parse(values["store"].as<std::string>()));
+        line.store = store;
+    }
+    if (values.count("host") > 0)
+    {
+        for (const auto& text : values["host"].as<std::vector<std::string>>())
+        {
+            BOOST_OUTCOME_TRY(host, base::endpoint::parse(text));
+            line.hosts.push_back(host);
+        }
+    }
     return line;
 }
 
@@ -285,6 +306,24 @@
     return line.command == "plan" ? opened.plan(set.value()) : opened.apply(set.value());
 }
 
+int inspect_fleet(const command_line& line)
+{
+    if (!line.store)
+    {
+        return usage_error("inspect needs --store");
+    }
+    const auto read = inspect::read_fleet(*line.store, line.hosts);
+    if (!read)
+    {
+        return report(read.error());
+    }
+    for (const auto& text : inspect::describe(read.value()))
+    {
+        std::cout << text << '\n';
+    }
+    return inspect::is_current(read.value()) ? done : not_in_force;
+}
+
 int run(const command_line& line)
 {
     if (line.command == "validate" || line.command == "plan" || line.command == "apply")
@@ -299,6 +338,10 @@
     {
         return session{line}.history();
     }
+    if (line.command == "inspect")
+    {
+        return inspect_fleet(line);
+    }
     return usage_error(line.command.empty() ? "a command is missing" : "unknown command '" + line.command + "'");
 }
 
--- /dev/null
+++ b/include/galenabay/inspect/fleet_report.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <galenabay/base/endpoint.hpp>
+#include <galenabay/base/error.hpp>
+#include <galenabay/steer/store_revision.hpp>
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace galenabay::inspect
+{
+
+/// Registrations of one service. Plain value.
+struct service_counts
+{
+    std::size_t ready = 0;
+    std::size_t draining = 0;
+
+    friend auto operator<=>(const service_counts&, const service_counts&) = default;
+};
+
+/// What the platform's store holds. Plain value.
+struct store_contents
+{
+    steer::store_revision revision;
+    /// Version and number of routes of the configuration; 0 when there is none.
+    std::uint64_t configuration_version = 0;
+    std::size_t routes = 0;
+    std::map<std::string, service_counts> services;
+    /// Names of objects that cannot be used.
+    std::vector<std::string> unusable;
+
+    friend auto operator<=>(const store_contents&, const store_contents&) = default;
+};
+
+/// What one host answers about itself.
+struct host_answer
+{
+    std::string name;
+    std::string data_centre;
+    base::endpoint address;
+    /// Why the host did not answer; empty when it did.
+    std::optional<base::error> failure;
+    /// Version in force; 0 for none.
+    std::uint64_t configuration_version = 0;
+    /// Store revision of the last change of the upstreams that it applied, and their number.
+    steer::store_revision upstreams_revision;
+    std::size_t upstreams = 0;
+};
+
+/// A store and the hosts that it lists, as they were when they were read.
+struct fleet_report
+{
+    store_contents store;
+    std::vector<host_answer> hosts;
+};
+
+/// Returns true when a host has the store's configuration in force, or a later one, and has
+/// seen the store's present epoch.
+bool is_current(const host_answer& host, const store_contents& store);
+/// Returns true when all listed hosts answered and are current.
+bool is_current(const fleet_report& report);
+/// Returns the lines that `galenactl inspect` prints.
+std::vector<std::string> describe(const fleet_report& report);
+
+} // namespace galenabay::inspect
--- /dev/null
+++ b/src/inspect/read_fleet.cpp
@@ -0,0 +1,153 @@
+#include <galenabay/inspect/read_fleet.hpp>
+
+#include "../edge/peer_paths.hpp"
+
+#include <galenabay/net/http_session.hpp>
+#include <galenabay/peers/message_codec.hpp>
+#include <platform/store_client.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace galenabay::inspect
+{
+
+namespace
+{
+
+using adapter::object_kind;
+using std::chrono::milliseconds;
+
+constexpr milliseconds store_timeout{3'000};
+constexpr milliseconds host_timeout{1'000};
+/// Largest accepted state of a host; it serves no more than 64 KiB.
+constexpr std::size_t max_state_bytes = 1U << 20U;
+
+/// All objects of a kind, and the revision of the first page.
+struct object_list
+{
+    std::vector<adapter::store_object> objects;
+    steer::store_revision revision;
+};
+
+base::result<object_list> list_all(const base::endpoint& store, object_kind kind)
+{
+    auto client = adapter::store_client::make(store, kind, store_timeout);
+    object_list all;
+    std::string after;
+    for (bool more = true; more;)
+    {
+        BOOST_OUTCOME_TRY(page, client.list(after, adapter::read_freshness::latest));
+        if (after.empty())
+        {
+            all.revision = page.revision;
+        }
+        // An unusable object may be the last one of a page.
+        more = page.more && page.last_name != after;
+        after = page.last_name;
+        std::move(page.objects.begin(), page.objects.end(), std::back_inserter(all.objects));
+    }
+    return all;
+}
+
+base::result<store_contents> read_store(const base::endpoint& store)
+{
+    BOOST_OUTCOME_TRY(configurations, list_all(store, object_kind::configuration));
+    BOOST_OUTCOME_TRY(upstreams, list_all(store, object_kind::upstreams));
+    store_contents read;
+    read.revision = upstreams.revision;
+    for (const auto& object : configurations.objects)
+    {
+        if (object.configuration)
+        {
+            read.configuration_version = object.configuration->version;
+            read.routes = object.configuration->routes.size();
+        }
+    }
+    for (const auto& object : upstreams.objects)
+    {
+        if (object.upstream)
+        {
+            auto& counts = read.services[object.upstream->service];
+            ++(object.upstream->draining ? counts.draining : counts.ready);
+        }
+    }
+    for (const auto* objects : {&configurations.objects, &upstreams.objects})
+    {
+        for (const auto& object : *objects)
+        {
+            if (!object.fault.empty())
+            {
+                read.unusable.push_back(object.name + " (" + object.fault + ")");
+            }
+        }
+    }
+    return read;
+}
+
+base::result<peers::edge_state> read_state(const base::endpoint& host, object_kind kind)
+{
+    BOOST_OUTCOME_TRY(answer, net::http_session::make(host, host_timeout)
+                                  .call({.step = "read_host",
+                                         .method = "GET",
+                                         .path = edge::peer_state_path(kind),
+                                         .body = {},
+                                         .expected_version = {},
+                                         .timeout = host_timeout,
+                                         .max_response = max_state_bytes}));
+    return peers::decode_state(answer.body);
+}
+
+host_answer read_host(host_answer host)
+{
+    const auto configuration = read_state(host.address, object_kind::configuration);
+    const auto upstreams = read_state(host.address, object_kind::upstreams);
+    if (!configuration || !upstreams)
+    {
+        host.failure = configuration ? upstreams.error() : configuration.error();
+        return host;
+    }
+    host.configuration_version = configuration.value().configuration.version;
+    host.upstreams_revision = upstreams.value().upstreams.revision;
+    host.upstreams = upstreams.value().upstreams.entries.size();
+    return host;
+}
+
+} // namespace
+
+base::result<fleet_report> read_fleet(const base::endpoint& store, const std::vector<base::endpoint>& hosts)
+{
+    BOOST_OUTCOME_TRY(contents, read_store(store));
+    BOOST_OUTCOME_TRY(listed, list_all(store, object_kind::hosts));
+    fleet_report report{.store = std::move(contents), .hosts = {}};
+    const auto add = [&](const std::string& name, const std::string& data_centre, const base::endpoint& address)
+    {
+        report.hosts.push_back(read_host({.name = name,
+                                          .data_centre = data_centre,
+                                          .address = address,
+                                          .failure = {},
+                                          .configuration_version = 0,
+                                          .upstreams_revision = {},
+                                          .upstreams = 0}));
+    };
+    for (const auto& object : listed.objects)
+    {
+        if (object.host)
+        {
+            add(object.name, object.host_data_centre, *object.host);
+        }
+    }
+    for (const auto& address : hosts)
+    {
+        const bool is_listed = std::any_of(report.hosts.begin(), report.hosts.end(),
+                                           [&](const host_answer& known) { return known.address == address; });
+        if (!is_listed)
+        {
+            add("", "", address);
+        }
+    }
+    return report;
+}
+
+} // namespace galenabay::inspect
--- a/tests/steer/registry_convergence_test.cpp
+++ b/tests/steer/registry_convergence_test.cpp
@@ -88,7 +88,8 @@
     {
         if (!running_.empty())
         {
-            auto& one = std::next(running_.begin(), static_cast<std::ptrdiff_t>(random_.below(running_.size())))->second;
+            auto& one =
+                std::next(running_.begin(), static_cast<std::ptrdiff_t>(random_.below(running_.size())))->second;
             apply(one);
             write(one);
         }
--- /dev/null
+++ b/tests/store_stub/read_fleet_test.cpp
@@ -0,0 +1,47 @@
+#include "test_host.hpp"
+
+#include <galenabay/inspect/read_fleet.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace galenabay;
+using namespace galenabay::store_test;
+
+TEST_GROUP(read_fleet)
+{
+    base::endpoint store_address = next_endpoint();
+    edge_soak::store_stub store{store_address};
+};
+
+TEST(read_fleet, shows_the_store_and_the_hosts_that_it_lists)
+{
+    store.put("config", "main", configuration(3));
+    store.put("servers", "i-1", registration("ready", 1));
+    store.put("servers", "i-2", registration("draining", 1));
+    store.put("servers", "i-3", registration("asleep", 1));
+    test_host host;
+    host.start("edge-1", store_address);
+    CHECK(holds_within(2 * start_bound,
+                       [&]
+                       {
+                           const auto read = inspect::read_fleet(store_address, {});
+                           return read && read.value().hosts.size() == 1 && inspect::is_current(read.value());
+                       }));
+    const auto report = inspect::read_fleet(store_address, {host.peers, next_endpoint()}).value();
+    LONGS_EQUAL(3, report.store.configuration_version);
+    LONGS_EQUAL(1, report.store.services.at("feed").ready);
+    LONGS_EQUAL(1, report.store.services.at("feed").draining);
+    STRCMP_EQUAL("i-3 (state)", report.store.unusable.at(0).c_str());
+    LONGS_EQUAL(2, report.hosts.size());
+    LONGS_EQUAL(3, report.hosts.front().configuration_version);
+    LONGS_EQUAL(2, report.hosts.front().upstreams);
+    CHECK(report.hosts.back().failure.has_value());
+    CHECK_FALSE(inspect::is_current(report));
+}
+
+TEST(read_fleet, a_store_that_does_not_answer_is_an_error_with_its_address)
+{
+    const auto read = inspect::read_fleet(next_endpoint(), {});
+    CHECK_FALSE(read.has_value());
+    STRCMP_CONTAINS("127.77.", read.error().peer().c_str());
+}
