Keep the digest of the upstreams up to date instead of computing it for each status

Cause: the digest was computed over all upstreams for each status, and for each received one while a host's first list is unconfirmed. Change: a sum that changes with the entry.

--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -45,6 +45,8 @@
     bool ended = false;
     base::time_point ended_at{};
 
+    /// Part of `upstream_registry::digest`; 0 while the upstream is not listed.
+    std::uint64_t digest_part = 0;
     /// Open flows through this host.
     std::uint32_t flows = 0;
     /// Flows through this host whose last request has no complete answer.
@@ -153,7 +155,7 @@
     }
     /// Returns a digest of the listed upstreams and of what steering uses of them; equal on
     /// hosts that know the same, and never 0.
-    std::uint64_t digest() const;
+    std::uint64_t digest() const noexcept;
     /// Number of registrations that were not applied because a later change of the id was,
     /// and that differ from what is known.
     std::uint64_t outdated_count() const noexcept { return outdated_count_; }
@@ -190,6 +192,8 @@
     change mark_missing(upstream_incarnation& incarnation, base::time_point now);
     void end(upstream_incarnation& incarnation, base::time_point now);
     void update(upstream_incarnation& incarnation, const upstream_entry& entry, base::time_point now);
+    /// Brings the digest up to date after the incarnation changed.
+    void update_digest(upstream_incarnation& incarnation);
 
     limits limits_;
     std::unordered_map<upstream_token, std::unique_ptr<upstream_incarnation>> by_token_;
@@ -201,6 +205,8 @@
     store_revision listed_at_;
     std::optional<base::time_point> store_failed_at_;
     std::uint64_t outdated_count_ = 0;
+    /// Sum of `digest_part` of all incarnations.
+    std::uint64_t digest_sum_ = 0;
 };
 
 } // namespace galenabay::steer
--- a/src/inspect/fleet_report.cpp
+++ b/src/inspect/fleet_report.cpp
@@ -19,8 +19,8 @@
                        host.address.to_string() + ": ";
     if (host.failure)
     {
-        return label + "no answer (" + base::name_of(host.failure->code()) + " in " + host.failure->step() +
-               ": " + host.failure->detail() + ")";
+        return label + "no answer (" + base::name_of(host.failure->code()) + " in " + host.failure->step() + ": " +
+               host.failure->detail() + ")";
     }
     return label + "configuration " + std::to_string(host.configuration_version) + ", " +
            std::to_string(host.upstreams) + " upstreams at revision " + to_string(host.upstreams_revision) +
@@ -44,11 +44,11 @@
 std::vector<std::string> describe(const fleet_report& report)
 {
     const auto& store = report.store;
-    std::vector<std::string> lines{
-        "store: revision " + to_string(store.revision),
-        store.configuration_version == 0 ? "configuration: none"
-                                         : "configuration: version " + std::to_string(store.configuration_version) +
-                                               ", " + std::to_string(store.routes) + " routes"};
+    std::vector<std::string> lines{"store: revision " + to_string(store.revision),
+                                   store.configuration_version == 0
+                                       ? "configuration: none"
+                                       : "configuration: version " + std::to_string(store.configuration_version) +
+                                             ", " + std::to_string(store.routes) + " routes"};
     for (const auto& [service, counts] : store.services)
     {
         lines.push_back("service " + service + ": " + std::to_string(counts.ready) + " upstreams ready, " +
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -10,6 +10,21 @@
 namespace galenabay::steer
 {
 
+namespace
+{
+
+/// Returns a digest of what steering uses of a registration.
+std::uint64_t digest_of(const upstream_entry& entry)
+{
+    auto digest = base::mix(base::hash_text(entry.id), entry.started_ms);
+    digest = base::mix(digest, base::hash_text(entry.service));
+    digest = base::mix(digest, base::hash_text(entry.data_centre));
+    digest = base::mix(digest, (std::uint64_t{entry.address.v4()} << 16U) | entry.address.port());
+    return base::mix(digest, (std::uint64_t{entry.slots} << 1U) | (entry.draining ? 1U : 0U));
+}
+
+} // namespace
+
 const char* name_of(upstream_change change)
 {
     switch (change)
@@ -171,6 +186,7 @@
     incarnation.entry.revision = known_[entry.id].revision;
     incarnation.warm_at = now + entry.warm_up_left;
     incarnation.missing_since.reset();
+    update_digest(incarnation);
 }
 
 upstream_registry::change upstream_registry::remove(const std::string& id, const store_revision& revision,
@@ -191,6 +207,7 @@
         return {};
     }
     incarnation.missing_since = now;
+    update_digest(incarnation);
     return {upstream_change::missing, &incarnation};
 }
 
@@ -209,9 +226,16 @@
             changes.push_back(made);
         }
     }
+    // A list of unknown epoch may be stale, so it tells nothing about what it does not contain
+    // beyond the registrations that are older.
+    const bool is_certain = revision.epoch != 0;
     for (const auto& [id, incarnation] : by_id_)
     {
-        if (listed.contains(id) || !record_removal(id, revision, now))
+        if (listed.contains(id))
+        {
+            continue;
+        }
+        if (is_certain ? !record_removal(id, revision, now) : incarnation->entry.revision > revision)
         {
             continue;
         }
@@ -220,7 +244,7 @@
             changes.push_back(made);
         }
     }
-    listed_at_ = std::max(listed_at_, revision);
+    listed_at_ = is_certain ? std::max(listed_at_, revision) : listed_at_;
     return changes;
 }
 
@@ -228,6 +252,7 @@
 {
     incarnation.ended = true;
     incarnation.ended_at = now;
+    update_digest(incarnation);
     std::erase(by_service_[incarnation.entry.service], &incarnation);
     by_id_.erase(incarnation.entry.id);
 }
@@ -269,25 +294,18 @@
     return known == by_service_.end() ? none : known->second;
 }
 
-std::uint64_t upstream_registry::digest() const
+std::uint64_t upstream_registry::digest() const noexcept
 {
     constexpr std::uint64_t empty_digest = 1;
-    std::uint64_t sum = 0;
-    for (const auto& [token, incarnation] : by_token_)
-    {
-        if (incarnation->ended || incarnation->missing_since)
-        {
-            continue;
-        }
-        const auto& entry = incarnation->entry;
-        auto row = base::mix(base::hash_text(entry.id), entry.started_ms);
-        row = base::mix(row, base::hash_text(entry.service));
-        row = base::mix(row, base::hash_text(entry.data_centre));
-        row = base::mix(row, (std::uint64_t{entry.address.v4()} << 16U) | entry.address.port());
-        // A sum does not depend on the order of the rows.
-        sum += base::mix(row, (std::uint64_t{entry.slots} << 1U) | (entry.draining ? 1U : 0U));
-    }
-    return sum == 0 ? empty_digest : sum;
+    return digest_sum_ == 0 ? empty_digest : digest_sum_;
+}
+
+void upstream_registry::update_digest(upstream_incarnation& incarnation)
+{
+    const bool is_listed = !incarnation.ended && !incarnation.missing_since;
+    const auto part = is_listed ? digest_of(incarnation.entry) : 0;
+    // A sum does not depend on the order in which upstreams became known.
+    digest_sum_ += part - std::exchange(incarnation.digest_part, part);
 }
 
 bool upstream_registry::is_store_settled(base::time_point now) const
--- a/tests/inspect/fleet_report_test.cpp
+++ b/tests/inspect/fleet_report_test.cpp
@@ -49,8 +49,7 @@
     STRCMP_EQUAL("configuration: version 7, 3 routes", lines[1].c_str());
     STRCMP_EQUAL("service feed: 2 upstreams ready, 1 draining", lines[2].c_str());
     STRCMP_EQUAL("unusable object: i-9 (zone)", lines[3].c_str());
-    STRCMP_EQUAL(
-        "host edge-1 in east at 127.0.0.1:7720: configuration 7, 3 upstreams at revision 30 of epoch 2",
-        lines[4].c_str());
+    STRCMP_EQUAL("host edge-1 in east at 127.0.0.1:7720: configuration 7, 3 upstreams at revision 30 of epoch 2",
+                 lines[4].c_str());
     STRCMP_CONTAINS(": lags", lines[5].c_str());
 }
--- a/tests/steer/upstream_registry_test.cpp
+++ b/tests/steer/upstream_registry_test.cpp
@@ -181,3 +181,15 @@
     other.remove("i-2", {2, 33}, at(7s));
     CHECK(registry.digest() != other.digest());
 }
+
+// The pages of a stale list may be of different times, so that it lacks an upstream that is
+// registered.
+TEST(upstream_registry, a_list_of_unknown_epoch_does_not_outlast_a_registration_of_another_host)
+{
+    registry.put(sent_as(4, {0, 10}), at(0s));
+    LONGS_EQUAL(1, registry.replace_all({}, {0, 20}, at(1s)).size());
+    CHECK(registry.put(sent_as(4, {0, 10}), at(1s)).kind == upstream_change::updated);
+    auto other = make_upstream("i-2", 2);
+    other.revision = {.epoch = 0, .number = 15};
+    CHECK(registry.put(other, at(1s)).kind == upstream_change::added);
+}
