--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -79,10 +79,10 @@
 {
     const auto call = watch_.next();
     const bool follows = !watch_.has_list() || state_.follows.load();
-    // The store may lack an accepted configuration until the operator writes it again. Its
-    // version tells, since versions, unlike revisions, are not given out again.
-    const bool may_lack = kind_ == adapter::object_kind::configuration;
-    if (!follows || may_lack || watch_.failures() > 0)
+    // A store that has returned from an older copy lacks an accepted configuration until the
+    // operator writes it again. Other hosts may have it; versions are not given out again.
+    const bool is_configuration = kind_ == adapter::object_kind::configuration;
+    if (!follows || is_configuration || watch_.failures() > 0)
     {
         const auto peer = state_.take_read_request(kind_);
         const bool has_read = peer && read_from_peer(*peer);
