One loop over the pages of a list in the store client

galenactl inspect had written again the loop with which a host reads the entries of all hosts. store_client::list_all serves both; the caller counts its calls. No behaviour changes: the smallest revision is that of the first page, or of the earlier epoch, as before.

--- a/src/edge/registration_worker.cpp
+++ b/src/edge/registration_worker.cpp
@@ -84,9 +84,10 @@
 base::result<void> registration_worker::refresh(adapter::read_freshness freshness)
 {
     auto client = adapter::store_client::make(state_.store(), adapter::object_kind::hosts, store_answer_timeout);
-    BOOST_OUTCOME_TRY(listed, list_hosts(client, freshness));
+    const auto count_call = [this] { metrics_.store_calls(adapter::object_kind::hosts).Increment(); };
+    BOOST_OUTCOME_TRY(listed, client.list_all(freshness, count_call));
     const bool is_current = freshness == adapter::read_freshness::latest;
-    schedule_.on_listed(is_registered(listed.objects), is_current ? listed.epoch : 0, base::steady_now());
+    schedule_.on_listed(is_registered(listed.objects), is_current ? listed.revision.epoch : 0, base::steady_now());
     return enqueue_hosts(std::move(listed.objects));
 }
 
@@ -100,25 +101,6 @@
     return base::outcome::success();
 }
 
-base::result<registration_worker::host_list> registration_worker::list_hosts(adapter::store_client& client,
-                                                                             adapter::read_freshness freshness)
-{
-    host_list listed;
-    std::string after;
-    for (bool more = true; more;)
-    {
-        metrics_.store_calls(adapter::object_kind::hosts).Increment();
-        BOOST_OUTCOME_TRY(page, client.list(after, freshness));
-        // An unusable object may be the last one of a page.
-        more = page.more && page.last_name != after;
-        after = page.last_name;
-        // With a restore between two pages, the first ones may be out of date.
-        listed.epoch = listed.objects.empty() ? page.revision.epoch : std::min(listed.epoch, page.revision.epoch);
-        listed.objects.insert(listed.objects.end(), page.objects.begin(), page.objects.end());
-    }
-    return listed;
-}
-
 bool registration_worker::is_registered(const std::vector<adapter::store_object>& hosts) const
 {
     return std::any_of(hosts.begin(), hosts.end(),
--- a/src/edge/registration_worker.hpp
+++ b/src/edge/registration_worker.hpp
@@ -43,13 +43,6 @@
     base::result<void> refresh(adapter::read_freshness freshness);
     /// Writes the entry of this host.
     base::result<void> write_entry();
-    /// Entries of all hosts, and the epoch of the store's answers.
-    struct host_list
-    {
-        std::vector<adapter::store_object> objects;
-        std::uint64_t epoch = 0;
-    };
-    base::result<host_list> list_hosts(adapter::store_client& client, adapter::read_freshness freshness);
     bool is_registered(const std::vector<adapter::store_object>& hosts) const;
     base::result<void> enqueue_hosts(std::vector<adapter::store_object> hosts);
     void remove_entries(const std::vector<std::string>& lost);
--- a/src/inspect/read_fleet.cpp
+++ b/src/inspect/read_fleet.cpp
@@ -24,31 +24,9 @@
 /// Largest accepted state of a host; it serves no more than 64 KiB.
 constexpr std::size_t max_state_bytes = 1U << 20U;
 
-/// All objects of a kind, and the revision of the first page.
-struct object_list
+base::result<adapter::store_page> list_all(const base::endpoint& store, object_kind kind)
 {
-    std::vector<adapter::store_object> objects;
-    steer::store_revision revision;
-};
-
-base::result<object_list> list_all(const base::endpoint& store, object_kind kind)
-{
-    auto client = adapter::store_client::make(store, kind, store_timeout);
-    object_list all;
-    std::string after;
-    for (bool more = true; more;)
-    {
-        BOOST_OUTCOME_TRY(page, client.list(after, adapter::read_freshness::latest));
-        if (after.empty())
-        {
-            all.revision = page.revision;
-        }
-        // An unusable object may be the last one of a page.
-        more = page.more && page.last_name != after;
-        after = page.last_name;
-        std::move(page.objects.begin(), page.objects.end(), std::back_inserter(all.objects));
-    }
-    return all;
+    return adapter::store_client::make(store, kind, store_timeout).list_all(adapter::read_freshness::latest, [] {});
 }
 
 base::result<store_contents> read_store(const base::endpoint& store)
