One reader of another host's state

galenactl inspect had written again the call with which a host reads from another one. fetch_peer_state serves both, beside the path that both use; the header is named after it. The step in inspect's errors is now that of the hosts (read_from_peer). Log events are as before.

--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -1,7 +1,7 @@
 #include <galenabay/edge/edge_host.hpp>
 
 #include "packet_worker.hpp"
-#include "peer_paths.hpp"
+#include "peer_state.hpp"
 #include "registration_worker.hpp"
 #include "store_worker.hpp"
 
--- /dev/null
+++ b/src/edge/peer_state.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <galenabay/net/http_session.hpp>
+#include <platform/store_objects.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <utility>
+
+namespace galenabay::edge
+{
+
+/// Path at which a host serves its state of one kind of objects to other hosts.
+inline std::string peer_state_path(adapter::object_kind kind)
+{
+    return std::string{"/state/"} + adapter::name_of(kind);
+}
+
+/// Reads the encoded state of one kind of objects from another host. Errors: as
+/// `net::http_session::call`.
+inline base::result<std::string> fetch_peer_state(const base::endpoint& peer, adapter::object_kind kind,
+                                                  std::chrono::milliseconds timeout)
+{
+    // Largest accepted state of another host, which serves no more than 64 KiB.
+    constexpr std::size_t max_state_bytes = 1U << 20U;
+    BOOST_OUTCOME_TRY(answer, net::http_session::make(peer, timeout)
+                                  .call({.step = "read_from_peer",
+                                         .method = "GET",
+                                         .path = peer_state_path(kind),
+                                         .body = {},
+                                         .expected_version = {},
+                                         .timeout = timeout,
+                                         .max_response = max_state_bytes}));
+    return std::move(answer.body);
+}
+
+} // namespace galenabay::edge
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -1,11 +1,10 @@
 #include "store_worker.hpp"
 
 #include "guarded_step.hpp"
-#include "peer_paths.hpp"
+#include "peer_state.hpp"
 
 #include <galenabay/base/log.hpp>
 #include <galenabay/base/steady_clock.hpp>
-#include <galenabay/net/http_session.hpp>
 #include <galenabay/peers/message_codec.hpp>
 
 #include <algorithm>
@@ -30,8 +29,6 @@
 constexpr milliseconds idle_wait{1'000};
 /// Wait of a watch that is a single read and does not wait for changes.
 constexpr milliseconds single_read_wait{1};
-/// Largest accepted state of another host, which serves no more than 64 KiB.
-constexpr std::size_t max_state_bytes = 1U << 20U;
 /// Longest wait for another host, which is 1 ms away: with the read of the store that
 /// follows a failure it stays below the configuration bound of 3 s.
 constexpr milliseconds peer_timeout{500};
@@ -119,20 +116,13 @@
 
 bool store_worker::read_from_peer(const base::endpoint& peer)
 {
-    const auto answer = net::http_session::make(peer, peer_timeout)
-                            .call({.step = "read_from_peer",
-                                   .method = "GET",
-                                   .path = peer_state_path(kind_),
-                                   .body = {},
-                                   .expected_version = {},
-                                   .timeout = peer_timeout,
-                                   .max_response = max_state_bytes});
+    const auto answer = fetch_peer_state(peer, kind_, peer_timeout);
     if (!answer)
     {
         log_event{log_level::warning, "peer_lost"}.with("kind", name_of(kind_)).with(answer.error());
         return false;
     }
-    auto state = peers::decode_state(answer.value().body);
+    auto state = peers::decode_state(answer.value());
     if (!state)
     {
         log_event{log_level::warning, "peer_state_refused"}.with("address", peer.to_string()).with(state.error());
--- a/src/inspect/read_fleet.cpp
+++ b/src/inspect/read_fleet.cpp
@@ -1,8 +1,7 @@
 #include <galenabay/inspect/read_fleet.hpp>
 
-#include "../edge/peer_paths.hpp"
+#include "../edge/peer_state.hpp"
 
-#include <galenabay/net/http_session.hpp>
 #include <galenabay/peers/message_codec.hpp>
 #include <platform/store_client.hpp>
 
@@ -21,8 +20,6 @@
 
 constexpr milliseconds store_timeout{3'000};
 constexpr milliseconds host_timeout{1'000};
-/// Largest accepted state of a host; it serves no more than 64 KiB.
-constexpr std::size_t max_state_bytes = 1U << 20U;
 
 base::result<adapter::store_page> list_all(const base::endpoint& store, object_kind kind)
 {
@@ -66,15 +63,8 @@
 
 base::result<peers::edge_state> read_state(const base::endpoint& host, object_kind kind)
 {
-    BOOST_OUTCOME_TRY(answer, net::http_session::make(host, host_timeout)
-                                  .call({.step = "read_host",
-                                         .method = "GET",
-                                         .path = edge::peer_state_path(kind),
-                                         .body = {},
-                                         .expected_version = {},
-                                         .timeout = host_timeout,
-                                         .max_response = max_state_bytes}));
-    return peers::decode_state(answer.body);
+    BOOST_OUTCOME_TRY(state, edge::fetch_peer_state(host, kind, host_timeout));
+    return peers::decode_state(state);
 }
 
 host_answer read_host(host_answer host)
