--- a/src/edge/registration_schedule.cpp
+++ b/src/edge/registration_schedule.cpp
@@ -23,14 +23,11 @@
 
 registration_schedule::step registration_schedule::next(const situation& seen, base::time_point now) const
 {
-    if (succeeded_ && registered_ && seen.store_epoch > certain_epoch_)
+    // The store may have lost the entry when it returned from an older copy.
+    const bool is_uncertain = registered_ && seen.store_epoch > certain_epoch_;
+    if ((is_uncertain && succeeded_) || now - attempted_at_ >= pause(seen))
     {
-        // The store may have lost the entry when it returned from an older copy.
-        return step::list_current;
-    }
-    if (now - attempted_at_ >= pause(seen))
-    {
-        return seen.store_epoch > certain_epoch_ && registered_ ? step::list_current : step::list;
+        return is_uncertain ? step::list_current : step::list;
     }
     return awaits_role() && seen.should_register ? step::write : step::wait;
 }
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -63,9 +63,14 @@
     {
         return false;
     }
-    if (entry.started_ms == 0 || entry.started_ms != known.started_ms)
+    if (entry.started_ms == 0)
     {
-        return entry.started_ms == 0 ? entry.revision > known.revision : entry.started_ms > known.started_ms;
+        // Without a start time the sequence may be that of another start.
+        return entry.revision > known.revision;
+    }
+    if (entry.started_ms != known.started_ms)
+    {
+        return entry.started_ms > known.started_ms;
     }
     return order > 0 || (order == 0 && entry.revision > known.revision);
 }
