--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -13,7 +13,7 @@
 constexpr int rounds = 12;
 constexpr double pause_between_rounds_ms = 3'500;
 /// Between the mean (44 ms) and the largest (470 ms) work of `part-hold` in nara-parts-exchange.
-constexpr double work_ms = 100;
+constexpr double work_ms = 400;
 
 void send_round(deployment& world, bool at_once)
 {
