--- a/review/stand_ins/deployment.hpp
+++ b/review/stand_ins/deployment.hpp
@@ -64,10 +64,10 @@
 
     static std::string zone(std::size_t index) { return std::string{"zone-"} + static_cast<char>('a' + index % 3); }
 
-    /// Address and port of the `index`-th route.
+    /// Address and port of the `index`-th route. They stand in packets; nothing is sent there.
     static endpoint route_address(std::size_t index)
     {
-        return {(198U << 24U) | (18U << 16U) | static_cast<std::uint32_t>(1 + index / 4),
+        return {(127U << 24U) | (1U << 16U) | static_cast<std::uint32_t>(1 + index / 4),
                 static_cast<std::uint16_t>(8440 + index % 4)};
     }
 
