--- a/include/galenabay/net/wakeup_event.hpp
+++ b/include/galenabay/net/wakeup_event.hpp
@@ -22,9 +22,9 @@
     void notify();
 
     /// Consumer: makes producers send a wakeup from now on. Call it before the last check of the rings.
-    void prepare() { sleeping_.store(true, std::memory_order_seq_cst); }
+    void prepare() { sleeping_.exchange(true, std::memory_order_acq_rel); }
     /// Consumer: reverts `prepare` when the last check found work.
-    void cancel() { sleeping_.store(false, std::memory_order_relaxed); }
+    void cancel() { sleeping_.exchange(false, std::memory_order_acq_rel); }
     /// Consumer: sleeps until notified or until `timeout` has expired.
     void wait(std::chrono::milliseconds timeout);
 
@@ -35,6 +35,8 @@
 
 private:
     int descriptor_;
+    /// Changed by exchanges only: an exchange of the consumer that follows a producer's sees what that one has pushed,
+    /// and a producer's that follows the consumer's finds `true`.
     std::atomic<bool> sleeping_{false};
 };
 
--- a/src/net/wakeup_event.cpp
+++ b/src/net/wakeup_event.cpp
@@ -23,8 +23,7 @@
 
 void wakeup_event::notify()
 {
-    std::atomic_thread_fence(std::memory_order_seq_cst);
-    if (sleeping_.load(std::memory_order_relaxed) && sleeping_.exchange(false))
+    if (sleeping_.exchange(false, std::memory_order_acq_rel))
     {
         const std::uint64_t one = 1;
         [[maybe_unused]] const auto written = write(descriptor_, &one, sizeof one);
