--- a/include/galenabay/net/http_session.hpp
+++ b/include/galenabay/net/http_session.hpp
@@ -23,7 +23,8 @@
     std::string body;
     /// Version that the object must have (If-Match); 0 means that it must not exist.
     std::optional<std::uint64_t> expected_version;
-    /// Longest wait for each read of the response and each write of the request.
+    /// Longest wait for each read of the response and each write of the request. All together take at most a second
+    /// more, whatever the server sends.
     std::chrono::milliseconds timeout{0};
     /// Longest accepted response body, in bytes.
     std::size_t max_response = 0;
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -5,8 +5,12 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/Timespan.h>
 
+#include <galenabay/base/steady_clock.hpp>
+
 #include <istream>
 #include <ostream>
 #include <utility>
@@ -20,6 +24,10 @@
 using base::error_code;
 using Poco::Net::HTTPResponse;
 
+/// Longest time for the transfer of a request and its response, beside the wait for it: 32 Mbit/s for 4 MiB, the
+/// largest response.
+constexpr base::duration transfer_time = std::chrono::milliseconds{1'000};
+
 base::result<std::string> read_bounded(std::istream& stream, const http_request& request, const std::string& peer)
 {
     constexpr std::size_t block_size = 64U << 10U;
@@ -102,11 +110,72 @@
     }
 }
 
-Poco::Timespan timespan_of(std::chrono::milliseconds time)
+Poco::Timespan timespan_of(base::duration time)
 {
     return Poco::Timespan{std::chrono::duration_cast<std::chrono::microseconds>(time).count()};
 }
 
+/// Socket of a session. The time limits of a socket hold for each read and write; this one bounds all together.
+class bounded_socket : public Poco::Net::StreamSocketImpl
+{
+public:
+    /// Begins a call: no single read or write may wait for longer than `each`, and none past `deadline`.
+    void begin(base::time_point deadline, base::duration each)
+    {
+        deadline_ = deadline;
+        receive_limit_ = each;
+        send_limit_ = each;
+    }
+
+    using StreamSocketImpl::receiveBytes;
+    using StreamSocketImpl::sendBytes;
+    // NOLINTNEXTLINE(readability-identifier-naming): overrides a library function
+    int sendBytes(const void* buffer, int length, int flags) override
+    {
+        if (const auto left = time_left(); left < send_limit_)
+        {
+            send_limit_ = left;
+            setSendTimeout(timespan_of(left));
+        }
+        return StreamSocketImpl::sendBytes(buffer, length, flags);
+    }
+    // NOLINTNEXTLINE(readability-identifier-naming): overrides a library function
+    int receiveBytes(void* buffer, int length, int flags) override
+    {
+        // A large response is read in many pieces; few of them need a shorter limit than the last one.
+        if (const auto left = time_left(); left + limit_step < receive_limit_)
+        {
+            receive_limit_ = left;
+            setReceiveTimeout(timespan_of(left));
+        }
+        return StreamSocketImpl::receiveBytes(buffer, length, flags);
+    }
+
+private:
+    static constexpr base::duration limit_step = std::chrono::milliseconds{50};
+
+    base::duration time_left() const
+    {
+        const auto left = deadline_ - base::steady_now();
+        if (left <= base::duration{0})
+        {
+            throw Poco::TimeoutException{"the call took too long"};
+        }
+        return left;
+    }
+
+    base::time_point deadline_{};
+    base::duration receive_limit_{};
+    base::duration send_limit_{};
+};
+
+/// A socket with a given implementation, which the library's class does not offer to callers.
+class bounded_stream : public Poco::Net::StreamSocket
+{
+public:
+    explicit bounded_stream(bounded_socket* implementation) : StreamSocket{implementation} {}
+};
+
 } // namespace
 
 /// The HTTP session of an `http_session`; connects for each call.
@@ -114,7 +183,8 @@
 {
 public:
     connection(const base::endpoint& server, std::chrono::milliseconds connect_timeout)
-        : peer_{server.to_string()}, connect_timeout_{connect_timeout}
+        : peer_{server.to_string()},
+          connect_timeout_{connect_timeout}, socket_{new bounded_socket}, session_{bounded_stream{socket_}}
     {
         session_.setHost(server.address_string());
         session_.setPort(server.port());
@@ -154,6 +224,7 @@
 
     void send(const http_request& request)
     {
+        socket_->begin(base::steady_now() + connect_timeout_ + request.timeout + transfer_time, request.timeout);
         session_.setTimeout(timespan_of(connect_timeout_), timespan_of(request.timeout), timespan_of(request.timeout));
         Poco::Net::HTTPRequest message{request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1};
         message.setKeepAlive(false);
@@ -168,6 +239,8 @@
 
     std::string peer_;
     std::chrono::milliseconds connect_timeout_;
+    /// Owned by the session.
+    bounded_socket* socket_;
     Poco::Net::HTTPClientSession session_;
 };
 
--- a/tests/net/http_session_test.cpp
+++ b/tests/net/http_session_test.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <atomic>
 #include <functional>
 #include <string>
 #include <thread>
@@ -17,6 +18,7 @@
 {
 
 constexpr std::uint32_t loopback = 0x7f000001;
+constexpr auto connect_limit = 500ms;
 
 std::string response_with(const std::string& body)
 {
@@ -98,6 +100,45 @@
     std::thread thread_;
 };
 
+/// Answers its first request one byte at a time until it is destroyed.
+class trickling_server
+{
+public:
+    trickling_server() : listener_{Poco::Net::SocketAddress{"127.0.0.1", 0}}, thread_{[this] { run(); }} {}
+    trickling_server(const trickling_server&) = delete;
+    trickling_server& operator=(const trickling_server&) = delete;
+    ~trickling_server()
+    {
+        stop_.store(true);
+        thread_.join();
+    }
+
+    base::endpoint address() const { return base::endpoint::make_v4(loopback, listener_.address().port()); }
+
+private:
+    void run()
+    {
+        try
+        {
+            auto client = listener_.acceptConnection();
+            const auto text = response_with(std::string(10'000, ' '));
+            for (std::size_t i = 0; i < text.size() && !stop_.load(); ++i)
+            {
+                client.sendBytes(&text[i], 1);
+                std::this_thread::sleep_for(50ms);
+            }
+        }
+        catch (const Poco::Exception&)
+        {
+            // The client has closed the connection.
+        }
+    }
+
+    Poco::Net::ServerSocket listener_;
+    std::atomic<bool> stop_{false};
+    std::thread thread_;
+};
+
 base::result<net::http_response> get(net::http_session& session)
 {
     return session.call({.step = "get",
@@ -159,3 +200,15 @@
     auto session = net::http_session::make(server.address(), 500ms);
     CHECK_FALSE(get(session).has_value());
 }
+
+// Failure: a store that sent a byte a second held the thread that reads it, since each byte renewed the time limit.
+TEST(http_session, a_server_that_sends_a_byte_at_a_time_does_not_hold_the_caller)
+{
+    const trickling_server server;
+    auto session = net::http_session::make(server.address(), connect_limit);
+    const auto begun = std::chrono::steady_clock::now();
+    const auto answer = get(session);
+    CHECK(std::chrono::steady_clock::now() - begun < connect_limit + 500ms + 1s + 500ms);
+    CHECK_FALSE(answer.has_value());
+    CHECK(answer.error().code() == base::error_code::timeout);
+}
