--- a/daemons/galena_edged.cpp
+++ b/daemons/galena_edged.cpp
@@ -1,17 +1,14 @@
+#include "edge_process.hpp"
+#include "settings_file.hpp"
+
 #include <galenabay/base/log.hpp>
 #include <galenabay/base/process_signals.hpp>
-#include <galenabay/edge/edge_host.hpp>
 #include <platform/settings.hpp>
 
 #include <boost/program_options.hpp>
 
-#include <sys/stat.h>
-
-#include <cerrno>
-#include <csignal>
 #include <cstdint>
 #include <cstdlib>
-#include <ctime>
 
 #include <iostream>
 #include <string>
@@ -21,16 +18,13 @@
 {
 
 namespace options = boost::program_options;
+using galenabay::edge_process;
+using galenabay::settings_file;
 using galenabay::adapter::load_settings;
-using galenabay::base::log_event;
-using galenabay::base::log_level;
 
 constexpr int exit_ok = 0;
-constexpr int exit_failure = 1;
 constexpr int exit_usage = 2;
 
-/// Interval at which the settings file is checked for a change without a signal.
-constexpr time_t settings_check_seconds = 1;
 constexpr std::uint16_t default_metrics_port = 9100;
 
 constexpr const char* version_text = "galena_edged 0.1.0";
@@ -53,93 +47,17 @@
     return described;
 }
 
-/// Detects changes of a file by its size and modification time.
-class file_watch
-{
-public:
-    explicit file_watch(std::string file) : file_{std::move(file)} { changed(); }
-
-    /// Returns true when the file differs from the last call.
-    bool changed()
-    {
-        struct stat status = {};
-        if (stat(file_.c_str(), &status) != 0)
-        {
-            return false;
-        }
-        const auto seen = std::pair{status.st_size, status.st_mtim.tv_sec * 1'000'000'000LL + status.st_mtim.tv_nsec};
-        return std::exchange(seen_, seen) != seen;
-    }
-
-private:
-    std::string file_;
-    std::pair<off_t, long long> seen_{};
-};
-
-void log_unusable_seeds(const galenabay::adapter::settings& settings)
-{
-    for (const auto& fault : settings.unusable_seeds)
-    {
-        log_event{log_level::warning, "seed_refused"}.with("detail", fault);
-    }
-}
-
-void reload(const std::string& file, galenabay::edge::edge_host& running)
-{
-    const auto settings = load_settings(file);
-    if (!settings)
-    {
-        log_event{log_level::error, "settings_refused"}.with(settings.error());
-        return;
-    }
-    log_event{log_level::info, "settings_reloaded"}.with("file", file);
-    log_unusable_seeds(settings.value());
-    running.reload(settings.value());
-}
-
-/// Reloads the settings on SIGHUP or when the file changes; returns on SIGTERM or SIGINT.
-void serve_until_stopped(const std::string& file, const sigset_t& handled, galenabay::edge::edge_host& running)
-{
-    file_watch watch{file};
-    const timespec interval{settings_check_seconds, 0};
-    while (true)
-    {
-        const int signal_number = sigtimedwait(&handled, nullptr, &interval);
-        if (signal_number == SIGTERM || signal_number == SIGINT)
-        {
-            return;
-        }
-        if (watch.changed() || signal_number == SIGHUP)
-        {
-            reload(file, running);
-        }
-    }
-}
-
-int serve(const std::string& file, const galenabay::adapter::settings& settings, std::uint16_t metrics_port)
+int serve(settings_file file, const galenabay::adapter::settings& settings, std::uint16_t metrics_port)
 {
     // Signals are blocked before the log's thread starts, because it inherits the mask.
-    const sigset_t handled = galenabay::base::block_process_signals();
-    galenabay::base::configure_log(settings.host, settings.data_centre, log_level::info);
-    auto started = galenabay::edge::edge_host::start(settings, metrics_port);
-    if (!started)
-    {
-        log_event{log_level::error, "start_failed"}.with(started.error());
-        galenabay::base::flush_log();
-        return exit_failure;
-    }
-    log_event{log_level::info, "started"}
-        .with("packets", settings.packets.to_string())
-        .with("store", settings.store.to_string());
-    log_unusable_seeds(settings);
-    serve_until_stopped(file, handled, started.value());
-    log_event{log_level::info, "stop_begun"}.with("bound_ms", settings.stop_bound.count() / 1000);
-    const auto took = started.value().drain();
-    log_event{log_level::info, "stopped"}.with("took_ms", took.count());
+    galenabay::base::block_process_signals();
+    galenabay::base::configure_log(settings.host, settings.data_centre, galenabay::base::log_level::info);
+    edge_process process{std::move(file), settings, metrics_port};
+    const int exit_code = process.run();
     // Exits without joining the threads: one may still wait for an answer of the store.
     galenabay::base::flush_log();
     std::cout.flush();
-    std::_Exit(exit_ok);
+    std::_Exit(exit_code);
 }
 
 int check(const std::string& file)
@@ -186,13 +104,14 @@
         std::cerr << "galena_edged: neither --settings nor GALENABAY_SETTINGS names a settings file; see --help\n";
         return exit_usage;
     }
-    const auto settings = load_settings(file);
+    settings_file watched{file};
+    const auto settings = watched.load();
     if (!settings)
     {
         std::cerr << settings.error().peer() << ": " << settings.error().detail() << '\n';
         return exit_usage;
     }
-    return serve(file, settings.value(), values["metrics-port"].as<std::uint16_t>());
+    return serve(std::move(watched), settings.value(), values["metrics-port"].as<std::uint16_t>());
 }
 
 } // namespace
--- a/include/galenabay/base/process_signals.hpp
+++ b/include/galenabay/base/process_signals.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <csignal>
 
 namespace galenabay::base
@@ -9,4 +10,13 @@
 /// ignores PIPE. Call it before any thread is started, including the log thread. Returns the blocked signals.
 sigset_t block_process_signals();
 
+/// Waits for one of the blocked signals, at most `limit`; returns its number, or 0 when none came.
+int wait_for_process_signal(std::chrono::milliseconds limit);
+
+/// Returns true for the signals that ask for a planned stop.
+constexpr bool is_stop_signal(int number)
+{
+    return number == SIGTERM || number == SIGINT;
+}
+
 } // namespace galenabay::base
--- a/src/base/process_signals.cpp
+++ b/src/base/process_signals.cpp
@@ -1,18 +1,41 @@
 #include <galenabay/base/process_signals.hpp>
 
+#include <ctime>
+
+#include <algorithm>
+
 namespace galenabay::base
 {
 
-sigset_t block_process_signals()
+namespace
+{
+
+sigset_t handled_signals()
 {
     sigset_t handled;
     sigemptyset(&handled);
     sigaddset(&handled, SIGTERM);
     sigaddset(&handled, SIGINT);
     sigaddset(&handled, SIGHUP);
+    return handled;
+}
+
+} // namespace
+
+sigset_t block_process_signals()
+{
+    const sigset_t handled = handled_signals();
     pthread_sigmask(SIG_BLOCK, &handled, nullptr);
     std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c)
     return handled;
 }
 
+int wait_for_process_signal(std::chrono::milliseconds limit)
+{
+    const sigset_t handled = handled_signals();
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(limit);
+    const timespec interval{seconds.count(), std::chrono::nanoseconds{limit - seconds}.count()};
+    return std::max(sigtimedwait(&handled, nullptr, &interval), 0);
+}
+
 } // namespace galenabay::base
