--- a/daemons/galena_balancerd.cpp
+++ b/daemons/galena_balancerd.cpp
@@ -1,5 +1,6 @@
 #include <galenabay/base/log.hpp>
 #include <galenabay/base/process_signals.hpp>
+#include <galenabay/base/thread_memory.hpp>
 #include <galenabay/config/host_settings.hpp>
 #include <galenabay/daemon/balancer.hpp>
 
@@ -59,6 +60,7 @@
 {
     // The log thread inherits the signal mask, so the signals are blocked before it starts.
     const sigset_t handled = galenabay::base::block_process_signals();
+    galenabay::base::limit_thread_memory();
     galenabay::base::configure_log(settings.name, settings.data_centre, settings.log_level);
     auto started = galenabay::daemon::balancer::start(settings);
     if (!started)
--- a/daemons/galena_edged.cpp
+++ b/daemons/galena_edged.cpp
@@ -3,6 +3,7 @@
 
 #include <galenabay/base/log.hpp>
 #include <galenabay/base/process_signals.hpp>
+#include <galenabay/base/thread_memory.hpp>
 #include <platform/settings.hpp>
 
 #include <boost/program_options.hpp>
@@ -51,6 +52,7 @@
 {
     // Signals are blocked before the log's thread starts, because it inherits the mask.
     galenabay::base::block_process_signals();
+    galenabay::base::limit_thread_memory();
     galenabay::base::configure_log(settings.host, settings.data_centre, galenabay::base::log_level::info);
     edge_process process{std::move(file), settings, metrics_port};
     const int exit_code = process.run();
