--- a/daemons/edge_process.cpp
+++ b/daemons/edge_process.cpp
@@ -132,6 +132,7 @@
         {
             running.reload(settings_);
         }
+        running.retry_metrics();
     }
 }
 
--- a/include/galenabay/edge/edge_host.hpp
+++ b/include/galenabay/edge/edge_host.hpp
@@ -19,7 +19,8 @@
 {
 public:
     /// Binds the addresses and starts the threads. `metrics_port`: port of /metrics, on the
-    /// address of the packets. Errors: `io_failure` when an address cannot be bound.
+    /// address of the packets; the host serves without it when another program holds it.
+    /// Errors: `io_failure` when any other address cannot be bound.
     static base::result<edge_host> start(const adapter::settings& settings, std::uint16_t metrics_port);
 
     edge_host(edge_host&&) noexcept;
@@ -30,6 +31,10 @@
     /// bound. A change of the packet or readiness address needs a restart, which is logged.
     void reload(const adapter::settings& settings);
 
+    /// Tries to serve /metrics again when its port was in use; does nothing otherwise. Call it
+    /// each second or so.
+    void retry_metrics();
+
     /// Reports "not ready" to the routers and goes on steering until they send no more
     /// packets or the stop bound is near. Returns the time taken.
     std::chrono::milliseconds drain();
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -34,6 +34,8 @@
 /// Part of the stop bound that is reserved for the exit of the process.
 constexpr milliseconds exit_reserve{800};
 constexpr milliseconds drain_poll_interval{50};
+/// Interval at which the port of /metrics is tried again while another program holds it.
+constexpr std::chrono::seconds metrics_retry_interval{5};
 /// Largest state that is served to another host: twenty hosts that ask at once then fill a
 /// link of 10 Mbit/s for a second. Larger states are read from the store, whose link has a
 /// hundred times that rate.
@@ -127,20 +129,48 @@
     implementation& operator=(const implementation&) = delete;
     ~implementation() { state_.stop(); }
 
-    base::result<void> open_status_servers(std::uint16_t metrics_port)
+    base::result<void> open_status_servers()
     {
         const auto respond = [this](const std::string& path) { return make_status_response(path, state_, metrics_); };
         BOOST_OUTCOME_TRY(readiness, net::status_server::start(settings_.readiness, "start_readiness", respond));
         readiness_ = std::make_unique<net::status_server>(std::move(readiness));
-        const auto local = settings_.packets.with_port(metrics_port);
-        BOOST_OUTCOME_TRY(metrics, net::status_server::start(local, "start_metrics", respond));
-        metrics_server_ = std::make_unique<net::status_server>(std::move(metrics));
         const auto respond_peer = [this](const std::string& path) { return make_peer_response(path, state_); };
         BOOST_OUTCOME_TRY(peers, net::status_server::start(settings_.peers, "start_peer_server", respond_peer));
         peer_server_ = std::make_unique<net::status_server>(std::move(peers));
         return base::outcome::success();
     }
 
+    /// Serves /metrics at `local`. Another program may hold the port, which the host does not need to serve.
+    void open_metrics(const base::endpoint& local)
+    {
+        metrics_address_ = local;
+        next_metrics_attempt_ = base::steady_now() + metrics_retry_interval;
+        auto opened = net::status_server::start(local, "start_metrics",
+                                                [this](const std::string& path)
+                                                { return make_status_response(path, state_, metrics_); });
+        if (!opened)
+        {
+            if (!std::exchange(metrics_missing_, true))
+            {
+                log_event{log_level::warning, "metrics_unavailable"}.with(opened.error());
+            }
+            return;
+        }
+        metrics_server_ = std::make_unique<net::status_server>(std::move(opened).value());
+        if (metrics_missing_)
+        {
+            log_event{log_level::info, "metrics_available"}.with("address", local.to_string());
+        }
+    }
+
+    void retry_metrics()
+    {
+        if (!metrics_server_ && base::steady_now() >= next_metrics_attempt_)
+        {
+            open_metrics(metrics_address_);
+        }
+    }
+
     void start_workers()
     {
         packets_.start();
@@ -202,6 +232,9 @@
     std::vector<std::unique_ptr<store_worker>> store_workers_;
     std::unique_ptr<net::status_server> readiness_;
     std::unique_ptr<net::status_server> metrics_server_;
+    base::endpoint metrics_address_;
+    base::time_point next_metrics_attempt_{};
+    bool metrics_missing_ = false;
     std::unique_ptr<net::status_server> peer_server_;
     std::unique_ptr<registration_worker> registration_;
 };
@@ -211,7 +244,9 @@
     BOOST_OUTCOME_TRY(socket, net::udp_socket::bind(settings.packets));
     BOOST_OUTCOME_TRY(peers, net::udp_socket::bind(settings.peers));
     auto running = std::make_unique<implementation>(settings, std::move(socket), std::move(peers));
-    BOOST_OUTCOME_TRY(running->open_status_servers(metrics_port));
+    BOOST_OUTCOME_TRY(running->open_status_servers());
+    // Last, so that it takes no port that the host needs.
+    running->open_metrics(settings.packets.with_port(metrics_port));
     running->start_workers();
     return edge_host{std::move(running)};
 }
@@ -226,6 +261,11 @@
     running_->reload(settings);
 }
 
+void edge_host::retry_metrics()
+{
+    running_->retry_metrics();
+}
+
 std::chrono::milliseconds edge_host::drain()
 {
     return running_->drain();
--- a/tests/edged/address_test.cpp
+++ b/tests/edged/address_test.cpp
@@ -1,14 +1,12 @@
 #include "edged_process.hpp"
+#include "foreign_socket.hpp"
 
 #include <edge_soak/store_stub.hpp>
 
 #include <CppUTest/TestHarness.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <csignal>
 
@@ -21,30 +19,6 @@
 /// Address for documentation, which no machine has.
 constexpr std::uint32_t missing_address = 0xcb007109; // 203.0.113.9
 
-/// A socket of another program, which holds its address.
-class foreign_socket
-{
-public:
-    foreign_socket(const base::endpoint& local, int type) : descriptor_{socket(AF_INET, type, 0)}
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(local.port());
-        address.sin_addr.s_addr = htonl(local.v4());
-        LONGS_EQUAL(0, bind(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof address));
-        if (type == SOCK_STREAM)
-        {
-            LONGS_EQUAL(0, listen(descriptor_, 1));
-        }
-    }
-    foreign_socket(const foreign_socket&) = delete;
-    foreign_socket& operator=(const foreign_socket&) = delete;
-    ~foreign_socket() { close(descriptor_); }
-
-private:
-    int descriptor_;
-};
-
 } // namespace
 
 /// A process whose addresses another one holds at its start.
