--- a/daemons/galena_balancerd.cpp
+++ b/daemons/galena_balancerd.cpp
@@ -55,10 +55,8 @@
     running.reload();
 }
 
-int serve(const std::string& file, const galenabay::config::host_settings& settings)
+int serve(const std::string& file, const galenabay::config::host_settings& settings, const sigset_t& handled)
 {
-    // The log thread inherits the signal mask, so the signals are blocked before it starts.
-    const sigset_t handled = galenabay::base::block_process_signals();
     galenabay::base::configure_log(settings.name, settings.data_centre, settings.log_level);
     auto started = galenabay::daemon::balancer::start(settings);
     if (!started)
@@ -87,7 +85,7 @@
     std::quick_exit(exit_ok);
 }
 
-int run(const options::variables_map& values)
+int run(const options::variables_map& values, const sigset_t& handled)
 {
     if (values.count("help") != 0)
     {
@@ -116,18 +114,20 @@
         std::cout << file << ": valid\n";
         return exit_ok;
     }
-    return serve(file, settings.value());
+    return serve(file, settings.value(), handled);
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
+    // Before any thread starts: threads inherit the mask.
+    const sigset_t handled = galenabay::base::block_process_signals();
     try
     {
         options::variables_map values;
         options::store(options::parse_command_line(argc, argv, described_options()), values);
-        return run(values);
+        return run(values, handled);
     }
     catch (const options::error& failure)
     {
--- a/daemons/galena_edged.cpp
+++ b/daemons/galena_edged.cpp
@@ -49,8 +49,6 @@
 
 int serve(settings_file file, const galenabay::adapter::settings& settings, std::uint16_t metrics_port)
 {
-    // Signals are blocked before the log's thread starts, because it inherits the mask.
-    galenabay::base::block_process_signals();
     galenabay::base::configure_log(settings.host, settings.data_centre, galenabay::base::log_level::info);
     edge_process process{std::move(file), settings, metrics_port};
     const int exit_code = process.run();
@@ -118,6 +116,8 @@
 
 int main(int argc, char** argv)
 {
+    // Before any thread starts: threads inherit the mask.
+    galenabay::base::block_process_signals();
     try
     {
         options::variables_map values;
