--- a/daemons/edge_process.cpp
+++ b/daemons/edge_process.cpp
@@ -6,6 +6,7 @@
 #include <galenabay/edge/address_check.hpp>
 
 #include <chrono>
+#include <iostream>
 
 namespace galenabay
 {
@@ -20,6 +21,12 @@
 
 constexpr int exit_ok = 0;
 constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+
+/// Longest wait at the start for settings that can be used: whoever writes the file may need that long.
+constexpr milliseconds settings_wait{5'000};
+/// Interval at which the settings are read during that wait.
+constexpr milliseconds settings_retry_interval{50};
 
 /// Interval at which the settings file is checked for a change without a signal.
 constexpr milliseconds settings_check_interval{1'000};
@@ -43,38 +50,78 @@
 
 int edge_process::run()
 {
-    auto started = start();
-    if (!started)
+    if (const auto read = read_settings(); !read)
+    {
+        base::flush_log();
+        std::cerr << read.error().peer() << ": " << read.error().detail() << std::endl;
+        return exit_usage;
+    }
+    else if (!read.value())
+    {
+        log_event{log_level::info, "stopped"}.with("took_ms", 0);
+        return exit_ok;
+    }
+    base::configure_log(settings_.host, settings_.data_centre, log_level::info);
+    if (const auto started = start(); !started)
     {
         log_event{log_level::error, "start_failed"}.with(started.error());
         return exit_failure;
     }
-    if (!started.value())
+    else if (!started.value())
     {
         log_event{log_level::info, "stopped"}.with("took_ms", 0);
         return exit_ok;
     }
-    auto& running = *started.value();
     log_event{log_level::info, "started"}
         .with("packets", settings_.packets.to_string())
         .with("store", settings_.store.to_string());
     log_unusable_seeds(settings_);
-    serve_until_stopped(running);
+    serve_until_stopped();
     log_event{log_level::info, "stop_begun"}.with("bound_ms",
                                                   duration_cast<milliseconds>(settings_.stop_bound).count());
-    const auto took = running.drain();
+    const auto took = host_->drain();
     log_event{log_level::info, "stopped"}.with("took_ms", took.count());
     return exit_ok;
 }
 
-base::result<std::optional<edge::edge_host>> edge_process::start()
+base::result<bool> edge_process::read_settings()
+{
+    const auto begun = base::steady_now();
+    for (bool first = true;; first = false)
+    {
+        auto read = file_.load();
+        if (read)
+        {
+            settings_ = std::move(read).value();
+            return true;
+        }
+        if (base::steady_now() - begun >= settings_wait)
+        {
+            return read.error();
+        }
+        if (first)
+        {
+            base::configure_log("unknown", "unknown", log_level::info);
+            log_event{log_level::warning, "settings_awaited"}
+                .with(read.error())
+                .with("limit_ms", settings_wait.count());
+        }
+        if (base::is_stop_signal(base::wait_for_process_signal(settings_retry_interval)))
+        {
+            return false;
+        }
+    }
+}
+
+base::result<bool> edge_process::start()
 {
     for (int unexplained = 0;;)
     {
         auto started = edge::edge_host::start(settings_, metrics_port_);
         if (started)
         {
-            return std::optional{std::move(started).value()};
+            host_ = std::move(started).value();
+            return true;
         }
         const auto fault = edge::find_address_fault(settings_);
         unexplained += fault ? 0 : 1;
@@ -84,7 +131,7 @@
         }
         if (!wait_for_addresses(started.error()))
         {
-            return std::optional<edge::edge_host>{};
+            return false;
         }
     }
 }
@@ -106,7 +153,7 @@
         {
             return false;
         }
-        if ((signal_number == SIGHUP || file_.changed()) && reload())
+        if (reload(signal_number))
         {
             return true;
         }
@@ -119,7 +166,7 @@
     }
 }
 
-void edge_process::serve_until_stopped(edge::edge_host& running)
+void edge_process::serve_until_stopped()
 {
     while (true)
     {
@@ -128,20 +175,35 @@
         {
             return;
         }
-        if ((signal_number == SIGHUP || file_.changed()) && reload())
+        if (reload(signal_number))
         {
-            running.reload(settings_);
+            host_->reload(settings_);
         }
-        running.retry_metrics();
+        host_->retry_metrics();
     }
 }
 
-bool edge_process::reload()
+bool edge_process::reload(int signal_number)
 {
+    const bool requested = signal_number == SIGHUP;
+    if (!requested && !file_.changed())
+    {
+        return false;
+    }
     auto read = file_.load();
     if (!read)
     {
-        log_event{log_level::error, "settings_refused"}.with(read.error());
+        // The file is read again until it can be used, so that its fault is logged once only.
+        if (requested || logged_fault_ != read.error())
+        {
+            log_event{log_level::error, "settings_refused"}.with(read.error());
+        }
+        logged_fault_ = read.error();
+        return false;
+    }
+    const bool recovered = std::exchange(logged_fault_, std::nullopt).has_value();
+    if (!requested && !recovered && read.value() == settings_)
+    {
         return false;
     }
     settings_ = std::move(read).value();
--- a/daemons/edge_process.hpp
+++ b/daemons/edge_process.hpp
@@ -19,28 +19,34 @@
 class edge_process
 {
 public:
-    edge_process(settings_file file, adapter::settings settings, std::uint16_t metrics_port)
-        : file_{std::move(file)}, settings_{std::move(settings)}, metrics_port_{metrics_port}
+    edge_process(settings_file file, std::uint16_t metrics_port) : file_{std::move(file)}, metrics_port_{metrics_port}
     {
     }
 
-    /// Starts the host and serves until a planned stop. Returns the process's exit code: 0, or 1 when the host cannot
-    /// start.
+    /// Starts the host and serves until a planned stop; the host's threads still run afterwards. Returns the process's
+    /// exit code: 0, 1 when the host cannot start, 2 when its settings cannot be used.
     int run();
 
 private:
-    /// Starts the host; while its addresses are in use or missing, waits for them. Returns none when a stop is asked
+    /// Reads the settings; waits for a bounded time while they cannot be used, since the file may be incomplete.
+    /// Returns false when a stop is asked for.
+    base::result<bool> read_settings();
+    /// Starts the host; while its addresses are in use or missing, waits for them. Returns false when a stop is asked
     /// for. Errors: as `edge_host::start`, for faults that waiting does not mend.
-    base::result<std::optional<edge::edge_host>> start();
+    base::result<bool> start();
     /// Waits until every address can be bound, or the settings change. Returns false when a stop is asked for.
     bool wait_for_addresses(base::error fault);
-    void serve_until_stopped(edge::edge_host& running);
-    /// Reads the settings again. Returns false when they cannot be used; the current ones stay.
-    bool reload();
+    void serve_until_stopped();
+    /// Reads the settings again, for a signal or because the file changed. Returns false when they are the current ones
+    /// or cannot be used.
+    bool reload(int signal_number);
 
     settings_file file_;
     adapter::settings settings_;
     std::uint16_t metrics_port_;
+    std::optional<edge::edge_host> host_;
+    /// The fault of the settings that was logged last.
+    std::optional<base::error> logged_fault_;
 };
 
 } // namespace galenabay
--- a/daemons/galena_edged.cpp
+++ b/daemons/galena_edged.cpp
@@ -47,10 +47,9 @@
     return described;
 }
 
-int serve(settings_file file, const galenabay::adapter::settings& settings, std::uint16_t metrics_port)
+int serve(const std::string& file, std::uint16_t metrics_port)
 {
-    galenabay::base::configure_log(settings.host, settings.data_centre, galenabay::base::log_level::info);
-    edge_process process{std::move(file), settings, metrics_port};
+    edge_process process{settings_file{file}, metrics_port};
     const int exit_code = process.run();
     // Exits without joining the threads: one may still wait for an answer of the store.
     galenabay::base::flush_log();
@@ -102,14 +101,7 @@
         std::cerr << "galena_edged: neither --settings nor GALENABAY_SETTINGS names a settings file; see --help\n";
         return exit_usage;
     }
-    settings_file watched{file};
-    const auto settings = watched.load();
-    if (!settings)
-    {
-        std::cerr << settings.error().peer() << ": " << settings.error().detail() << '\n';
-        return exit_usage;
-    }
-    return serve(std::move(watched), settings.value(), values["metrics-port"].as<std::uint16_t>());
+    return serve(file, values["metrics-port"].as<std::uint16_t>());
 }
 
 } // namespace
--- a/daemons/settings_file.cpp
+++ b/daemons/settings_file.cpp
@@ -1,5 +1,7 @@
 #include "settings_file.hpp"
 
+#include <sys/stat.h>
+
 namespace galenabay
 {
 
@@ -7,23 +9,25 @@
 {
     // Taken before the file is read: a change that follows is found later.
     loaded_ = current();
-    return adapter::load_settings(path_);
+    auto read = adapter::load_settings(path_);
+    refused_ = !read;
+    return read;
 }
 
 bool settings_file::changed() const
 {
-    return current() != loaded_;
+    return refused_ || current() != loaded_;
 }
 
 settings_file::version settings_file::current() const
 {
-    constexpr long long nanoseconds_per_second = 1'000'000'000;
+    constexpr std::int64_t nanoseconds_per_second = 1'000'000'000;
     struct stat status = {};
     if (stat(path_.c_str(), &status) != 0)
     {
         return loaded_;
     }
-    return {status.st_size, status.st_mtim.tv_sec * nanoseconds_per_second + status.st_mtim.tv_nsec};
+    return {status.st_ino, status.st_size, status.st_mtim.tv_sec * nanoseconds_per_second + status.st_mtim.tv_nsec};
 }
 
 } // namespace galenabay
--- a/daemons/settings_file.hpp
+++ b/daemons/settings_file.hpp
@@ -2,7 +2,9 @@
 
 #include <platform/settings.hpp>
 
-#include <sys/stat.h>
+#include <sys/types.h>
+
+#include <cstdint>
 
 #include <string>
 #include <utility>
@@ -19,17 +21,27 @@
     const std::string& path() const noexcept { return path_; }
     /// Reads the file. Errors: as `adapter::load_settings`.
     base::result<adapter::settings> load();
-    /// Returns true when the file's size or modification time differs from that at the last `load`.
+    /// Returns true when the file is to be read: it is another file, its size or modification time differs from that at
+    /// the last `load`, or that `load` failed, since the file may have been incomplete.
     bool changed() const;
 
 private:
-    using version = std::pair<off_t, long long>;
+    /// What tells one version of the file from another.
+    struct version
+    {
+        ino_t file = 0;
+        off_t size = 0;
+        std::int64_t modified_ns = 0;
+
+        friend bool operator==(const version&, const version&) = default;
+    };
 
-    /// Returns the size and modification time; those of the last `load` when the file is missing.
+    /// Returns the version of the file; that of the last `load` when the file is missing.
     version current() const;
 
     std::string path_;
-    version loaded_{};
+    version loaded_;
+    bool refused_ = true;
 };
 
 } // namespace galenabay
--- a/tests/edged/edged_process.hpp
+++ b/tests/edged/edged_process.hpp
@@ -20,7 +20,7 @@
 /// Time within which a process must be ready after it was started.
 constexpr auto start_bound = 4s;
 /// Time within which a process must end after the request to stop, with the settings of these tests.
-constexpr auto stop_bound = 4s;
+constexpr auto stop_bound = 3s;
 
 /// Addresses and times of one host.
 struct host_settings
