--- a/daemons/galena_edged.cpp
+++ b/daemons/galena_edged.cpp
@@ -48,13 +48,10 @@
     return described;
 }
 
-int serve(settings_file file, const galenabay::adapter::settings& settings, std::uint16_t metrics_port)
+int serve(const std::string& file, std::uint16_t metrics_port)
 {
-    // Signals are blocked before the log's thread starts, because it inherits the mask.
-    galenabay::base::block_process_signals();
     galenabay::base::limit_thread_memory();
-    galenabay::base::configure_log(settings.host, settings.data_centre, galenabay::base::log_level::info);
-    edge_process process{std::move(file), settings, metrics_port};
+    edge_process process{settings_file{file}, metrics_port};
     const int exit_code = process.run();
     // Exits without joining the threads: one may still wait for an answer of the store.
     galenabay::base::flush_log();
@@ -106,20 +103,15 @@
         std::cerr << "galena_edged: neither --settings nor GALENABAY_SETTINGS names a settings file; see --help\n";
         return exit_usage;
     }
-    settings_file watched{file};
-    const auto settings = watched.load();
-    if (!settings)
-    {
-        std::cerr << settings.error().peer() << ": " << settings.error().detail() << '\n';
-        return exit_usage;
-    }
-    return serve(std::move(watched), settings.value(), values["metrics-port"].as<std::uint16_t>());
+    return serve(file, values["metrics-port"].as<std::uint16_t>());
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
+    // Before any thread starts: threads inherit the mask.
+    galenabay::base::block_process_signals();
     try
     {
         options::variables_map values;
