--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -52,6 +52,7 @@
 bool store_watch::on_changes(const steer::store_revision& read_at, bool has_changes, base::time_point now)
 {
     backoff_.reset();
+    incomplete_.reset();
     if (read_at.epoch != position_.epoch)
     {
         restart(now);
@@ -62,6 +63,12 @@
     return true;
 }
 
+void store_watch::on_incomplete_changes(base::time_point now)
+{
+    backoff_.reset();
+    restart(now + incomplete_.next(random_, options_.longest_retry));
+}
+
 void store_watch::on_failure(base::error_code code, base::time_point now)
 {
     if (code == base::error_code::stale)
@@ -69,16 +76,23 @@
         restart(now);
         return;
     }
-    not_before_ = now + backoff_.next(random_, options_.longest_retry);
+    const auto next = now + backoff_.next(random_, options_.longest_retry);
+    const bool is_unusable = code == base::error_code::malformed || code == base::error_code::out_of_range;
+    if (can_watch_ && is_unusable)
+    {
+        restart(next);
+        return;
+    }
+    not_before_ = next;
 }
 
-void store_watch::restart(base::time_point now)
+void store_watch::restart(base::time_point not_before)
 {
     listed_ = false;
     can_watch_ = false;
     may_be_stale_ = false;
     after_.clear();
-    not_before_ = now;
+    not_before_ = not_before;
 }
 
 } // namespace galenabay::edge
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -60,7 +60,7 @@
 {
 public:
     store_watch(store_watch_options options, std::uint64_t seed)
-        : options_{options}, random_{seed}, backoff_{options.first_retry}
+        : options_{options}, random_{seed}, backoff_{options.first_retry}, incomplete_{options.batch_pause}
     {
     }
 
@@ -73,7 +73,10 @@
     /// Records the answer to a watch. Returns false when it must not be used, because changes
     /// may be missing from it.
     bool on_changes(const steer::store_revision& read_at, bool has_changes, base::time_point now);
-    /// Records a failed call; `stale` starts a new list at once.
+    /// Records an answer to a watch whose changes cannot all be read: a new list shows them.
+    void on_incomplete_changes(base::time_point now);
+    /// Records a failed call. After `stale` a new list begins at once, and after an answer to a
+    /// watch that cannot be used with the next attempt, since the same call gets it again.
     void on_failure(base::error_code code, base::time_point now);
 
     /// Returns true when a complete list has been read, so that no call is due unless this
@@ -85,12 +88,14 @@
     int failures() const noexcept { return backoff_.failures(); }
 
 private:
-    /// Begins a new list at once.
-    void restart(base::time_point now);
+    /// Begins a new list, not before this time.
+    void restart(base::time_point not_before);
 
     store_watch_options options_;
     base::random_source random_;
     base::backoff backoff_;
+    /// Pauses after answers with changes that cannot all be read.
+    base::backoff incomplete_;
     bool listed_ = false;
     bool may_be_stale_ = true;
     /// The list was current, so that a watch can continue from it.
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -203,6 +203,15 @@
             .with("epoch", page.revision.epoch);
     }
     const auto now = base::steady_now();
+    if (page.incomplete)
+    {
+        log_event{log_level::warning, "changes_unreadable"}
+            .with("kind", name_of(kind_))
+            .with("revision", page.revision.number)
+            .with("epoch", page.revision.epoch);
+        watch_.on_incomplete_changes(now);
+        return;
+    }
     if (watch_.on_changes(page.revision, !page.objects.empty(), now) && !page.objects.empty())
     {
         enqueue({.what = store_update::kind::changes,
--- a/tests/edge/store_watch_test.cpp
+++ b/tests/edge/store_watch_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace galenabay;
 using namespace galenabay::edge;
 using namespace std::chrono_literals;
@@ -136,3 +138,45 @@
     STRCMP_EQUAL("", watch.next().after.c_str());
     CHECK_FALSE(watch.next().may_be_stale);
 }
+
+// Failure (issue 36): a change that cannot be told from those behind it was read again and again.
+TEST(store_watch, changes_that_cannot_all_be_read_are_replaced_by_a_current_list)
+{
+    list_everything(40);
+    base::duration longest{};
+    for (int i = 0; i < 10; ++i)
+    {
+        watch.on_incomplete_changes(now);
+        CHECK(watch.next().what == store_call::kind::list);
+        CHECK_FALSE(watch.next().may_be_stale);
+        STRCMP_EQUAL("", watch.next().after.c_str());
+        CHECK(watch.next().not_before >= now + options.batch_pause / 2);
+        CHECK(watch.next().not_before <= now + options.longest_retry);
+        longest = std::max(longest, watch.next().not_before - now);
+        LONGS_EQUAL(0, watch.failures());
+        list_everything(50);
+        LONGS_EQUAL(50, watch.next().revision);
+    }
+    CHECK(longest > options.batch_pause);
+    watch.on_changes({1, 51}, true, now);
+    watch.on_incomplete_changes(now);
+    CHECK(watch.next().not_before <= now + options.batch_pause);
+}
+
+// Failure (issue 36): an answer that cannot be used, or is too large, was asked for again and again.
+TEST(store_watch, an_answer_to_a_watch_that_cannot_be_used_is_replaced_by_a_list)
+{
+    for (const auto code : {base::error_code::malformed, base::error_code::out_of_range})
+    {
+        list_everything(40);
+        watch.on_failure(code, now);
+        CHECK(watch.next().what == store_call::kind::list);
+        CHECK(watch.next().not_before > now);
+        LONGS_EQUAL(1, watch.failures());
+        watch.on_failure(code, now);
+        CHECK(watch.next().what == store_call::kind::list);
+    }
+    list_everything(40);
+    watch.on_failure(base::error_code::timeout, now);
+    CHECK(watch.next().what == store_call::kind::watch);
+}
