--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -39,6 +39,7 @@
     position_ = std::min(position_, read_at);
     if (more && !last_name.empty() && last_name != after_)
     {
+        ++pages_;
         listed_ = false;
         after_ = last_name;
         return false;
@@ -46,6 +47,7 @@
     listed_ = true;
     can_watch_ = !std::exchange(may_be_stale_, false);
     after_.clear();
+    pages_ = 0;
     return true;
 }
 
@@ -78,9 +80,11 @@
     }
     const auto next = now + backoff_.next(random_, options_.longest_retry);
     const bool is_unusable = code == base::error_code::malformed || code == base::error_code::out_of_range;
-    if (can_watch_ && is_unusable)
+    if ((can_watch_ || is_endless()) && is_unusable)
     {
+        const bool may_be_stale = may_be_stale_;
         restart(next);
+        may_be_stale_ = may_be_stale;
         return;
     }
     not_before_ = next;
@@ -92,6 +96,7 @@
     can_watch_ = false;
     may_be_stale_ = false;
     after_.clear();
+    pages_ = 0;
     not_before_ = not_before;
 }
 
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -17,6 +17,10 @@
 /// with `watch_wait` below the configuration bound.
 constexpr std::chrono::milliseconds store_answer_timeout{1'000};
 
+/// Largest number of pages of a list: 200,000 objects, many times those of a platform, or fewer
+/// when some of them are damaged. A longer one is taken for a fault of the store.
+constexpr int max_list_pages = 400;
+
 /// Times and pauses of following one kind of objects.
 struct store_watch_options
 {
@@ -76,12 +80,15 @@
     /// Records an answer to a watch whose changes cannot all be read: a new list shows them.
     void on_incomplete_changes(base::time_point now);
     /// Records a failed call. After `stale` a new list begins at once, and after an answer to a
-    /// watch that cannot be used with the next attempt, since the same call gets it again.
+    /// watch that cannot be used, or an endless list, with the next attempt, since the same call
+    /// gets it again.
     void on_failure(base::error_code code, base::time_point now);
 
     /// Returns true when a complete list has been read, so that no call is due unless this
     /// host follows the store.
     bool has_list() const noexcept { return listed_; }
+    /// Returns true when the list has had so many pages that it is not to be continued.
+    bool is_endless() const noexcept { return pages_ >= max_list_pages; }
     /// Revision of the last complete list or of the last answer to a watch.
     const steer::store_revision& position() const noexcept { return position_; }
     /// Number of calls that failed since the last answer.
@@ -102,6 +109,8 @@
     bool can_watch_ = false;
     steer::store_revision position_;
     std::string after_;
+    /// Number of pages of the list before the next one.
+    int pages_ = 0;
     base::time_point not_before_{};
 };
 
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -151,10 +151,12 @@
         return;
     }
     const auto& page = answer.value();
-    if (page.more && (page.last_name.empty() || page.last_name == call.after))
+    if (page.more && (page.last_name.empty() || page.last_name == call.after || watch_.is_endless()))
     {
         on_failure(base::error::make(base::error_code::malformed, "store_list", state_.store().to_string(),
-                                     "more objects follow, and none of the page has a name to continue from"));
+                                     watch_.is_endless()
+                                         ? "the list does not end"
+                                         : "more objects follow, and none of the page has a name to continue from"));
         return;
     }
     observe_epoch(page, 0);
--- a/tests/edge/store_watch_test.cpp
+++ b/tests/edge/store_watch_test.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <string>
 
 using namespace galenabay;
 using namespace galenabay::edge;
@@ -180,3 +181,21 @@
     watch.on_failure(base::error_code::timeout, now);
     CHECK(watch.next().what == store_call::kind::watch);
 }
+
+// Class of failure: one call without an end. The pages of such a list took ever more memory.
+TEST(store_watch, a_list_without_an_end_is_begun_again)
+{
+    int pages = 0;
+    for (; !watch.is_endless(); ++pages)
+    {
+        CHECK_FALSE(watch.on_page({1, 40}, std::to_string(pages), true, now));
+    }
+    LONGS_EQUAL(max_list_pages, pages);
+    watch.on_failure(base::error_code::malformed, now);
+    STRCMP_EQUAL("", watch.next().after.c_str());
+    CHECK(watch.next().may_be_stale);
+    CHECK(watch.next().not_before > now);
+    CHECK_FALSE(watch.is_endless());
+    list_everything(40);
+    CHECK(watch.has_list());
+}
