--- a/tests/store_stub/damaged_entries_test.cpp
+++ b/tests/store_stub/damaged_entries_test.cpp
@@ -114,6 +114,22 @@
     CHECK(holds_within(2 * start_bound, lists_other));
 }
 
+// The list continues after such a name, which is a part of the call.
+TEST(damaged_entries_in_store, their_names_may_have_any_characters)
+{
+    put_usable_entries();
+    for (const std::string& name : {std::string{"a/b"}, std::string{"a%41"}, std::string{"a b"}, std::string{"a&c=d"},
+                                    std::string{"a#x?y"}, std::string{"a+b"}, std::string{"h/../x"},
+                                    std::string{"\xc3\xa9"}, std::string{"h\x01"}, std::string{"\xff"}})
+    {
+        store.put("servers", name, R"({"service":"feed)");
+    }
+    store.put("servers", "z-9", registration("ready", 1));
+    const auto read = inspect::read_fleet(store_address, {});
+    CHECK(read.has_value());
+    LONGS_EQUAL(4, read.value().store.services.at("feed").ready);
+}
+
 // Calls are priced: each of these entries costs one more call for each list, and a change of
 // one a list with a growing pause before it.
 TEST(damaged_entries_in_store, they_cost_few_calls)
