--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -17,6 +17,10 @@
 /// with `watch_wait` below the configuration bound.
 constexpr std::chrono::milliseconds store_answer_timeout{1'000};
 
+/// Largest number of pages of a list: 200,000 objects, many times those of a platform, or fewer
+/// when some of them are damaged. A longer one is taken for a fault of the store.
+constexpr int max_list_pages = 400;
+
 /// Times and pauses of following one kind of objects.
 struct store_watch_options
 {
@@ -60,7 +64,7 @@
 {
 public:
     store_watch(store_watch_options options, std::uint64_t seed)
-        : options_{options}, random_{seed}, backoff_{options.first_retry}
+        : options_{options}, random_{seed}, backoff_{options.first_retry}, incomplete_{options.batch_pause}
     {
     }
 
@@ -73,30 +77,40 @@
     /// Records the answer to a watch. Returns false when it must not be used, because changes
     /// may be missing from it.
     bool on_changes(const steer::store_revision& read_at, bool has_changes, base::time_point now);
-    /// Records a failed call; `stale` starts a new list at once.
+    /// Records an answer to a watch whose changes cannot all be read: a new list shows them.
+    void on_incomplete_changes(base::time_point now);
+    /// Records a failed call. After `stale` a new list begins at once, and after an answer to a
+    /// watch that cannot be used, or an endless list, with the next attempt, since the same call
+    /// gets it again.
     void on_failure(base::error_code code, base::time_point now);
 
     /// Returns true when a complete list has been read, so that no call is due unless this
     /// host follows the store.
     bool has_list() const noexcept { return listed_; }
+    /// Returns true when the list has had so many pages that it is not to be continued.
+    bool is_endless() const noexcept { return pages_ >= max_list_pages; }
     /// Revision of the last complete list or of the last answer to a watch.
     const steer::store_revision& position() const noexcept { return position_; }
     /// Number of calls that failed since the last answer.
     int failures() const noexcept { return backoff_.failures(); }
 
 private:
-    /// Begins a new list at once.
-    void restart(base::time_point now);
+    /// Begins a new list, not before this time.
+    void restart(base::time_point not_before);
 
     store_watch_options options_;
     base::random_source random_;
     base::backoff backoff_;
+    /// Pauses after answers with changes that cannot all be read.
+    base::backoff incomplete_;
     bool listed_ = false;
     bool may_be_stale_ = true;
     /// The list was current, so that a watch can continue from it.
     bool can_watch_ = false;
     steer::store_revision position_;
     std::string after_;
+    /// Number of pages of the list before the next one.
+    int pages_ = 0;
     base::time_point not_before_{};
 };
 
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -151,10 +151,12 @@
         return;
     }
     const auto& page = answer.value();
-    if (page.more && (page.last_name.empty() || page.last_name == call.after))
+    if (page.more && (page.last_name.empty() || page.last_name == call.after || watch_.is_endless()))
     {
         on_failure(base::error::make(base::error_code::malformed, "store_list", state_.store().to_string(),
-                                     "more objects follow, and none of the page has a name to continue from"));
+                                     watch_.is_endless()
+                                         ? "the list does not end"
+                                         : "more objects follow, and none of the page has a name to continue from"));
         return;
     }
     observe_epoch(page, 0);
@@ -203,6 +205,15 @@
             .with("epoch", page.revision.epoch);
     }
     const auto now = base::steady_now();
+    if (page.incomplete)
+    {
+        log_event{log_level::warning, "changes_unreadable"}
+            .with("kind", name_of(kind_))
+            .with("revision", page.revision.number)
+            .with("epoch", page.revision.epoch);
+        watch_.on_incomplete_changes(now);
+        return;
+    }
     if (watch_.on_changes(page.revision, !page.objects.empty(), now) && !page.objects.empty())
     {
         enqueue({.what = store_update::kind::changes,
