--- a/tests/net/http_session_test.cpp
+++ b/tests/net/http_session_test.cpp
@@ -39,7 +39,7 @@
     answering_server& operator=(const answering_server&) = delete;
     ~answering_server()
     {
-        listener_.close();
+        stop_.store(true);
         thread_.join();
     }
 
@@ -48,7 +48,7 @@
 private:
     void run()
     {
-        while (true)
+        while (!stop_.load())
         {
             try
             {
@@ -97,6 +97,7 @@
     Poco::Net::ServerSocket listener_;
     std::uint16_t port_ = listener_.address().port();
     int requests_ = 0;
+    std::atomic<bool> stop_{false};
     std::thread thread_;
 };
 
