--- a/tests/base/process_memory_test.cpp
+++ b/tests/base/process_memory_test.cpp
@@ -44,6 +44,7 @@
     std::barrier all_allocated{thread_count + 1};
     std::barrier counted{thread_count + 1};
     std::vector<std::thread> threads;
+    threads.reserve(thread_count);
     for (int i = 0; i < thread_count; ++i)
     {
         threads.emplace_back(
