--- a/include/galenabay/net/wakeup_event.hpp
+++ b/include/galenabay/net/wakeup_event.hpp
@@ -13,6 +13,7 @@
 class wakeup_event
 {
 public:
+    /// Throws `std::system_error` when the system refuses a descriptor.
     wakeup_event();
     wakeup_event(const wakeup_event&) = delete;
     wakeup_event& operator=(const wakeup_event&) = delete;
--- a/src/net/wakeup_event.cpp
+++ b/src/net/wakeup_event.cpp
@@ -1,19 +1,22 @@
 #include <galenabay/net/wakeup_event.hpp>
 
-#include <galenabay/base/invariant.hpp>
-
 #include <poll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
+#include <system_error>
 
 namespace galenabay::net
 {
 
 wakeup_event::wakeup_event() : descriptor_{eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)}
 {
-    GALENABAY_INVARIANT(descriptor_ >= 0);
+    if (descriptor_ < 0)
+    {
+        throw std::system_error{errno, std::generic_category(), "open_wakeup_event"};
+    }
 }
 
 wakeup_event::~wakeup_event()
--- a/tests/net/status_server_test.cpp
+++ b/tests/net/status_server_test.cpp
@@ -1,3 +1,5 @@
+#include "no_descriptors.hpp"
+
 #include <galenabay/base/log.hpp>
 #include <galenabay/net/http_session.hpp>
 #include <galenabay/net/status_server.hpp>
@@ -134,24 +136,6 @@
     return time_of(used.ru_utime) + time_of(used.ru_stime);
 }
 
-/// Limits the descriptors of this process while it lives.
-class descriptor_limit
-{
-public:
-    explicit descriptor_limit(rlim_t limit)
-    {
-        getrlimit(RLIMIT_NOFILE, &before_);
-        const rlimit lowered{limit, before_.rlim_max};
-        setrlimit(RLIMIT_NOFILE, &lowered);
-    }
-    descriptor_limit(const descriptor_limit&) = delete;
-    descriptor_limit& operator=(const descriptor_limit&) = delete;
-    ~descriptor_limit() { setrlimit(RLIMIT_NOFILE, &before_); }
-
-private:
-    rlimit before_{};
-};
-
 /// The library keeps state of its first calls and exceptions, which the leak check of the first test would report.
 [[maybe_unused]] const bool warmed_up = []
 {
@@ -295,10 +279,8 @@
     {
         waiting.emplace_back(Poco::Net::SocketAddress::IPv4).setReceiveTimeout(Poco::Timespan{2, 0});
     }
-    const int next_descriptor = dup(0);
-    close(next_descriptor);
     {
-        const descriptor_limit none_left{static_cast<rlim_t>(next_descriptor)};
+        const test::no_descriptors none_left;
         const auto before = processor_time();
         for (auto& caller : waiting)
         {
