--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -52,6 +52,7 @@
 
 void packet_worker::start()
 {
+    probes_.start();
     thread_ = std::thread{[this] { run(); }};
 }
 
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -42,7 +42,8 @@
     packet_worker& operator=(const packet_worker&) = delete;
     ~packet_worker();
 
-    /// Starts the thread; call it when the store threads are about to start.
+    /// Starts the threads; call it when the store threads are about to start. Throws `std::system_error` when the
+    /// system refuses a thread; the one that has started then ends with `shared_state::stop`.
     void start();
 
     /// Ring for the updates of the thread that follows `kind`, and the event by which that
--- a/src/edge/probe_worker.cpp
+++ b/src/edge/probe_worker.cpp
@@ -43,14 +43,22 @@
 } // namespace
 
 probe_worker::probe_worker(shared_state& state, net::wakeup_event& consumer, prometheus::Counter& failures)
-    : state_{state}, consumer_{consumer}, failures_{failures}, thread_{[this] { run(); }}
+    : state_{state}, consumer_{consumer}, failures_{failures}
 {
 }
 
 probe_worker::~probe_worker()
 {
-    wakeup_.notify();
-    thread_.join();
+    if (thread_.joinable())
+    {
+        wakeup_.notify();
+        thread_.join();
+    }
+}
+
+void probe_worker::start()
+{
+    thread_ = std::thread{[this] { run(); }};
 }
 
 bool probe_worker::request_attempt(const steer::probe_request& request)
--- a/src/edge/probe_worker.hpp
+++ b/src/edge/probe_worker.hpp
@@ -36,6 +36,9 @@
     probe_worker& operator=(const probe_worker&) = delete;
     ~probe_worker();
 
+    /// Starts the thread, which ends when the state says that the process stops.
+    void start();
+
     /// Requests an attempt; called on the packet thread. Returns false when too many wait.
     bool request_attempt(const steer::probe_request& request);
     /// Takes a result; called on the packet thread. Returns false when there is none.
