--- a/tests/base/process_memory_test.cpp
+++ b/tests/base/thread_memory_test.cpp
@@ -1,4 +1,4 @@
-#include <galenabay/base/process_memory.hpp>
+#include <galenabay/base/thread_memory.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -69,18 +69,18 @@
 
 } // namespace
 
-TEST_GROUP(process_memory){};
+TEST_GROUP(thread_memory){};
 
 // Failure: with a limit of 260 MB on the address space, the memory reserved for threads left none for the next thread's
 // stack, and the process ended by signal 6 at some of its starts.
-TEST(process_memory, threads_that_allocate_reserve_no_memory_each)
+TEST(thread_memory, threads_that_allocate_reserve_no_memory_each)
 {
     // The setting holds for a whole process.
     const pid_t child = fork();
     CHECK(child >= 0);
     if (child == 0)
     {
-        base::share_memory_between_threads();
+        base::limit_thread_memory();
         _exit(areas_of_threads());
     }
     int status = 0;
