--- a/tests/store_stub/odd_entries_test.cpp
+++ b/tests/store_stub/odd_entries_test.cpp
@@ -60,3 +60,19 @@
     store.put("servers", "i-1", registration("draining", 2));
     CHECK(holds_within(in_force_bound, [&] { return is_draining(); }));
 }
+
+// Failure (issue 36): a host never read the pages behind a name that no call can contain, and was
+// never ready.
+TEST(odd_entries_in_store, a_page_that_ends_with_a_very_long_name_is_not_the_last)
+{
+    constexpr int stub_page_size = 50;
+    store.put("config", "main", configuration(1));
+    for (int i = 1; i < stub_page_size; ++i)
+    {
+        store.put("servers", "a-" + std::to_string(i), "{}");
+    }
+    store.put("servers", "b" + std::string(100'000, 'x'), "{}");
+    store.put("servers", "i-1", registration("ready", 1));
+    host.start("edge-1", store_address);
+    CHECK(holds_within(start_bound, [&] { return host.version_in_force() == 1 && host.upstream(); }));
+}
