--- a/daemons/galena_balancerd.cpp
+++ b/daemons/galena_balancerd.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdlib>
 
+#include <exception>
 #include <iostream>
 #include <string>
 
@@ -81,7 +82,6 @@
         .with("took_ms", summary.elapsed.count() / 1000);
     // A platform thread may still be blocked in a call; quick_exit does not wait for it.
     galenabay::base::flush_log();
-    std::cout.flush();
     std::quick_exit(exit_ok);
 }
 
@@ -123,6 +123,7 @@
 {
     // Before any thread starts: threads inherit the mask.
     const sigset_t handled = galenabay::base::block_process_signals();
+    galenabay::base::open_standard_descriptors();
     try
     {
         options::variables_map values;
@@ -134,4 +135,9 @@
         std::cerr << "galena_balancerd: " << failure.what() << "; see --help\n";
         return exit_usage;
     }
+    catch (const std::exception& failure)
+    {
+        std::cerr << "galena_balancerd: " << failure.what() << '\n';
+        return exit_failure;
+    }
 }
--- a/daemons/galena_edged.cpp
+++ b/daemons/galena_edged.cpp
@@ -8,8 +8,10 @@
 #include <boost/program_options.hpp>
 
 #include <cstdint>
+#include <cstdio>
 #include <cstdlib>
 
+#include <exception>
 #include <iostream>
 #include <string>
 #include <utility>
@@ -23,6 +25,7 @@
 using galenabay::adapter::load_settings;
 
 constexpr int exit_ok = 0;
+constexpr int exit_failure = 1;
 constexpr int exit_usage = 2;
 
 constexpr std::uint16_t default_metrics_port = 9100;
@@ -47,13 +50,27 @@
     return described;
 }
 
+/// Reports an exception that ends the process, without memory of its own.
+void report(const std::exception& failure)
+{
+    std::fprintf(stderr, "level=error event=process_failed detail=\"%s\"\n", failure.what());
+}
+
 int serve(const std::string& file, std::uint16_t metrics_port)
 {
     edge_process process{settings_file{file}, metrics_port};
-    const int exit_code = process.run();
-    // Exits without joining the threads: one may still wait for an answer of the store.
+    int exit_code = exit_failure;
+    try
+    {
+        exit_code = process.run();
+    }
+    catch (const std::exception& failure)
+    {
+        report(failure);
+    }
+    // Exits without joining the threads: one may still wait for an answer of the store. Nothing waits for the output
+    // either, whose reader may have stopped.
     galenabay::base::flush_log();
-    std::cout.flush();
     std::_Exit(exit_code);
 }
 
@@ -110,6 +127,7 @@
 {
     // Before any thread starts: threads inherit the mask.
     galenabay::base::block_process_signals();
+    galenabay::base::open_standard_descriptors();
     try
     {
         options::variables_map values;
@@ -121,4 +139,9 @@
         std::cerr << "galena_edged: " << failure.what() << "; see --help\n";
         return exit_usage;
     }
+    catch (const std::exception& failure)
+    {
+        report(failure);
+        return exit_failure;
+    }
 }
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iostream>
 #include <utility>
 
 INITIALIZE_EASYLOGGINGPP
@@ -24,6 +25,8 @@
 
 void write_line(const std::string& line)
 {
+    // An earlier failure, such as a full disk, may have passed.
+    std::cout.clear();
     LOG(INFO) << line;
 }
 
--- a/tests/edged/edged_process.cpp
+++ b/tests/edged/edged_process.cpp
@@ -133,6 +133,13 @@
     return ended_;
 }
 
+std::string edged_process::descriptor_target(int descriptor) const
+{
+    std::error_code ignored;
+    return std::filesystem::read_symlink("/proc/" + std::to_string(process_) + "/fd/" + std::to_string(descriptor),
+                                         ignored);
+}
+
 bool edged_process::answers(const base::endpoint& server, const std::string& path)
 {
     constexpr auto timeout = 300ms;
--- a/tests/edged/edged_process.hpp
+++ b/tests/edged/edged_process.hpp
@@ -80,6 +80,8 @@
     /// Waits for the end of the process, at most `limit`.
     std::optional<exit_result> wait(std::chrono::milliseconds limit);
 
+    /// Returns what a descriptor of the process refers to.
+    std::string descriptor_target(int descriptor) const;
     bool is_ready() const { return answers(settings_.readiness, "/readyz"); }
     /// Returns true when a GET of `path` is answered with 200.
     static bool answers(const base::endpoint& server, const std::string& path);
