--- a/tests/net/status_server_test.cpp
+++ b/tests/net/status_server_test.cpp
@@ -197,6 +197,11 @@
     {
         server.connect(large_request);
     }
+    // The server has formed the large responses and begun to send them.
+    for (const auto& caller : server.callers)
+    {
+        CHECK(caller.poll(Poco::Timespan{10, 0}, Poco::Net::Socket::SELECT_READ));
+    }
     for (int i = 0; i < 10; ++i)
     {
         server.check_answered();
