--- a/tools/edge_soak/main.cpp
+++ b/tools/edge_soak/main.cpp
@@ -10,11 +10,15 @@
 
 #include <boost/program_options.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <filesystem>
 #include <iostream>
+#include <set>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace
 {
@@ -33,6 +37,14 @@
 constexpr double fault_free_end_s = 6;
 /// Minimum share of answered requests. With fewer, too little traffic was checked for the run to pass.
 constexpr double min_answered_share = 0.6;
+constexpr std::size_t spare_hosts = 3;
+/// All hosts start within this time of each other.
+constexpr double start_spread_s = 0.3;
+/// Longest wait for hosts to get ready after the run: the last fault may end 14 s after it began, and a host then has
+/// 10 s.
+constexpr double longest_wait_s = 20;
+/// Memory of a machine of the smallest deployment.
+constexpr long max_memory_kb = 260'000;
 
 double seconds_since(std::chrono::steady_clock::time_point start)
 {
@@ -48,9 +60,45 @@
     }
 }
 
-int soak(const std::string& program, std::size_t hosts, address_block block, std::uint64_t seed, double duration,
-         bool with_faults)
+struct soak_options
 {
+    std::string program;
+    std::size_t hosts = 0;
+    address_block block;
+    std::uint64_t seed = 0;
+    double duration = 0;
+    bool with_faults = true;
+    std::set<std::string> left_out;
+};
+
+/// Reports processes that ended by themselves or did not get ready, and starts those that are due.
+void check_hosts(host_processes& processes, soak_results& results, double now)
+{
+    for (const auto& line : processes.restart_ended(now))
+    {
+        results.violation("host_keeps_running", now, line);
+    }
+    for (const auto& line : processes.late_hosts(now))
+    {
+        results.violation("host_gets_ready", now, line);
+    }
+}
+
+void start_hosts(host_processes& processes, store_stub& store, std::size_t count, fault_schedule& schedule)
+{
+    for (std::size_t i = 1; i < processes.size(); ++i)
+    {
+        store.listen(processes.store_of(i));
+    }
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        processes.add(i, schedule.between(0, start_spread_s));
+    }
+}
+
+int soak(const soak_options& options)
+{
+    const auto& [program, hosts, block, seed, duration, with_faults, left_out] = options;
     const auto directory = std::filesystem::temp_directory_path() / ("edge_soak-" + std::to_string(seed));
     std::filesystem::remove_all(directory);
     std::filesystem::create_directories(directory);
@@ -60,25 +108,42 @@
     store.put("config", "main", configuration_text(1, 5));
     upstream_fleet upstreams{store, results, block, caller_port, seed};
     start_upstreams(upstreams);
-    host_processes processes{program, directory.string(), hosts, store_address, block};
-    fault_injector injector{processes, store, upstreams, results, seed};
+    fault_schedule schedule{results, seed, left_out};
+    host_processes processes{program, directory.string(), hosts + spare_hosts, store_address, block};
+    fault_injector injector{
+        processes, store, upstreams, schedule, base::endpoint::make_v4(block.callers() + callers, caller_port), seed};
     caller_fleet fleet{callers, block, caller_port, upstreams, results, [&] { return processes.rotation(); }, seed};
+    start_hosts(processes, store, hosts, schedule);
+    if (with_faults)
+    {
+        injector.begin_before_start();
+    }
     constexpr double warm_up_s = 2;
+    long peak_memory_kb = 0;
+    double next_memory_check = 1;
     const auto start = std::chrono::steady_clock::now();
-    for (double now = 0; now < duration; now = seconds_since(start))
+    for (double now = 0; now < duration || (!processes.all_ready() && now < duration + longest_wait_s);
+         now = seconds_since(start))
     {
         upstreams.receive(now);
-        if (now > warm_up_s)
+        if (now > warm_up_s && now < duration)
         {
             fleet.run(now);
         }
         injector.run(now, with_faults ? duration - fault_free_end_s : 0);
-        if (processes.restart_exited(now) > 0)
+        check_hosts(processes, results, now);
+        if (now > next_memory_check)
         {
-            results.violation("host_keeps_running", now, "logs=" + directory.string());
+            next_memory_check = now + 1;
+            peak_memory_kb = std::max(peak_memory_kb, processes.peak_memory_kb());
         }
         std::this_thread::sleep_for(std::chrono::milliseconds{1});
     }
+    std::printf("peak_memory_kb=%ld\n", peak_memory_kb);
+    if (peak_memory_kb > max_memory_kb)
+    {
+        results.violation("host_memory_is_bounded", duration, "peak_kb=" + std::to_string(peak_memory_kb));
+    }
     results.print(seed, store.calls());
     if (static_cast<double>(results.answered) < min_answered_share * static_cast<double>(results.asked) ||
         results.asked == 0)
@@ -104,9 +169,11 @@
                               "path of the daemon")("hosts", options::value<std::size_t>()->default_value(6),
                                                     "number of processes")(
         "seed", options::value<std::uint64_t>()->default_value(1), "seed of faults and load")(
-        "duration", options::value<double>()->default_value(30), "length of the run in seconds")(
-        "block", options::value<std::uint32_t>()->default_value(0),
-        "address block of this run, 0 to 14")("no-faults", "inject no faults")("help", "print this help");
+        "duration", options::value<double>()->default_value(30),
+        "length of the run in seconds")("block", options::value<std::uint32_t>()->default_value(0),
+                                        "address block of this run, 0 to 14")("no-faults", "inject no faults")(
+        "without", options::value<std::vector<std::string>>()->multitoken()->default_value({}, ""),
+        "names of faults that are not injected")("help", "print this help");
     try
     {
         options::variables_map values;
@@ -116,9 +183,14 @@
             std::cout << description;
             return exit_ok;
         }
-        return soak(values["program"].as<std::string>(), values["hosts"].as<std::size_t>(),
-                    address_block{values["block"].as<std::uint32_t>()}, values["seed"].as<std::uint64_t>(),
-                    values["duration"].as<double>(), values.count("no-faults") == 0);
+        const auto& left_out = values["without"].as<std::vector<std::string>>();
+        return soak({.program = values["program"].as<std::string>(),
+                     .hosts = values["hosts"].as<std::size_t>(),
+                     .block = address_block{values["block"].as<std::uint32_t>()},
+                     .seed = values["seed"].as<std::uint64_t>(),
+                     .duration = values["duration"].as<double>(),
+                     .with_faults = values.count("no-faults") == 0,
+                     .left_out = {left_out.begin(), left_out.end()}});
     }
     catch (const options::error& failure)
     {
--- a/tools/edge_soak/store_stub.cpp
+++ b/tools/edge_soak/store_stub.cpp
@@ -33,8 +33,7 @@
 constexpr std::size_t page_size = 50;
 constexpr auto slow_answer = 500ms;
 constexpr auto max_silence = 3'000ms;
-/// Maximum age of an answer to a call with `allow-stale`.
-constexpr auto max_stale_age = 2s;
+constexpr auto late_write_delay = 1'000ms;
 
 std::string object_text(const std::string& name, const std::string& spec, std::uint64_t revision)
 {
@@ -52,10 +51,18 @@
     {
         std::string body;
         Poco::StreamCopier::copyToString(request.stream(), body);
-        const auto answer = store_.handle(request.getMethod(), request.getURI(), body);
+        const auto answer =
+            store_.handle(request.getMethod(), request.getURI(), body, request.serverAddress().toString());
         if (answer.lost)
         {
-            static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket().shutdown();
+            auto& connection = static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+            if (answer.reset)
+            {
+                connection.setLinger(true, 0);
+                connection.close();
+                return;
+            }
+            connection.shutdown();
             return;
         }
         response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
@@ -114,7 +121,10 @@
     Poco::Net::HTTPServer http_;
 };
 
-store_stub::store_stub(const base::endpoint& local) : server_{std::make_unique<server>(local, *this)} {}
+store_stub::store_stub(const base::endpoint& local)
+{
+    listen(local);
+}
 
 store_stub::~store_stub()
 {
@@ -123,7 +133,12 @@
         stopping_ = true;
     }
     changed_.notify_all();
-    server_.reset();
+    servers_.clear();
+}
+
+void store_stub::listen(const base::endpoint& local)
+{
+    servers_.push_back(std::make_unique<server>(local, *this));
 }
 
 void store_stub::put(const std::string& kind, const std::string& name, const std::string& spec)
@@ -182,6 +197,32 @@
     return fault_;
 }
 
+void store_stub::set_fault_at(const std::string& address, store_fault fault)
+{
+    const std::lock_guard lock{mutex_};
+    faults_at_[address] = fault;
+    changed_.notify_all();
+}
+
+store_fault store_stub::fault_at(const std::string& address) const
+{
+    const auto found = faults_at_.find(address);
+    return fault_ != store_fault::none || found == faults_at_.end() ? fault_ : found->second;
+}
+
+void store_stub::set_stale_age(std::chrono::milliseconds age)
+{
+    const std::lock_guard lock{mutex_};
+    stale_age_ = age;
+}
+
+void store_stub::cut_watches()
+{
+    const std::lock_guard lock{mutex_};
+    ++watch_cuts_;
+    changed_.notify_all();
+}
+
 void store_stub::compact()
 {
     const std::lock_guard lock{mutex_};
@@ -214,32 +255,55 @@
     return calls_;
 }
 
-store_stub::answer store_stub::handle(const std::string& method, const std::string& uri, const std::string& body)
+store_stub::answer store_stub::handle(const std::string& method, const std::string& uri, const std::string& body,
+                                      const std::string& address)
 {
-    auto made = dispatch(method, uri, body);
+    auto made = dispatch(address, method, uri, body);
     const std::lock_guard lock{mutex_};
     made.epoch = epoch_;
     return made;
 }
 
-store_stub::answer store_stub::dispatch(const std::string& method, const std::string& uri, const std::string& body)
+std::optional<store_stub::answer> store_stub::apply_fault(const std::string& address)
+{
+    std::unique_lock lock{mutex_};
+    ++calls_;
+    switch (fault_at(address))
+    {
+    case store_fault::silent:
+        changed_.wait_for(lock, max_silence, [&] { return stopping_ || fault_at(address) != store_fault::silent; });
+        return answer{.status = 0, .body = {}, .epoch = 0, .lost = true};
+    case store_fault::slow:
+        changed_.wait_for(lock, slow_answer, [&] { return stopping_; });
+        return std::nullopt;
+    case store_fault::busy:
+        return answer{.status = 503, .body = "{}"};
+    case store_fault::limited:
+        return answer{.status = 429, .body = "{}"};
+    case store_fault::reset:
+        return answer{.status = 0, .body = {}, .epoch = 0, .lost = true, .reset = true};
+    default:
+        return std::nullopt;
+    }
+}
+
+store_stub::answer store_stub::lose_write(store_fault fault, const std::function<answer()>& write)
 {
+    if (fault == store_fault::late_writes)
     {
         std::unique_lock lock{mutex_};
-        ++calls_;
-        if (fault_ == store_fault::silent)
-        {
-            changed_.wait_for(lock, max_silence, [&] { return stopping_ || fault_ != store_fault::silent; });
-            return {.status = 0, .body = {}, .epoch = 0, .lost = true};
-        }
-        if (fault_ == store_fault::slow)
-        {
-            changed_.wait_for(lock, slow_answer, [&] { return stopping_; });
-        }
-        if (fault_ == store_fault::busy)
-        {
-            return {.status = 503, .body = "{}"};
-        }
+        changed_.wait_for(lock, late_write_delay, [&] { return stopping_; });
+    }
+    write();
+    return {.status = 0, .body = {}, .epoch = 0, .lost = true};
+}
+
+store_stub::answer store_stub::dispatch(const std::string& address, const std::string& method, const std::string& uri,
+                                        const std::string& body)
+{
+    if (auto faulty = apply_fault(address))
+    {
+        return *faulty;
     }
     const Poco::URI parsed{uri};
     std::vector<std::string> path;
@@ -255,16 +319,23 @@
     }
     if (method != "GET")
     {
-        return write(method, path[1], path.size() > 2 ? path[2] : "", body);
+        const auto done = [&] { return write(method, path[1], path.size() > 2 ? path[2] : "", body); };
+        const auto fault = [&]
+        {
+            const std::lock_guard lock{mutex_};
+            return fault_at(address);
+        }();
+        return fault == store_fault::lost_writes || fault == store_fault::late_writes ? lose_write(fault, done)
+                                                                                      : done();
     }
-    return query.contains("watch") ? watch(path[1], std::stoull(query["watch"]), std::stoull(query["wait-ms"]))
+    return query.contains("watch") ? watch(address, path[1], std::stoull(query["watch"]), std::stoull(query["wait-ms"]))
                                    : list(path[1], query["after"], query.contains("allow-stale"));
 }
 
 store_stub::answer store_stub::list(const std::string& kind, const std::string& after, bool may_be_stale)
 {
     const std::lock_guard lock{mutex_};
-    if (const auto now = std::chrono::steady_clock::now(); now - stale_copy_time_ >= max_stale_age)
+    if (const auto now = std::chrono::steady_clock::now(); now - stale_copy_time_ >= stale_age_)
     {
         stale_copy_ = objects_;
         stale_copy_time_ = now;
@@ -284,20 +355,25 @@
                     R"(,"current-rev":)" + std::to_string(revision_) + "}"};
 }
 
-store_stub::answer store_stub::watch(const std::string& kind, std::uint64_t revision, std::uint64_t wait_ms)
+store_stub::answer store_stub::watch(const std::string& address, const std::string& kind, std::uint64_t revision,
+                                     std::uint64_t wait_ms)
 {
     std::unique_lock lock{mutex_};
     const auto is_new = [&](const event& one) { return one.revision > revision && one.kind == kind; };
     const auto is_gone = [&] { return revision < compacted_revision_ || revision > revision_; };
-    const auto initial_fault = fault_;
+    const auto initial_fault = fault_at(address);
     const auto initial_epoch = epoch_;
+    const auto initial_cuts = watch_cuts_;
     changed_.wait_for(lock, std::chrono::milliseconds{wait_ms},
                       [&]
                       {
-                          return stopping_ || is_gone() || fault_ != initial_fault || epoch_ != initial_epoch ||
+                          return stopping_ || is_gone() || fault_at(address) != initial_fault ||
+                                 epoch_ != initial_epoch || watch_cuts_ != initial_cuts ||
                                  std::any_of(events_.begin(), events_.end(), is_new);
                       });
-    if (stopping_ || epoch_ != initial_epoch || (fault_ != initial_fault && fault_ != store_fault::slow))
+    const auto fault = fault_at(address);
+    if (stopping_ || epoch_ != initial_epoch || watch_cuts_ != initial_cuts ||
+        (fault != initial_fault && fault != store_fault::slow))
     {
         return {.status = 0, .body = {}, .epoch = 0, .lost = true};
     }
--- a/tools/edge_soak/store_stub.hpp
+++ b/tools/edge_soak/store_stub.hpp
@@ -5,9 +5,11 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,14 @@
     silent,
     /// Every answer is delayed by half a second.
     slow,
+    /// Every call is answered with 429.
+    limited,
+    /// The connection of every call is reset.
+    reset,
+    /// Writes are done, and their answers are lost.
+    lost_writes,
+    /// Writes are done a second later, and their answers are lost at once.
+    late_writes,
 };
 
 /// In-memory stub of the metadata store: lists, watches, unconditional writes, and
@@ -36,6 +46,8 @@
     store_stub& operator=(const store_stub&) = delete;
     ~store_stub();
 
+    /// Serves the same objects at one more address. Call it before any host uses the stub.
+    void listen(const base::endpoint& local);
     /// Writes an object's `spec` (JSON text); unchanged text causes no event.
     void put(const std::string& kind, const std::string& name, const std::string& spec);
     void remove(const std::string& kind, const std::string& name);
@@ -43,6 +55,12 @@
     std::vector<std::string> names(const std::string& kind) const;
     void set_fault(store_fault fault);
     store_fault fault() const;
+    /// Injects a fault into the calls to one of the addresses only.
+    void set_fault_at(const std::string& address, store_fault fault);
+    /// Answers to calls with `allow-stale` may be this old.
+    void set_stale_age(std::chrono::milliseconds age);
+    /// Ends all waiting watches without an answer.
+    void cut_watches();
     /// Keeps a copy of the objects for `restore`.
     void save_copy();
     /// Returns to the last copy: later writes are gone, their revisions are given out again,
@@ -61,9 +79,12 @@
         std::uint64_t epoch = 0;
         /// The connection is closed without an answer.
         bool lost = false;
+        /// The connection is closed with a reset.
+        bool reset = false;
     };
-    /// Answers one HTTP call; blocks for as long as a watch or the fault requires.
-    answer handle(const std::string& method, const std::string& uri, const std::string& body);
+    /// Answers one HTTP call to `address`; blocks for as long as a watch or the fault requires.
+    answer handle(const std::string& method, const std::string& uri, const std::string& body,
+                  const std::string& address = {});
 
 private:
     struct object
@@ -80,9 +101,16 @@
     class server;
 
     /// Answers a call of the store's interface.
-    answer dispatch(const std::string& method, const std::string& uri, const std::string& body);
+    answer dispatch(const std::string& address, const std::string& method, const std::string& uri,
+                    const std::string& body);
+    /// Returns the fault of calls to an address.
+    store_fault fault_at(const std::string& address) const;
+    /// Blocks while the fault requires it; returns the answer if the fault determines it.
+    std::optional<answer> apply_fault(const std::string& address);
+    /// Carries out a write whose answer is lost.
+    answer lose_write(store_fault fault, const std::function<answer()>& write);
     answer list(const std::string& kind, const std::string& after, bool may_be_stale);
-    answer watch(const std::string& kind, std::uint64_t revision, std::uint64_t wait_ms);
+    answer watch(const std::string& address, const std::string& kind, std::uint64_t revision, std::uint64_t wait_ms);
     answer write(const std::string& method, const std::string& kind, const std::string& name, const std::string& body);
     void put_locked(const std::string& kind, const std::string& name, const std::string& spec);
 
@@ -100,9 +128,12 @@
     std::uint64_t compacted_revision_ = 0;
     std::uint64_t epoch_ = 1;
     std::uint64_t calls_ = 0;
+    std::uint64_t watch_cuts_ = 0;
+    std::chrono::milliseconds stale_age_{2'000};
     store_fault fault_ = store_fault::none;
+    std::map<std::string, store_fault> faults_at_;
     bool stopping_ = false;
-    std::unique_ptr<server> server_;
+    std::vector<std::unique_ptr<server>> servers_;
 };
 
 } // namespace galenabay::edge_soak
