--- a/tools/edge_soak/store_faults.cpp
+++ b/tools/edge_soak/store_faults.cpp
@@ -1,5 +1,6 @@
 #include "store_faults.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <utility>
@@ -100,7 +101,17 @@
     {
         hosts_.disturb(i, now + seconds);
     }
-    schedule_.add(now + seconds, [this](double) { store_.set_fault(store_fault::none); });
+    // Another fault may have begun meanwhile. Upstreams whose registrations have expired must be registered again
+    // soon after the store has returned, so none of several faults may end before the last one.
+    away_until_ = std::max(away_until_, now + seconds);
+    schedule_.add(now + seconds,
+                  [this](double at)
+                  {
+                      if (at >= away_until_)
+                      {
+                          store_.set_fault(store_fault::none);
+                      }
+                  });
 }
 
 void store_faults::disturb_some(double now)
--- a/tools/edge_soak/store_faults.hpp
+++ b/tools/edge_soak/store_faults.hpp
@@ -49,6 +49,8 @@
     std::uint64_t version_ = 1;
     /// The configuration that the operator wrote last; empty for the first one.
     std::string configuration_;
+    /// End of the last fault of the store for all hosts.
+    double away_until_ = 0;
     bool restore_pending_ = false;
 };
 
