--- a/scripts/ci_edge_soak.sh
+++ b/scripts/ci_edge_soak.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
 # Runs a short fault soak of galena_edged with seed 1. A violated promise that
 # KNOWN-RED.txt lists ("soak: edge_soak PROMISE ...") is printed and does not affect
-# the exit code.
+# the exit code. The fault hup_before_main is left out: the kernel ends a process that gets SIGHUP while its libraries
+# are being loaded, before any instruction of the program can prevent it.
 set -uo pipefail
 log=$(mktemp)
-build/bin/edge_soak --program build/bin/galena_edged --seed 1 --duration 25 >"$log" 2>&1
+build/bin/edge_soak --program build/bin/galena_edged --seed 1 --duration 25 --without hup_before_main >"$log" 2>&1
 status=$?
 cat "$log"
 unlisted=0
--- a/tools/edge_soak/host_faults.cpp
+++ b/tools/edge_soak/host_faults.cpp
@@ -15,7 +15,7 @@
 constexpr double quota_period_s = 0.1;
 constexpr double quota_run_s = 0.0055;
 constexpr std::size_t min_hosts = 4;
-/// SIGHUPs at the start are sent within this time.
+/// A SIGHUP at the start is sent within this time after exec.
 constexpr double hup_window_s = 0.05;
 
 } // namespace
@@ -102,12 +102,13 @@
     const auto selected = start_random_.below(20);
     const double unit = start_random_.unit();
     const double seconds = 0.1 + 3 * start_random_.unit();
-    if (selected < 5 && schedule_.begin("hup_at_start"))
+    if (selected < 3 && schedule_.begin("hup_at_start"))
     {
-        for (auto time = hup_window_s * unit; time < hup_window_s; time += hup_window_s * unit + 0.001)
-        {
-            schedule_.add(now + time, [this, host](double) { hosts_.signal(host, SIGHUP); });
-        }
+        hup_early(host, now);
+    }
+    else if (selected < 5 && schedule_.begin("hup_before_main"))
+    {
+        schedule_.add(now + hup_window_s * unit, [this, host](double) { hosts_.signal(host, SIGHUP); });
     }
     else if (selected < 7 && schedule_.begin("paused_at_start"))
     {
@@ -150,17 +151,41 @@
     }
     hosts_.write_settings(host, schedule_.chance(0.5) ? settings_write::rename : settings_write::in_place);
     if (schedule_.chance(0.7))
+    {
+        hup(host);
+    }
+}
+
+void host_faults::hup(std::size_t host)
+{
+    if (hosts_.handles_signals(host))
     {
         hosts_.signal(host, SIGHUP);
     }
 }
 
+void host_faults::hup_early(std::size_t host, double now)
+{
+    constexpr double retry_s = 0.0005;
+    if (hosts_.handles_signals(host))
+    {
+        for (double time = 0; time < hup_window_s; time += 0.01)
+        {
+            schedule_.add(now + time, [this, host](double) { hup(host); });
+        }
+    }
+    else if (hosts_.in_use(host))
+    {
+        schedule_.add(now + retry_s, [this, host](double at) { hup_early(host, at); });
+    }
+}
+
 void host_faults::hup_series(std::size_t host, double now, double seconds)
 {
     const auto count = 1 + schedule_.random.below(5);
     for (std::size_t i = 0; i < count; ++i)
     {
-        schedule_.add(now + schedule_.between(0, seconds), [this, host](double) { hosts_.signal(host, SIGHUP); });
+        schedule_.add(now + schedule_.between(0, seconds), [this, host](double) { hup(host); });
     }
 }
 
@@ -236,7 +261,7 @@
     schedule_.add(begin, [this, host](double) { hosts_.write_settings(host, settings_write::half); });
     if (schedule_.chance(0.5))
     {
-        schedule_.add(begin + 0.002, [this, host](double) { hosts_.signal(host, SIGHUP); });
+        schedule_.add(begin + 0.002, [this, host](double) { hup(host); });
     }
     schedule_.add(begin + schedule_.between(0.005, 0.1),
                   [this, host](double) { hosts_.write_settings(host, settings_write::in_place); });
--- a/tools/edge_soak/host_faults.hpp
+++ b/tools/edge_soak/host_faults.hpp
@@ -24,8 +24,12 @@
     /// Lets a host run for only a small share of the time, as a quota of the processor does.
     void slow_down(std::size_t host, double now, double until);
     void reload(std::size_t host);
+    /// Sends SIGHUP to a host that handles its signals.
+    void hup(std::size_t host);
     /// Sends several SIGHUPs within `seconds`.
     void hup_series(std::size_t host, double now, double seconds);
+    /// Sends SIGHUP as soon as the program handles its signals.
+    void hup_early(std::size_t host, double now);
     void stop_in_turn(double now);
     void kill_many();
     void replace(std::size_t host, double now);
--- a/tools/edge_soak/host_processes.cpp
+++ b/tools/edge_soak/host_processes.cpp
@@ -41,14 +41,15 @@
                                : "exit=" + std::to_string(WEXITSTATUS(status));
 }
 
-long peak_memory_of(pid_t process)
+/// Returns a value of a process's status, written in `base`; 0 if the process is gone.
+unsigned long status_value(pid_t process, const std::string& name, int base)
 {
     std::ifstream in{"/proc/" + std::to_string(process) + "/status"};
     for (std::string line; std::getline(in, line);)
     {
-        if (line.starts_with("VmHWM:"))
+        if (line.starts_with(name))
         {
-            return std::atol(line.c_str() + 6);
+            return std::strtoul(line.c_str() + name.size(), nullptr, base);
         }
     }
     return 0;
@@ -147,6 +148,8 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const rlimit descriptors{max_descriptors, max_descriptors};
     ::setrlimit(RLIMIT_NOFILE, &descriptors);
+    // `handles_signals` looks at this setting, which a process inherits.
+    ::signal(SIGPIPE, SIG_DFL); // NOLINT(cert-err33-c)
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
     const auto settings = file_path(host, ".yaml");
@@ -193,6 +196,13 @@
     return hosts_[host].process > 0 && ::kill(hosts_[host].process, number) == 0;
 }
 
+bool host_processes::handles_signals(std::size_t host) const
+{
+    // The program ignores SIGPIPE after it has blocked the other signals.
+    constexpr unsigned long broken_pipe = 1UL << (SIGPIPE - 1);
+    return hosts_[host].process > 0 && (status_value(hosts_[host].process, "SigIgn:", 16) & broken_pipe) != 0;
+}
+
 void host_processes::end(std::size_t host, int number, double delay)
 {
     hosts_[host].exit_expected = true;
@@ -308,7 +318,7 @@
     long peak = 0;
     for (const auto& host : hosts_)
     {
-        peak = std::max(peak, host.process > 0 ? peak_memory_of(host.process) : 0);
+        peak = std::max(peak, host.process > 0 ? static_cast<long>(status_value(host.process, "VmHWM:", 10)) : 0);
     }
     return peak;
 }
--- a/tools/edge_soak/host_processes.hpp
+++ b/tools/edge_soak/host_processes.hpp
@@ -55,6 +55,9 @@
     void on_start(std::function<void(std::size_t, double)> started) { started_ = std::move(started); }
     /// Sends a signal to a host; returns false if it is not running.
     bool signal(std::size_t host, int number);
+    /// Returns true once the host's program handles its signals. Before that, the kernel carries out a signal's default
+    /// action, which ends a program whose libraries are still being loaded.
+    bool handles_signals(std::size_t host) const;
     /// Ends a host by a signal, and starts it again `delay` seconds after it has ended.
     void end(std::size_t host, int number, double delay);
     /// Sends SIGTERM to a host and starts its next process at once, while the old one runs.
