--- a/tests/edged/environment_test.cpp
+++ b/tests/edged/environment_test.cpp
@@ -126,15 +126,16 @@
 }
 
 // Failure: an exception outside the options ended the process by signal 6.
-TEST(edged_environment, a_thread_that_cannot_be_created_ends_the_process_with_1)
+TEST(edged_environment, an_exception_at_the_start_ends_the_process_with_1)
 {
     start_options options;
     options.prepare = []
     {
-        // Size of the threads' stacks; larger than the address space.
-        constexpr rlim_t stack_bytes = rlim_t{1} << 50U;
-        constexpr rlimit huge_stacks{stack_bytes, stack_bytes};
-        setrlimit(RLIMIT_STACK, &huge_stacks);
+        // Enough for the sockets of the datagrams, and too few for the events by which threads wake each other.
+        constexpr rlim_t descriptors = STDERR_FILENO + 4;
+        constexpr rlimit few_descriptors{descriptors, descriptors};
+        close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
+        setrlimit(RLIMIT_NOFILE, &few_descriptors);
     };
     host.start(options);
     const auto ended = host.wait(start_bound);
