--- a/tests/edged/edged_process.cpp
+++ b/tests/edged/edged_process.cpp
@@ -33,9 +33,10 @@
 {
     constexpr int peer_ports = 16;
     std::ostringstream out;
-    out << "node: \"" << name << "\"\nzone: \"east\"\nbind-addrs:\n  datagram-addr: \"" << packets.to_string()
-        << "\"\n  readiness-addr: \"" << readiness.to_string() << "\"\nport-range: [" << peers.port() << ", "
-        << peers.port() + peer_ports - 1 << "]\nbounds:\n  config-ms: 3000\n  grace-s: 3\n  flow-ttl-s: 60\n"
+    out << "node: \"" << name << "\"\nzone: \"" << data_centre << "\"\nbind-addrs:\n  datagram-addr: \""
+        << packets.to_string() << "\"\n  readiness-addr: \"" << readiness.to_string() << "\"\nport-range: ["
+        << peers.port() << ", " << peers.port() + peer_ports - 1
+        << "]\nbounds:\n  config-ms: 3000\n  grace-s: 3\n  flow-ttl-s: 60\n"
         << "platform:\n  address: \"" << store.to_string() << "\"\n";
     return out.str();
 }
--- a/tests/edged/edged_process.hpp
+++ b/tests/edged/edged_process.hpp
@@ -26,6 +26,7 @@
 struct host_settings
 {
     std::string name = "edge-1";
+    std::string data_centre = "east";
     base::endpoint packets = next_address();
     base::endpoint readiness = next_address();
     base::endpoint peers = next_address();
