--- a/tools/edge_soak/main.cpp
+++ b/tools/edge_soak/main.cpp
@@ -139,6 +139,10 @@
         }
         std::this_thread::sleep_for(std::chrono::milliseconds{1});
     }
+    if (!processes.all_ready())
+    {
+        results.violation("host_gets_ready", duration + longest_wait_s, "not all hosts are ready at the end");
+    }
     std::printf("peak_memory_kb=%ld\n", peak_memory_kb);
     if (peak_memory_kb > max_memory_kb)
     {
