Follow an upstream that starts again with its clock set back

Cause: the registry ignored a registration with an earlier start time than the known one for good, although the store's order says that it is the latest. The order of start times protects against a late write of an earlier start, after which the living upstream registers again with its next heartbeat. So that is awaited for the time in which a missing upstream may register, and then the earlier start takes the place of the known one; its latest registration counts. Evidence: an_upstream_that_starts_again_with_its_clock_set_back_is_followed and the_latest_registration_of_the_earlier_start_counts failed before (no incarnation of that start).

--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -117,7 +117,10 @@
 
     explicit upstream_registry(limits bounds) : limits_{bounds} {}
 
-    /// Applies one registration, unless a newer one of the id was applied.
+    /// Applies one registration, unless a newer one of the id was applied. One with an earlier
+    /// start time than the known one may be a late write of an earlier start, after which the
+    /// upstream registers again, or the upstream has started with its clock set back. So it
+    /// replaces the known one in `expire`, unless that one registers within `missing_grace`.
     change put(const upstream_entry& entry, base::time_point now);
     /// Marks the upstream as missing: since `revision` the store no longer lists it, or
     /// lists it with unusable fields.
@@ -131,7 +134,7 @@
     void store_failed(base::time_point now) { store_failed_at_ = now; }
 
     /// Ends incarnations that were missing for `missing_grace` and removes ended ones
-    /// after `retention`. Returns those that it ended.
+    /// after `retention`. Returns those that it ended and those that took their place.
     std::vector<change> expire(base::time_point now);
 
     /// Returns null when no incarnation has the token.
@@ -176,6 +179,14 @@
         std::uint64_t sequence = 0;
     };
 
+    /// Latest registration of a start before that of the known incarnation, and the time of the
+    /// first one.
+    struct earlier_start
+    {
+        upstream_entry entry;
+        base::time_point known_since{};
+    };
+
     /// Returns true when a registration is newer than what is known of the upstream. Within
     /// an epoch the store's order decides. Across epochs the upstream's own order does: an
     /// older copy of the store may list what the upstream has replaced since.
@@ -189,6 +200,9 @@
     void observe_epoch(std::uint64_t epoch, base::time_point now);
     /// Counts a registration that was not applied, unless it says what is known.
     void count_outdated(const upstream_entry& entry);
+    /// Ends the incarnations that did not register again after one of an earlier start, and adds
+    /// those in their place. Appends the changes.
+    void replace_with_earlier_starts(std::vector<change>& changes, base::time_point now);
     change mark_missing(upstream_incarnation& incarnation, base::time_point now);
     void end(upstream_incarnation& incarnation, base::time_point now);
     void update(upstream_incarnation& incarnation, const upstream_entry& entry, base::time_point now);
@@ -200,6 +214,7 @@
     std::unordered_map<std::string, upstream_incarnation*> by_id_;
     std::unordered_map<std::string, std::vector<upstream_incarnation*>> by_service_;
     std::unordered_map<std::string, known_change> known_;
+    std::unordered_map<std::string, earlier_start> earlier_starts_;
     std::uint64_t epoch_ = 0;
     /// Revision of the latest complete list: what it does not contain was gone by then.
     store_revision listed_at_;
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -107,6 +107,7 @@
     {
         return false;
     }
+    earlier_starts_.erase(id);
     known.revision = revision;
     known.removed = true;
     known.at = now;
@@ -154,11 +155,14 @@
             current.entry.address == entry.address && !current.ended)
         {
             const bool same = current.entry.draining == entry.draining && !current.missing_since;
+            earlier_starts_.erase(entry.id);
             update(current, entry, now);
             return {same ? upstream_change::none : upstream_change::updated, &current};
         }
-        if (current.entry.started_ms > entry.started_ms)
+        if (current.entry.started_ms > entry.started_ms && !current.ended)
         {
+            const auto [row, is_new] = earlier_starts_.try_emplace(entry.id, earlier_start{{}, now});
+            row->second.entry = entry;
             return {upstream_change::none, &current};
         }
         end(current, now);
@@ -264,16 +268,21 @@
 
 std::vector<upstream_registry::change> upstream_registry::expire(base::time_point now)
 {
-    std::vector<change> ended;
+    std::vector<change> changes;
+    const bool is_settled = is_store_settled(now);
     for (auto& [token, incarnation] : by_token_)
     {
         const bool overdue = incarnation->missing_since && now - *incarnation->missing_since >= limits_.missing_grace;
-        if (!incarnation->ended && overdue && is_store_settled(now))
+        if (!incarnation->ended && overdue && is_settled)
         {
             end(*incarnation, now);
-            ended.push_back({upstream_change::ended, incarnation.get()});
+            changes.push_back({upstream_change::ended, incarnation.get()});
         }
     }
+    if (is_settled)
+    {
+        replace_with_earlier_starts(changes, now);
+    }
     std::erase_if(by_token_,
                   [&](const auto& row)
                   {
@@ -283,7 +292,27 @@
                   });
     std::erase_if(known_,
                   [&](const auto& row) { return row.second.removed && now - row.second.at >= limits_.retention; });
-    return ended;
+    return changes;
+}
+
+void upstream_registry::replace_with_earlier_starts(std::vector<change>& changes, base::time_point now)
+{
+    for (auto row = earlier_starts_.begin(); row != earlier_starts_.end();)
+    {
+        if (now - row->second.known_since < limits_.missing_grace)
+        {
+            ++row;
+            continue;
+        }
+        const auto entry = std::move(row->second.entry);
+        row = earlier_starts_.erase(row);
+        if (const auto known = by_id_.find(entry.id); known != by_id_.end())
+        {
+            changes.push_back({upstream_change::ended, known->second});
+            end(*known->second, now);
+        }
+        changes.push_back(put(entry, now));
+    }
 }
 
 upstream_incarnation* upstream_registry::find(upstream_token token)
--- a/tests/steer/upstream_registry_test.cpp
+++ b/tests/steer/upstream_registry_test.cpp
@@ -193,3 +193,63 @@
     other.revision = {.epoch = 0, .number = 15};
     CHECK(registry.put(other, at(1s)).kind == upstream_change::added);
 }
+
+namespace
+{
+
+/// A registration of a start of the upstream at another time.
+upstream_entry started_at(std::uint64_t started_ms, std::uint64_t revision, bool draining = false)
+{
+    auto entry = at_revision(revision, draining);
+    entry.started_ms = started_ms;
+    entry.sequence = revision;
+    return entry;
+}
+
+} // namespace
+
+// Failure (review case 5): new flows were opened on a draining upstream, because it had started
+// again after its clock was set back, and all its later reports were ignored.
+TEST(upstream_registry, an_upstream_that_starts_again_with_its_clock_set_back_is_followed)
+{
+    registry.put(started_at(5'000, 10), at(0s));
+    CHECK(registry.put(started_at(2'600, 12), at(1s)).kind == upstream_change::none);
+    LONGS_EQUAL(0, registry.expire(at(3s)).size());
+    const auto changes = registry.expire(at(4s));
+    LONGS_EQUAL(2, changes.size());
+    CHECK(changes.front().kind == upstream_change::ended && changes.back().kind == upstream_change::added);
+    CHECK(registry.put(started_at(2'600, 15, true), at(7s)).kind == upstream_change::updated);
+    CHECK(registry.find(token_of(started_at(2'600, 12)))->entry.draining);
+    LONGS_EQUAL(1, registry.of_service(started_at(2'600, 12).service).size());
+}
+
+// It reports that it drains before the earlier start has taken the place of the known one.
+TEST(upstream_registry, the_latest_registration_of_the_earlier_start_counts)
+{
+    registry.put(started_at(5'000, 10), at(0s));
+    registry.put(started_at(2'600, 12), at(1s));
+    registry.put(started_at(2'600, 13, true), at(2s));
+    registry.expire(at(4s));
+    CHECK(registry.find(token_of(started_at(2'600, 12)))->entry.draining);
+}
+
+// A write of the earlier start may be executed seconds late; the upstream registers again with
+// its next heartbeat, and keeps its flows.
+TEST(upstream_registry, a_late_write_of_an_earlier_start_ends_no_living_upstream)
+{
+    registry.put(started_at(5'000, 10), at(0s));
+    registry.put(started_at(2'600, 12), at(1s));
+    CHECK(registry.put(started_at(5'000, 13), at(2s)).kind == upstream_change::none);
+    LONGS_EQUAL(0, registry.expire(at(10s)).size());
+    CHECK_FALSE(registry.find(token_of(started_at(5'000, 10)))->missing_since.has_value());
+}
+
+TEST(upstream_registry, an_earlier_start_that_is_removed_does_not_take_the_place_of_the_known_one)
+{
+    registry.put(started_at(5'000, 10), at(0s));
+    registry.put(started_at(2'600, 12), at(1s));
+    registry.remove("i-1", {1, 14}, at(2s));
+    const auto changes = registry.expire(at(5s));
+    LONGS_EQUAL(1, changes.size());
+    CHECK(registry.find(token_of(started_at(2'600, 12))) == nullptr);
+}
