--- a/src/net/status_server.cpp
+++ b/src/net/status_server.cpp
@@ -47,6 +47,8 @@
 /// Pause before a connection is accepted again when the process or the machine has no descriptor or memory for it. The
 /// connection waits in the kernel and keeps the listener readable meanwhile.
 constexpr milliseconds accept_pause{100};
+/// Pause after a failure of the loop itself, which may last.
+constexpr milliseconds failure_pause{100};
 
 /// Owns a descriptor.
 class descriptor_owner
@@ -141,7 +143,7 @@
                 report("status_failed", failure.what());
                 // Whatever the memory is short for, the open connections hold some.
                 connections_.clear();
-                accept_after_ = base::steady_now() + accept_pause;
+                std::this_thread::sleep_for(failure_pause);
             }
         }
     }
@@ -177,7 +179,12 @@
         }
         const auto left = deadline ? std::chrono::ceil<milliseconds>(*deadline - now).count() : -1;
         const auto timeout = deadline ? std::max<std::int64_t>(left, 0) : -1;
-        return poll(entries_.data(), entries_.size(), static_cast<int>(timeout)) > 0 && entries_.front().revents != 0;
+        const int ready = poll(entries_.data(), entries_.size(), static_cast<int>(timeout));
+        if (ready < 0 && errno != EINTR)
+        {
+            throw std::system_error{errno, std::generic_category(), "poll"};
+        }
+        return ready > 0 && entries_.front().revents != 0;
     }
 
     void advance_connections()
--- a/tests/net/status_server_test.cpp
+++ b/tests/net/status_server_test.cpp
@@ -301,3 +301,22 @@
     }
     server.check_answered();
 }
+
+// A limit that is lowered while connections are open makes poll fail at once, again and again.
+TEST(status_server, more_connections_than_a_lowered_limit_of_descriptors_are_closed)
+{
+    served server;
+    for (int i = 0; i < 60; ++i)
+    {
+        server.connect(half_request);
+    }
+    server.check_answered();
+    const auto before = processor_time();
+    {
+        const test::no_descriptors fewer{20};
+        server.callers.front().sendBytes("a", 1);
+        STRCMP_EQUAL("", read_all(server.callers.back()).c_str());
+    }
+    CHECK(processor_time() - before < 100ms);
+    server.check_answered();
+}
