--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -3,7 +3,6 @@
 #include "guarded_step.hpp"
 
 #include <galenabay/base/log.hpp>
-#include <galenabay/base/process_memory.hpp>
 #include <galenabay/base/steady_clock.hpp>
 #include <platform/packet_header.hpp>
 
@@ -41,8 +40,6 @@
              metrics},
       probes_{state, wakeup_, metrics.thread_failures}, buffers_(net::batch_size)
 {
-    // A host is constructed before its threads start.
-    base::share_memory_between_threads();
 }
 
 packet_worker::~packet_worker()
