--- a/include/galenabay/net/http_session.hpp
+++ b/include/galenabay/net/http_session.hpp
@@ -24,7 +24,7 @@
     /// Version that the object must have (If-Match); 0 means that it must not exist.
     std::optional<std::uint64_t> expected_version;
     /// Longest wait for each read of the response and each write of the request. All together take at most a second
-    /// more, whatever the server sends.
+    /// more, and 31 us for each byte of the response, so that a server that sends a byte now and then ends the call.
     std::chrono::milliseconds timeout{0};
     /// Longest accepted response body, in bytes.
     std::size_t max_response = 0;
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -11,6 +11,7 @@
 
 #include <galenabay/base/steady_clock.hpp>
 
+#include <algorithm>
 #include <istream>
 #include <ostream>
 #include <utility>
@@ -24,9 +25,10 @@
 using base::error_code;
 using Poco::Net::HTTPResponse;
 
-/// Longest time for the transfer of a request and its response, beside the wait for it: 32 Mbit/s for 4 MiB, the
-/// largest response.
+/// Time for the transfer of a request and its response, beside the wait for it, and its extension for each byte of the
+/// response: a server on a narrow link may send 32 KB/s or more for as long as it takes.
 constexpr base::duration transfer_time = std::chrono::milliseconds{1'000};
+constexpr base::duration transfer_time_per_byte = std::chrono::microseconds{31};
 
 base::result<std::string> read_bounded(std::istream& stream, const http_request& request, const std::string& peer)
 {
@@ -148,7 +150,9 @@
             receive_limit_ = left;
             setReceiveTimeout(timespan_of(left));
         }
-        return StreamSocketImpl::receiveBytes(buffer, length, flags);
+        const int received = StreamSocketImpl::receiveBytes(buffer, length, flags);
+        deadline_ += std::max(received, 0) * transfer_time_per_byte;
+        return received;
     }
 
 private:
