--- a/src/net/status_connection.cpp
+++ b/src/net/status_connection.cpp
@@ -27,12 +27,28 @@
 using Poco::Net::HTTPResponse;
 
 constexpr const char* text_type = "text/plain; charset=utf-8";
-constexpr std::string_view end_of_head = "\r\n\r\n";
+/// Longest text that ends a head; some callers end their lines without a carriage return.
+constexpr std::size_t max_end_bytes = 3;
 /// Longest request line with its header, in bytes; routers and scrapers send some hundred.
 constexpr std::size_t max_head_bytes = 8U << 10U;
 /// Size of one read, in bytes: the usual request arrives at once.
 constexpr std::size_t read_bytes = 2U << 10U;
 
+/// Returns the size of the request line and header that `text` begins with, looking for their end from `from` on;
+/// nullopt when they are not complete.
+std::optional<std::size_t> size_of_head(std::string_view text, std::size_t from)
+{
+    for (auto line = text.find('\n', from); line != std::string_view::npos; line = text.find('\n', line + 1))
+    {
+        const auto rest = text.substr(line + 1);
+        if (rest.starts_with('\n') || rest.starts_with("\r\n"))
+        {
+            return text.find('\n', line + 1) + 1;
+        }
+    }
+    return std::nullopt;
+}
+
 std::string encode(const status_response& response, bool has_body, const std::string& version)
 {
     HTTPResponse head{version, static_cast<HTTPResponse::HTTPStatus>(response.status)};
@@ -122,11 +138,11 @@
     {
         return got < 0 && (errno == EAGAIN || errno == EINTR);
     }
-    const auto known = request_.size() - std::min(request_.size(), end_of_head.size());
+    const auto known = request_.size() - std::min(request_.size(), max_end_bytes);
     request_.append(block.data(), static_cast<std::size_t>(got));
-    if (const auto end = request_.find(end_of_head, known); end != std::string::npos)
+    if (const auto size = size_of_head(request_, known); size)
     {
-        response_ = respond(request_.substr(0, end + end_of_head.size()), answer);
+        response_ = respond(request_.substr(0, *size), answer);
     }
     else if (request_.size() >= max_head_bytes)
     {
--- a/tests/net/status_server_test.cpp
+++ b/tests/net/status_server_test.cpp
@@ -227,6 +227,18 @@
     STRCMP_CONTAINS("\r\n\r\nok", read_all(caller).c_str());
 }
 
+// Failure: a caller that ends its lines without a carriage return got no answer.
+TEST(status_server, a_request_with_plain_line_ends_is_answered)
+{
+    served server;
+    for (const std::string& request :
+         {std::string{"GET /healthz HTTP/1.0\n\n"}, std::string{"GET /healthz HTTP/1.1\nHost: a\n\n"},
+          std::string{"GET /healthz HTTP/1.1\r\nHost: a\n\r\n"}})
+    {
+        STRCMP_CONTAINS("200 OK", read_all(server.connect(request)).c_str());
+    }
+}
+
 TEST(status_server, the_oldest_connection_is_closed_when_there_are_too_many)
 {
     served server{{.connections = 2, .connection_time = 60s}};
