--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -17,9 +17,9 @@
 /// with `watch_wait` below the configuration bound.
 constexpr std::chrono::milliseconds store_answer_timeout{1'000};
 
-/// Largest number of pages of a list: 200,000 objects, many times those of a platform, or fewer
-/// when some of them are damaged. A longer one is taken for a fault of the store.
-constexpr int max_list_pages = 400;
+/// Largest number of pages of a list; a page may end after each damaged object. A longer list is
+/// taken for a fault of the store.
+constexpr int max_list_pages = 20'000;
 
 /// Times and pauses of following one kind of objects.
 struct store_watch_options
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -151,10 +151,11 @@
         return;
     }
     const auto& page = answer.value();
-    if (page.more && (page.last_name.empty() || page.last_name == call.after || watch_.is_endless()))
+    const bool is_endless = watch_.is_endless() || listed_.size() > adapter::max_listed_objects;
+    if (page.more && (page.last_name.empty() || page.last_name == call.after || is_endless))
     {
         on_failure(base::error::make(base::error_code::malformed, "store_list", state_.store().to_string(),
-                                     watch_.is_endless()
+                                     is_endless
                                          ? "the list does not end"
                                          : "more objects follow, and none of the page has a name to continue from"));
         return;
--- a/tests/edge/store_watch_test.cpp
+++ b/tests/edge/store_watch_test.cpp
@@ -199,3 +199,16 @@
     list_everything(40);
     CHECK(watch.has_list());
 }
+
+// Failure: a list was taken for endless, and begun again for ever, when it had 400 damaged objects, each of which ends
+// a page.
+TEST(store_watch, a_list_may_have_many_pages)
+{
+    constexpr int pages = 2'000;
+    for (int i = 0; i < pages; ++i)
+    {
+        CHECK_FALSE(watch.on_page({1, 40}, "i-" + std::to_string(i), true, now));
+        CHECK_FALSE(watch.is_endless());
+    }
+    CHECK(watch.on_page({1, 40}, "z", false, now));
+}
