--- a/daemons/galena_edged.cpp
+++ b/daemons/galena_edged.cpp
@@ -3,13 +3,13 @@
 
 #include <galenabay/base/log.hpp>
 #include <galenabay/base/process_signals.hpp>
+#include <galenabay/base/standard_error.hpp>
 #include <galenabay/base/thread_memory.hpp>
 #include <platform/settings.hpp>
 
 #include <boost/program_options.hpp>
 
 #include <cstdint>
-#include <cstdio>
 #include <cstdlib>
 
 #include <exception>
@@ -51,10 +51,11 @@
     return described;
 }
 
-/// Reports an exception that ends the process, without memory of its own.
+/// Reports an exception that ends the process.
 void report(const std::exception& failure)
 {
-    std::fprintf(stderr, "level=error event=process_failed detail=\"%s\"\n", failure.what());
+    galenabay::base::print_to_standard_error("level=error event=process_failed " +
+                                             galenabay::base::format_field("detail", failure.what()) + "\n");
 }
 
 int serve(const std::string& file, std::uint16_t metrics_port)
