--- a/daemons/edge_process.cpp
+++ b/daemons/edge_process.cpp
@@ -2,11 +2,11 @@
 
 #include <galenabay/base/log.hpp>
 #include <galenabay/base/process_signals.hpp>
+#include <galenabay/base/standard_error.hpp>
 #include <galenabay/base/steady_clock.hpp>
 #include <galenabay/edge/address_check.hpp>
 
 #include <chrono>
-#include <iostream>
 
 namespace galenabay
 {
@@ -30,13 +30,13 @@
 
 /// Interval at which the settings file is checked for a change without a signal.
 constexpr milliseconds settings_check_interval{1'000};
-/// Interval at which addresses that cannot be bound are tried again.
-constexpr milliseconds address_check_interval{100};
-/// Interval of the log lines about an address that cannot be bound.
-constexpr milliseconds address_report_interval{5'000};
-/// Attempts to start that may fail although every address can be bound: another process may
-/// release an address between an attempt and the check of the addresses.
-constexpr int max_unexplained_failures = 3;
+/// Interval of attempts to start while addresses cannot be bound.
+constexpr milliseconds start_retry_interval{100};
+/// Interval of the log lines about a start that is delayed.
+constexpr milliseconds start_report_interval{5'000};
+/// Time in which a start may fail although every address can be bound: the system may be short of threads, descriptors
+/// or memory for a moment, or an address was released between an attempt and the check of the addresses.
+constexpr milliseconds shortage_wait{5'000};
 
 void log_unusable_seeds(const adapter::settings& settings)
 {
@@ -53,7 +53,7 @@
     if (const auto read = read_settings(); !read)
     {
         base::flush_log();
-        std::cerr << read.error().peer() << ": " << read.error().detail() << std::endl;
+        base::print_to_standard_error(read.error().peer() + ": " + read.error().detail() + "\n");
         return exit_usage;
     }
     else if (!read.value())
@@ -115,7 +115,8 @@
 
 base::result<bool> edge_process::start()
 {
-    for (int unexplained = 0;;)
+    const auto begun = base::steady_now();
+    while (true)
     {
         auto started = edge::edge_host::start(settings_, metrics_port_);
         if (started)
@@ -124,31 +125,30 @@
             return true;
         }
         const auto fault = edge::find_address_fault(settings_);
-        unexplained += fault ? 0 : 1;
-        if ((fault && !fault->may_pass) || unexplained > max_unexplained_failures)
+        if (fault ? !fault->may_pass : base::steady_now() - begun >= shortage_wait)
         {
             return started.error();
         }
-        if (!wait_for_addresses(started.error()))
+        if (!wait_for_start(fault ? "address_awaited" : "start_retried", started.error()))
         {
             return false;
         }
     }
 }
 
-bool edge_process::wait_for_addresses(base::error fault)
+bool edge_process::wait_for_start(const char* event, base::error fault)
 {
     const auto begun = base::steady_now();
-    for (auto next_report = begun;;)
+    while (true)
     {
         const auto now = base::steady_now();
-        if (now >= next_report)
+        if (now >= next_start_report_)
         {
-            next_report = now + address_report_interval;
-            log_event{log_level::warning, "address_awaited"}.with(fault).with(
-                "waited_ms", duration_cast<milliseconds>(now - begun).count());
+            next_start_report_ = now + start_report_interval;
+            log_event{log_level::warning, event}.with(fault).with("waited_ms",
+                                                                  duration_cast<milliseconds>(now - begun).count());
         }
-        const int signal_number = base::wait_for_process_signal(address_check_interval);
+        const int signal_number = base::wait_for_process_signal(start_retry_interval);
         if (base::is_stop_signal(signal_number))
         {
             return false;
--- a/daemons/edge_process.hpp
+++ b/daemons/edge_process.hpp
@@ -3,6 +3,7 @@
 #include "settings_file.hpp"
 
 #include <galenabay/base/result.hpp>
+#include <galenabay/base/time.hpp>
 #include <galenabay/edge/edge_host.hpp>
 #include <platform/settings.hpp>
 
@@ -31,11 +32,12 @@
     /// Reads the settings; waits for a bounded time while they cannot be used, since the file may be incomplete.
     /// Returns false when a stop is asked for.
     base::result<bool> read_settings();
-    /// Starts the host; while its addresses are in use or missing, waits for them. Returns false when a stop is asked
-    /// for. Errors: as `edge_host::start`, for faults that waiting does not mend.
+    /// Starts the host; while its addresses are in use or missing, waits for them, and for a bounded time for other
+    /// resources. Returns false when a stop is asked for. Errors: as `edge_host::start`, for faults that remain.
     base::result<bool> start();
-    /// Waits until every address can be bound, or the settings change. Returns false when a stop is asked for.
-    bool wait_for_addresses(base::error fault);
+    /// Waits a moment, and on until every address can be bound or the settings change. Reports `fault` at a bounded
+    /// rate. Returns false when a stop is asked for.
+    bool wait_for_start(const char* event, base::error fault);
     void serve_until_stopped();
     /// Reads the settings again, for a signal or because the file changed. Returns false when they are the current ones
     /// or cannot be used.
@@ -45,6 +47,8 @@
     adapter::settings settings_;
     std::uint16_t metrics_port_;
     std::optional<edge::edge_host> host_;
+    /// When a start that is delayed is next reported.
+    base::time_point next_start_report_{};
     /// The fault of the settings that was logged last.
     std::optional<base::error> logged_fault_;
 };
--- a/include/galenabay/edge/edge_host.hpp
+++ b/include/galenabay/edge/edge_host.hpp
@@ -42,6 +42,8 @@
 private:
     class implementation;
     explicit edge_host(std::unique_ptr<implementation> running);
+    /// As `start`; throws when the system refuses a thread, an event or memory.
+    static base::result<edge_host> start_threads(const adapter::settings& settings, std::uint16_t metrics_port);
 
     std::unique_ptr<implementation> running_;
 };
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <thread>
 #include <utility>
 
@@ -240,6 +241,19 @@
 };
 
 base::result<edge_host> edge_host::start(const adapter::settings& settings, std::uint16_t metrics_port)
+{
+    try
+    {
+        return start_threads(settings, metrics_port);
+    }
+    catch (const std::exception& failure)
+    {
+        return base::error::make(base::error_code::exhausted, "start_host", settings.packets.to_string(),
+                                 failure.what());
+    }
+}
+
+base::result<edge_host> edge_host::start_threads(const adapter::settings& settings, std::uint16_t metrics_port)
 {
     BOOST_OUTCOME_TRY(socket, net::udp_socket::bind(settings.packets));
     BOOST_OUTCOME_TRY(peers, net::udp_socket::bind(settings.peers));
--- a/tests/edged/edged_process.hpp
+++ b/tests/edged/edged_process.hpp
@@ -74,6 +74,7 @@
 
     /// Starts the program with the settings file.
     void start(const start_options& options = {});
+    pid_t id() const { return process_; }
     void signal(int number) const;
     /// Kills the process and waits for its end.
     void kill();
