--- a/tests/edged/early_signal_test.cpp
+++ b/tests/edged/early_signal_test.cpp
@@ -10,6 +10,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 
 using namespace galenabay;
@@ -66,3 +67,29 @@
     LONGS_EQUAL(0, ended->code);
     LONGS_EQUAL(1, host.count("stopped"));
 }
+
+// Sanitizers forbid to block signals this early, and libraries loaded before theirs.
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+
+TEST_GROUP(edged_signal_before_main)
+{
+    host_settings settings;
+    edge_soak::store_stub store{settings.store};
+    edged_process host{settings};
+};
+
+// Failure: a request to read the settings again ended a process whose libraries were being initialised.
+TEST(edged_signal_before_main, a_reload_while_libraries_are_initialised_ends_no_process)
+{
+    store.put("config", "main", configuration());
+    store.put("servers", "i-1", registration());
+    start_options options;
+    options.prepare = [] { setenv("LD_PRELOAD", GALENABAY_RAISE_SIGNAL, 1); };
+    host.start(options);
+    CHECK(holds_within(start_bound, [&] { return host.is_ready() || !host.is_running(); }));
+    CHECK(host.is_running() && host.is_ready());
+    // The signal was delivered, and asked for the settings.
+    CHECK(holds_within(start_bound, [&] { return host.count("settings_reloaded") == 1; }));
+}
+
+#endif
