--- a/tools/edge_soak/store_stub.cpp
+++ b/tools/edge_soak/store_stub.cpp
@@ -114,6 +114,8 @@
         made->setMaxQueued(max_threads);
         made->setKeepAlive(true);
         made->setMaxKeepAliveRequests(0);
+        // A thread that begins to wait for connections as the server stops does so for this long.
+        made->setThreadIdleTime(Poco::Timespan{0, 100'000});
         return made;
     }
 
