--- a/daemons/edge_process.cpp
+++ b/daemons/edge_process.cpp
@@ -115,8 +115,7 @@
 
 base::result<bool> edge_process::start()
 {
-    const auto begun = base::steady_now();
-    while (true)
+    for (auto shortage_begun = base::steady_now();;)
     {
         auto started = edge::edge_host::start(settings_, metrics_port_);
         if (started)
@@ -125,7 +124,7 @@
             return true;
         }
         const auto fault = edge::find_address_fault(settings_);
-        if (fault ? !fault->may_pass : base::steady_now() - begun >= shortage_wait)
+        if (fault ? !fault->may_pass : base::steady_now() - shortage_begun >= shortage_wait)
         {
             return started.error();
         }
@@ -133,6 +132,10 @@
         {
             return false;
         }
+        if (fault)
+        {
+            shortage_begun = base::steady_now();
+        }
     }
 }
 
--- a/tests/edged/environment_test.cpp
+++ b/tests/edged/environment_test.cpp
@@ -1,4 +1,5 @@
 #include "edged_process.hpp"
+#include "foreign_socket.hpp"
 
 #include <edge_soak/store_stub.hpp>
 
@@ -191,6 +192,24 @@
     CHECK(holds_within(start_bound, [&] { return host.is_ready(); }));
 }
 
+// Failure: a shortage that followed a longer wait for an address ended the process at once, and so did an address that
+// the earlier process released while the start was tried.
+TEST(edged_environment, a_shortage_after_an_address_was_awaited_is_awaited)
+{
+    constexpr auto shortage_wait = 5s;
+    start_options options;
+    options.prepare = limit_descriptors;
+    {
+        const foreign_socket holder{settings.packets, SOCK_DGRAM};
+        host.start(options);
+        CHECK_FALSE(host.wait(shortage_wait + 500ms).has_value());
+    }
+    CHECK_FALSE(host.wait(1s).has_value());
+    constexpr rlimit limit{usual_descriptors, usual_descriptors};
+    LONGS_EQUAL(0, prlimit(host.id(), RLIMIT_NOFILE, &limit, nullptr));
+    CHECK(holds_within(start_bound, [&] { return host.is_ready(); }));
+}
+
 // Failure: with an output that nobody read, a process whose settings cannot be used did not end.
 TEST(edged_environment, unusable_settings_end_the_process_also_when_nobody_reads_its_output)
 {
