--- a/src/base/thread_memory.cpp
+++ b/src/base/thread_memory.cpp
@@ -13,13 +13,17 @@
 void limit_thread_memory()
 {
     // The C library's defaults are 64 MB of heap and 8 MB of stack for each thread.
-    constexpr std::size_t stack_bytes = 512U << 10U;
     const bool has_one_heap = mallopt(M_ARENA_MAX, 1) == 1;
+    int failure = 0;
+// Sanitizers keep more of each thread on its stack.
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+    constexpr std::size_t stack_bytes = 512U << 10U;
     pthread_attr_t attributes;
     pthread_attr_init(&attributes);
     pthread_attr_setstacksize(&attributes, stack_bytes);
-    const int failure = pthread_setattr_default_np(&attributes);
+    failure = pthread_setattr_default_np(&attributes);
     pthread_attr_destroy(&attributes);
+#endif
     if (!has_one_heap || failure != 0)
     {
         log_event{log_level::warning, "thread_memory_not_limited"}.with("detail",
