The list after changes is an option of store_watch

Cause: store_worker::on_watch read a new list after changes by a special case for the kind "evacuations". Change: store_watch_options::list_after_changes, set where the watch of evacuations is made; store_watch decides. As before, changes of objects without a name count for this rule and not for the pause after changes. Not run: the fleet of processes (test_edged evacuation).

--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -74,6 +74,7 @@
     options.watch_wait = std::min(longest_watch_wait, bound / 2);
     options.batch_pause = evacuation_batch_pause;
     options.first_list_may_be_stale = false;
+    options.list_after_changes = true;
     return options;
 }
 
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -51,8 +51,14 @@
     return true;
 }
 
-bool store_watch::on_changes(const steer::store_revision& read_at, bool has_changes, base::time_point now)
+bool store_watch::on_changes(const steer::store_revision& read_at, bool has_changes, base::time_point now,
+                             bool has_unnamed)
 {
+    if (options_.list_after_changes && (has_changes || has_unnamed))
+    {
+        on_incomplete_changes(now);
+        return false;
+    }
     backoff_.reset();
     incomplete_.reset();
     if (read_at.epoch != position_.epoch)
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -33,6 +33,9 @@
     /// The first list may be stale. Not so for objects whose late arrival is not made up for by
     /// what other hosts send.
     bool first_list_may_be_stale = true;
+    /// A list is read after changes instead of their use: it is a complete set as of one revision, in which removals
+    /// need no revisions of their own.
+    bool list_after_changes = false;
     /// First and longest pause after a failed call.
     base::duration first_retry = std::chrono::milliseconds{100};
     base::duration longest_retry = std::chrono::milliseconds{1'000};
@@ -78,9 +81,10 @@
     /// Records a page of the list, which shows the store at `read_at` or later. Returns true
     /// when the list is complete.
     bool on_page(const steer::store_revision& read_at, const std::string& last_name, bool more, base::time_point now);
-    /// Records the answer to a watch. Returns false when it must not be used, because changes
-    /// may be missing from it.
-    bool on_changes(const steer::store_revision& read_at, bool has_changes, base::time_point now);
+    /// Records the answer to a watch. `has_unnamed`: it has changes of objects without a readable name. Returns false
+    /// when it must not be used, because changes may be missing from it or a list follows.
+    bool on_changes(const steer::store_revision& read_at, bool has_changes, base::time_point now,
+                    bool has_unnamed = false);
     /// Records an answer to a watch whose changes cannot all be read: a new list shows them.
     void on_incomplete_changes(base::time_point now);
     /// Records a failed call. After `stale` a new list begins at once, and after an answer to a
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -215,14 +215,8 @@
         watch_.on_incomplete_changes(now);
         return;
     }
-    const bool has_changes = !page.objects.empty() || page.unnamed > 0;
-    if (kind_ == adapter::object_kind::evacuations && has_changes)
-    {
-        // A list is a complete set as of one revision, which needs no revisions of removals.
-        watch_.on_incomplete_changes(now);
-        return;
-    }
-    if (watch_.on_changes(page.revision, !page.objects.empty(), now) && !page.objects.empty())
+    const bool has_changes = !page.objects.empty();
+    if (watch_.on_changes(page.revision, has_changes, now, page.unnamed > 0) && has_changes)
     {
         enqueue({.what = store_update::kind::changes,
                  .objects_of = kind_,
--- a/tests/edge/store_watch_test.cpp
+++ b/tests/edge/store_watch_test.cpp
@@ -212,3 +212,20 @@
     }
     CHECK(watch.on_page({1, 40}, "z", false, now));
 }
+
+// Failure: a removal without a revision of its own is applied to a set of another revision.
+TEST(store_watch, a_list_replaces_changes_where_the_options_ask_for_it)
+{
+    options.list_after_changes = true;
+    watch = store_watch{options, 1};
+    list_everything(40);
+    CHECK(watch.on_changes({1, 41}, false, now));
+    CHECK(watch.next().what == store_call::kind::watch);
+    for (const bool is_named : {true, false})
+    {
+        CHECK_FALSE(watch.on_changes({1, 42}, is_named, now, !is_named));
+        CHECK(watch.next().what == store_call::kind::list);
+        CHECK_FALSE(watch.next().may_be_stale);
+        list_everything(42);
+    }
+}
