State which requests of other hosts selection, room and samples use

Cause: open requests of other hosts enter selection as a mean, but room and answer time samples as the latest sum, and nothing said why. Change: both stay. No code changes. Measured: nothing; comments only.

--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -57,9 +57,13 @@
     std::uint32_t open_requests = 0;
     /// Sum of the flows and open requests that the other hosts report.
     std::uint32_t remote_flows = 0;
+    /// The latest sum, for the room and for answer time samples: they state the load at one time, and no host chooses
+    /// an upstream by it, so that a mean would only make it later.
     std::uint32_t remote_requests = 0;
-    /// `remote_requests` averaged over the last seconds, and when it was last brought up to date.
+    /// `remote_requests` averaged over the last seconds, for the selection: by the latest sum all hosts would choose
+    /// the same upstreams until the next one.
     double mean_remote_requests = 0;
+    /// When `mean_remote_requests` was last brought up to date.
     base::time_point remote_seen_at{};
     /// Latest answer from the upstream that another host has reported.
     base::time_point remote_progress{};
