Admit what upstreams take under a shortage, and spread flows by late loads

Cause: with twice the demand of the room, hosts of 2 to 25 flows a second and loads 0.5 to 1.5 s late, upstreams rejected a third of the admitted flows while others were idle. All hosts selected the upstream that was less loaded a second ago; the latest sum of the flows entered unsmoothed. Admission then refused more, also at 0.9 of the room, and its estimate was lowered by what it had held back itself.

Change: - The share of the more loaded of two upstreams rises to a half with the requests that are known late only. Flows with an open request count by the mean of the requests. - The estimate starts at a tenth more than what is served, so that queues are never empty; a shortage begins at a quarter of rejected flows. It settles for 3 s, and rises also when small hosts do not use it up. - With fewer open requests than slots by the latest sums, nothing is refused, except after own rejections, which are newer than the sums. Refusals with free slots by the sums are counted. - Own rejections count over 400 to 500 ms, from six on, so that hosts of some 10 flows a second recognise a burst. The smallest budget is one flow. - service_room no longer limits the relative answer time a second time; select_upstream asks for a data centre's share only when one returned.

--- a/include/galenabay/steer/admission.hpp
+++ b/include/galenabay/steer/admission.hpp
@@ -75,6 +75,9 @@
     double admitted_share(std::size_t rank) const;
     /// Returns the number of flows of a rank that were refused since the last call.
     std::uint64_t take_refused(std::size_t rank) { return std::exchange(refused_.at(rank), 0); }
+    /// Returns the number of flows that were refused while the latest sums had fewer open requests than
+    /// slots, since the start.
+    std::uint64_t refused_with_free_slots() const noexcept { return refused_with_free_slots_; }
 
 private:
     void decay_counts(base::time_point now);
@@ -108,6 +111,9 @@
     /// Latest reports, newest last.
     std::vector<std::pair<base::time_point, service_demand>> reports_;
     std::array<std::uint64_t, max_urgency_ranks> refused_{};
+    /// Open requests per slot by the latest sums alone, which `occupancy_` smooths.
+    double latest_occupancy_ = 0;
+    std::uint64_t refused_with_free_slots_ = 0;
 };
 
 /// Admission of new flows to all services of a configuration. Not thread-safe; owned by the
--- a/include/galenabay/steer/rate_window.hpp
+++ b/include/galenabay/steer/rate_window.hpp
@@ -30,13 +30,13 @@
     }
 
     /// Mean time that `latest` covers.
-    static constexpr base::duration latest_time = std::chrono::milliseconds{250};
-    /// Number of events in the last 200 to 300 ms.
+    static constexpr base::duration latest_time = std::chrono::milliseconds{450};
+    /// Number of events in the last 400 to 500 ms.
     std::uint32_t latest(base::time_point now)
     {
         advance(now);
         std::uint32_t events = 0;
-        for (std::int64_t back = 0; back < 3; ++back)
+        for (std::int64_t back = 0; back < latest_buckets; ++back)
         {
             events += buckets_[static_cast<std::size_t>((newest_ + bucket_count - back) % bucket_count)];
         }
@@ -46,6 +46,7 @@
 private:
     static constexpr std::int64_t bucket_count = 10;
     static constexpr base::duration bucket_time = std::chrono::milliseconds{100};
+    static constexpr std::int64_t latest_buckets = 5;
 
     void advance(base::time_point now)
     {
--- a/src/steer/admission.cpp
+++ b/src/steer/admission.cpp
@@ -13,15 +13,17 @@
 {
 
 /// Time in which a host's part of the capacity fills its budget: demand that falls is admitted in full
-/// within a second, and a few flows more or less at a small host do not move the limit.
+/// within a second.
 constexpr double budget_seconds = 0.25;
-constexpr double smallest_budget = 2;
+/// What a host admits before its budget limits it adds up: with 2, a fleet of 400 hosts with two flows a second
+/// each admitted so much in excess when a shortage began that it had to admit too little afterwards.
+constexpr double smallest_budget = 1;
 
 /// Share of this host's own flows that upstreams reject from which on it does not wait for the sums:
 /// one request in eight then fails although its caller tries three times. Fewer rejections than
-/// `fewest_own_rejected` can be due to one upstream.
+/// `fewest_own_rejected` come by chance: four refused some flows at 0.9 of the capacity.
 constexpr double own_rejected_share = 1.0 / 2;
-constexpr std::uint32_t fewest_own_rejected = 8;
+constexpr std::uint32_t fewest_own_rejected = 6;
 /// Time constant of the occupancy: the interval of the reports. A single one is a snapshot of an instant.
 constexpr double smoothing_seconds = 0.5;
 /// Time for which own reports are kept: the age of the oldest sums that are used.
@@ -75,6 +77,12 @@
     {
         return true;
     }
+    if (latest_occupancy_ < 1 && now >= own_limit_until_)
+    {
+        // With free slots nothing is refused, whatever the estimate says.
+        refilled_at_ = now;
+        return true;
+    }
     refill(now);
     const double limit = current_limit();
     const bool is_contended = limit < rank + 1;
@@ -86,6 +94,7 @@
     else
     {
         ++refused_[rank];
+        refused_with_free_slots_ += latest_occupancy_ < 1 ? 1 : 0;
     }
     return is_admitted;
 }
@@ -150,7 +159,8 @@
     const auto offered = per_second(total.offered, ranks_);
     const double admitted = total.admitted / rate_unit;
     const double rejected = total.rejected / rate_unit;
-    smooth_occupancy(available.occupancy(), now);
+    latest_occupancy_ = available.occupancy();
+    smooth_occupancy(latest_occupancy_, now);
     const load_observation seen{.offered = std::accumulate(offered.begin(), offered.end(), 0.0),
                                 .admitted = admitted,
                                 .rejected = rejected,
@@ -189,6 +199,7 @@
 {
     range_.reset();
     occupancy_ = 0;
+    latest_occupancy_ = 0;
     updated_at_ = {};
     return capacity_.reset();
 }
--- a/src/steer/capacity_estimate.cpp
+++ b/src/steer/capacity_estimate.cpp
@@ -15,20 +15,23 @@
 /// One request in progress and two that wait for each slot. No slot is idle between two requests, and
 /// of a queue of four for each slot, half is left for an uneven spread.
 constexpr double full_occupancy = 3;
-/// Share of the flows that upstreams reject from which on there is a shortage although the occupancy is
-/// below its limit, as where queues are short. A third is rejected at two thirds of the capacity
-/// already when hosts that know each other's loads late select the same upstreams (tests/steer/
-/// queueing_fleet.hpp with late loads), which refusals would not mend.
-constexpr double rejected_share = 0.4;
+/// Share of the flows that upstreams reject from which on there is a shortage: 16 of 1,000 requests then fail
+/// although their callers try three times. At 0.2, chance began shortages at 0.95 of the capacity.
+constexpr double rejected_share = 0.25;
 constexpr double fewest_rejected = 1;
-/// Share of rejected flows with which an occupancy at its limit is a shortage, and the factor on the limit
-/// from which on it is one without rejections: with the occupancy limit of 3, three quarters of the
-/// slots and queues are then in use.
-constexpr double notable_rejected_share = 0.05;
+/// Share of rejected flows below which upstreams may queue without a limit, or rejections not be recognised.
+constexpr double least_counted_share = 0.01;
+/// Share of rejected flows up to which more flows are admitted than the upstreams serve. Their queues are
+/// then never empty, so that no flow is refused while slots are free, and one request in a thousand fails.
+constexpr double tolerated_share = 0.1;
+/// Factor on the limit from which on an occupancy is a shortage without counted rejections.
 constexpr double occupancy_allowance = 1.25;
 /// Time after which a change of the estimate is visible in the sums: a second for the sums to
 /// arrive and one for the window of the rates.
 constexpr base::duration correction_interval = std::chrono::seconds{2};
+/// Time after the begin of a shortage after which the sums no longer contain flows of before it: 1.5 s for the
+/// sums to arrive and the window of the rates, and a half for what was admitted in excess.
+constexpr base::duration settling_time = std::chrono::milliseconds{3'000};
 /// Time for which less is offered than the estimate before it is dropped: the reports of all hosts
 /// are renewed within it.
 constexpr base::duration end_delay = std::chrono::milliseconds{1'000};
@@ -40,14 +43,20 @@
 constexpr double largest_decrease = 0.6;
 /// Largest correction when slots are free.
 constexpr double largest_increase = 1.3;
-/// Part of the estimate that must be in use before the estimate is raised.
-constexpr double tested_part = 0.9;
+/// Largest estimate, relative to what is served.
+constexpr double largest_excess = 1.5;
 
 double served(const load_observation& seen)
 {
     return std::max(0.0, seen.admitted - seen.rejected);
 }
 
+/// Returns true when enough rejections are known to tell what the upstreams serve.
+bool counts_rejections(const load_observation& seen)
+{
+    return seen.rejected > std::max(fewest_rejected, least_counted_share * seen.admitted);
+}
+
 /// Returns true when upstreams reject flows for lack of room. While slots are free on average,
 /// rejections are due to an uneven spread, against which refusals would not help.
 bool is_rejecting(const load_observation& seen)
@@ -55,36 +64,17 @@
     return seen.occupancy >= 1 && seen.rejected > std::max(fewest_rejected, rejected_share * seen.admitted);
 }
 
-/// Returns the flows per second at which no more than `rejected_share` would be rejected, if what is
-/// served stayed the same. Where flows are spread unevenly, some are rejected at any load: an estimate
-/// without these would fall with each correction.
+/// Returns the flows per second at which `tolerated_share` would be rejected, if what is served stayed the same.
 double tolerated(const load_observation& seen)
 {
-    return served(seen) / (1 - rejected_share);
-}
-
-/// Returns the flows per second that the service takes at the occupancy limit, in proportion to what
-/// it serves now.
-double projected(const load_observation& seen)
-{
-    if (seen.occupancy >= seen.occupancy_limit)
-    {
-        return served(seen);
-    }
-    return is_rejecting(seen) ? tolerated(seen) : served(seen) * seen.occupancy_limit / std::max(seen.occupancy, 0.1);
-}
-
-/// Returns true when queues are so long that flows are, or are about to be, lost. Close to the
-/// capacity the occupancy exceeds its limit for moments in which nothing is rejected.
-bool is_overloaded(const load_observation& seen)
-{
-    const bool loses_flows = seen.rejected > std::max(fewest_rejected, notable_rejected_share * seen.admitted);
-    return is_rejecting(seen) || seen.occupancy >= seen.occupancy_limit * (loses_flows ? 1 : occupancy_allowance);
+    return served(seen) / (1 - tolerated_share);
 }
 
-bool is_short(const load_observation& seen)
+/// Returns true when queues are so long that answers are, or are about to be, late. Without counted rejections,
+/// the occupancy is the only sign; close to the capacity it exceeds its limit for moments.
+bool has_long_queues(const load_observation& seen, double allowance)
 {
-    return seen.occupancy >= seen.occupancy_limit || is_rejecting(seen);
+    return !counts_rejections(seen) && seen.occupancy >= seen.occupancy_limit * allowance;
 }
 
 } // namespace
@@ -109,7 +99,7 @@
 
 void capacity_estimate::begin(const load_observation& seen, base::time_point now)
 {
-    capacity_ = projected(seen);
+    capacity_ = counts_rejections(seen) ? tolerated(seen) : served(seen);
     begun_at_ = now;
     corrected_at_ = now;
     enough_since_.reset();
@@ -120,7 +110,7 @@
 {
     if (!capacity_)
     {
-        if (is_overloaded(seen) && served(seen) > 0)
+        if ((is_rejecting(seen) || has_long_queues(seen, occupancy_allowance)) && served(seen) > 0)
         {
             begin(seen, now);
         }
@@ -144,10 +134,13 @@
 
 void capacity_estimate::correct(const load_observation& seen, base::time_point now)
 {
-    if (now - begun_at_ < correction_interval)
+    const bool has_counted = counts_rejections(seen);
+    if (now - begun_at_ < (has_counted ? settling_time : correction_interval))
     {
-        // The first sums contain flows of before the shortage.
-        capacity_ = is_short(seen) ? std::max(*capacity_, projected(seen)) : *capacity_;
+        // The first sums contain flows of before the shortage. While upstreams reject flows, no slot is free, so
+        // that what is served is what the upstreams take.
+        const double shown = has_counted ? tolerated(seen) : served(seen);
+        capacity_ = is_rejecting(seen) ? shown : std::max(*capacity_, shown);
         return;
     }
     if (now - corrected_at_ < correction_interval)
@@ -156,24 +149,20 @@
     }
     // What the service serves is the same for all hosts: each correction starts there, so that the
     // estimates of the hosts do not drift apart.
-    if (seen.occupancy >= seen.occupancy_limit)
+    if (has_long_queues(seen, 1))
     {
-        // Where rejections are seen, what is served is known, and the queues only have to shrink.
-        const double excess = seen.rejected < fewest_rejected ? seen.occupancy / seen.occupancy_limit - 1 : 0;
+        const double excess = seen.occupancy / seen.occupancy_limit - 1;
         capacity_ = std::min(*capacity_, served(seen)) * std::clamp(1 - excess / 2, largest_decrease, small_decrease);
     }
-    else if (is_rejecting(seen))
+    else if (seen.rejected > tolerated_share * seen.admitted)
     {
         capacity_ = std::min(*capacity_, tolerated(seen));
     }
-    else if (seen.admitted >= tested_part * *capacity_)
-    {
-        capacity_ = std::max(*capacity_, served(seen)) *
-                    std::clamp(1 / std::max(seen.occupancy, 0.1), small_increase, largest_increase);
-    }
     else
     {
-        return;
+        // Hosts with few flows do not spend all of their budgets, so that less may be admitted than the estimate.
+        const double increase = std::clamp(1 / std::max(seen.occupancy, 0.1), small_increase, largest_increase);
+        capacity_ = std::min(std::max(*capacity_, served(seen)) * increase, largest_excess * served(seen));
     }
     corrected_at_ = now;
 }
--- a/src/steer/service_room.cpp
+++ b/src/steer/service_room.cpp
@@ -3,26 +3,9 @@
 #include "upstream_evidence.hpp"
 #include "upstream_selection.hpp"
 
-#include <algorithm>
-
 namespace galenabay::steer
 {
 
-namespace
-{
-
-/// Range to which `relative_answer_time` is limited: the upstreams of a service differ by a factor
-/// of up to 8.
-constexpr double fastest = 1.0 / 8;
-constexpr double slowest = 8;
-
-double usable_slots(const upstream_incarnation& upstream)
-{
-    return upstream.entry.slots / std::clamp(upstream.relative_answer_time, fastest, slowest);
-}
-
-} // namespace
-
 service_room measure_room(const upstream_registry& registry, const evacuation_table& evacuations,
                           const std::string& service, double open_requests, base::time_point now)
 {
@@ -34,7 +17,7 @@
         const bool is_usable =
             takes_new_flows(*upstream, evacuations) && !upstream->missing_since && !is_avoided(*upstream, now);
         auto& part = measured.data_centres[upstream->entry.data_centre];
-        const double slots = is_usable ? usable_slots(*upstream) : 0;
+        const double slots = is_usable ? upstream->entry.slots / upstream->relative_answer_time : 0;
         const double requests = upstream->open_requests + upstream->remote_requests;
         part.slots += slots;
         measured.fleet.slots += slots;
--- a/src/steer/upstream_selection.cpp
+++ b/src/steer/upstream_selection.cpp
@@ -67,7 +67,10 @@
 /// Returns the load of this and the other hosts per slot of the upstream.
 double load_of(const upstream_incarnation& upstream, base::time_point now)
 {
-    const double flows = upstream.flows + upstream.remote_flows;
+    // A flow with an open request counts by the mean of the requests: where flows carry one request, the
+    // latest sum of the flows differs from the present one as much as that of the requests does.
+    const double idle_remote_flows = upstream.remote_flows - std::min(upstream.remote_flows, upstream.remote_requests);
+    const double flows = upstream.flows + idle_remote_flows + upstream.mean_remote_requests;
     const double requests = upstream.open_requests + upstream.mean_remote_requests;
     const double load = (1.0 + flows + request_weight * requests) * upstream.load_factor / upstream.entry.slots *
                             upstream.relative_answer_time +
@@ -75,6 +78,12 @@
     return is_starting(upstream, now) ? load * warm_up_slowdown : load;
 }
 
+/// Returns how far the load may differ from the present one because the other hosts' requests are known late.
+double load_uncertainty(const upstream_incarnation& upstream)
+{
+    return (1 + request_weight) * upstream.mean_remote_requests / upstream.entry.slots;
+}
+
 /// Requests that an upstream queues beyond its slots before it rejects some.
 constexpr std::uint32_t queued_requests = 8;
 
@@ -148,7 +157,11 @@
     }
     auto* first = select_evenly(from, random);
     auto* second = select_evenly(from, random);
-    return load_of(*second, now) < load_of(*first, now) ? second : first;
+    // With certainty of the loads, the less loaded one is selected. The share of the more loaded one rises to
+    // a half with the uncertainty.
+    const double uncertainty = std::max(load_uncertainty(*first), load_uncertainty(*second));
+    const double excess = load_of(*first, now) - load_of(*second, now);
+    return excess > uncertainty * (2 * random.unit() - 1) ? second : first;
 }
 
 /// Returns the local upstream unless its load is much higher. The share of the flows that leave rises
@@ -194,7 +207,8 @@
     selection result;
     upstream_incarnation* fallback = nullptr;
     // A data centre that is returning takes the flows whose number is below its share.
-    const double flow_number = evacuations.has_returned() ? random.unit() : 0;
+    const bool has_returned = evacuations.has_returned();
+    const double flow_number = has_returned ? random.unit() : 0;
     std::size_t total = 0;
     std::size_t crowded = 0;
     for (auto* upstream : registry.of_service(request.service))
@@ -225,7 +239,8 @@
             continue;
         }
         auto found = class_of(registry, *upstream, now);
-        if (found == usable && flow_number >= evacuations.share_of(data_centre, request.limits.warm_up_time, now))
+        if (has_returned && found == usable &&
+            flow_number >= evacuations.share_of(data_centre, request.limits.warm_up_time, now))
         {
             found = returning;
         }
