Count refusals with free slots; galenactl inspect shows them

Change: galenabay_refused_with_free_slots_total{service} counts refusals with reason no_room while the occupancy by the latest sums is below 1. A host serves the total at /state/refusals as decimal digits; galenactl inspect shows it for each host. A host of an earlier release does not answer this path, and nothing is shown for it. Measured: test_steer 146, test_inspect 16, test_store_stub 26 and test_edge 29 tests passed. Not measured: a run of galenactl against a fleet.

--- a/include/galenabay/inspect/fleet_report.hpp
+++ b/include/galenabay/inspect/fleet_report.hpp
@@ -59,6 +59,9 @@
     std::size_t upstreams = 0;
     /// The evacuations that it adopted last; empty when it does not evacuate data centres.
     std::optional<steer::evacuation_set> evacuations{};
+    /// New flows that it refused for lack of room while slots were free by the latest sums; empty when the host does
+    /// not tell.
+    std::optional<std::uint64_t> refused_with_free_slots{};
 };
 
 /// A store and the hosts that it lists, as they were when they were read.
--- a/include/galenabay/steer/admission.hpp
+++ b/include/galenabay/steer/admission.hpp
@@ -75,9 +75,9 @@
     double admitted_share(std::size_t rank) const;
     /// Returns the number of flows of a rank that were refused since the last call.
     std::uint64_t take_refused(std::size_t rank) { return std::exchange(refused_.at(rank), 0); }
-    /// Returns the number of flows that were refused while the latest sums had fewer open requests than
-    /// slots, since the start.
-    std::uint64_t refused_with_free_slots() const noexcept { return refused_with_free_slots_; }
+    /// Returns the number of flows that were refused, since the last call, while the latest sums had fewer
+    /// open requests than slots. Own rejections, which are newer than the sums, may cause such refusals.
+    std::uint64_t take_refused_with_free_slots() { return std::exchange(refused_with_free_slots_, 0); }
 
 private:
     void decay_counts(base::time_point now);
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -110,6 +110,10 @@
                    ? net::status_response{net::status_ok, std::move(body)}
                    : net::status_response{net::status_unavailable, "too large: read the store"};
     }
+    if (path == refusals_path)
+    {
+        return {net::status_ok, std::to_string(state.refused_with_free_slots.load())};
+    }
     return {net::status_not_found, "not found"};
 }
 
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -85,6 +85,10 @@
                         .Name("galenabay_refused_flows_total")
                         .Help("New flows refused for lack of room, by urgency")
                         .Register(registry_)},
+      refused_with_free_slots{prometheus::BuildCounter()
+                                  .Name("galenabay_refused_with_free_slots_total")
+                                  .Help("New flows refused for lack of room while slots were free by the latest sums")
+                                  .Register(registry_)},
       handling_time{histogram(registry_, "galenabay_handling_seconds", "Time to decide and send a batch of packets")},
       adoption_time{
           histogram(registry_, "galenabay_adoption_seconds", "Time from the arrival of a change to its adoption")}
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -104,6 +104,8 @@
     prometheus::Family<prometheus::Gauge>& admitted_share;
     /// New flows refused for lack of room, by service and urgency.
     prometheus::Family<prometheus::Counter>& refused_flows;
+    /// New flows refused for lack of room while slots were free by the latest sums, by service.
+    prometheus::Family<prometheus::Counter>& refused_with_free_slots;
     /// Seconds from the arrival of a batch of packets to its last decision.
     prometheus::Histogram& handling_time;
     /// Seconds from the arrival of a change to its adoption by the packet thread.
--- a/src/edge/packet_worker_admission.cpp
+++ b/src/edge/packet_worker_admission.cpp
@@ -74,6 +74,9 @@
 void packet_worker::measure_admission(const steer::admitted_service& service, steer::service_admission& state)
 {
     metrics_.service_occupancy.Add({{"service", service.name}}).Set(state.occupancy());
+    const auto with_free_slots = state.take_refused_with_free_slots();
+    metrics_.refused_with_free_slots.Add({{"service", service.name}}).Increment(static_cast<double>(with_free_slots));
+    state_.refused_with_free_slots.fetch_add(with_free_slots);
     for (std::size_t rank = 0; rank < service.urgencies.size(); ++rank)
     {
         const prometheus::Labels labels{{"service", service.name},
--- a/src/edge/peer_state.hpp
+++ b/src/edge/peer_state.hpp
@@ -17,17 +17,20 @@
     return std::string{"/state/"} + adapter::name_of(kind);
 }
 
-/// Reads the encoded state of one kind of objects from another host. Errors: as
-/// `net::http_session::call`.
-inline base::result<std::string> fetch_peer_state(const base::endpoint& peer, adapter::object_kind kind,
-                                                  std::chrono::milliseconds timeout)
+/// Path at which a host serves the number of new flows that it refused while slots were free by the latest sums, as
+/// decimal digits.
+constexpr const char* refusals_path = "/state/refusals";
+
+/// Reads what a host serves at `path`. Errors: as `net::http_session::call`.
+inline base::result<std::string> fetch_from_peer(const base::endpoint& peer, std::string path,
+                                                 std::chrono::milliseconds timeout)
 {
     // Largest accepted state of another host, which serves no more than 64 KiB.
     constexpr std::size_t max_state_bytes = 1U << 20U;
     BOOST_OUTCOME_TRY(answer, net::http_session::make(peer, timeout)
                                   .call({.step = "read_from_peer",
                                          .method = "GET",
-                                         .path = peer_state_path(kind),
+                                         .path = std::move(path),
                                          .body = {},
                                          .expected_version = {},
                                          .timeout = timeout,
@@ -35,4 +38,12 @@
     return std::move(answer.body);
 }
 
+/// Reads the encoded state of one kind of objects from another host. Errors: as
+/// `net::http_session::call`.
+inline base::result<std::string> fetch_peer_state(const base::endpoint& peer, adapter::object_kind kind,
+                                                  std::chrono::milliseconds timeout)
+{
+    return fetch_from_peer(peer, peer_state_path(kind), timeout);
+}
+
 } // namespace galenabay::edge
--- a/src/edge/shared_state.hpp
+++ b/src/edge/shared_state.hpp
@@ -40,6 +40,8 @@
     std::atomic<bool> alone{true};
     /// Time of the last packet from a router, in microseconds of the steady clock.
     std::atomic<std::int64_t> last_packet_us{0};
+    /// New flows refused for lack of room while slots were free by the latest sums.
+    std::atomic<std::uint64_t> refused_with_free_slots{0};
 
     /// Records an epoch of the store that this or another host has seen.
     void observe_store_epoch(std::uint64_t epoch)
--- a/src/inspect/fleet_report.cpp
+++ b/src/inspect/fleet_report.cpp
@@ -55,6 +55,13 @@
            to_string(host.evacuations->revision);
 }
 
+std::string describe_refusals(const host_answer& host)
+{
+    return host.refused_with_free_slots
+               ? ", " + std::to_string(*host.refused_with_free_slots) + " flows refused with free slots"
+               : "";
+}
+
 bool has_configuration(const host_answer& host, const store_contents& store)
 {
     return host.configuration_version >= store.configuration_version;
@@ -95,7 +102,7 @@
     }
     return label + "configuration " + std::to_string(host.configuration_version) + ", " +
            std::to_string(host.upstreams) + " upstreams at revision " + to_string(host.upstreams_revision) +
-           describe_evacuations(host) + describe_lag(host, store);
+           describe_evacuations(host) + describe_refusals(host) + describe_lag(host, store);
 }
 
 } // namespace
--- a/src/inspect/read_fleet.cpp
+++ b/src/inspect/read_fleet.cpp
@@ -6,7 +6,12 @@
 #include <platform/store_client.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <system_error>
 #include <utility>
 
 namespace galenabay::inspect
@@ -82,6 +87,20 @@
     return peers::decode_state(state);
 }
 
+/// Returns nothing for a host of an earlier release.
+std::optional<std::uint64_t> read_refusals(const base::endpoint& host)
+{
+    const auto body = edge::fetch_from_peer(host, edge::refusals_path, host_timeout);
+    std::uint64_t count = 0;
+    if (!body)
+    {
+        return std::nullopt;
+    }
+    const auto* end = body.value().data() + body.value().size();
+    const auto [rest, failure] = std::from_chars(body.value().data(), end, count);
+    return failure == std::errc{} && rest == end ? std::optional{count} : std::nullopt;
+}
+
 host_answer read_host(host_answer host)
 {
     const auto configuration = read_state(host.address, object_kind::configuration);
@@ -95,6 +114,7 @@
     host.upstreams_revision = upstreams.value().upstreams.revision;
     host.upstreams = upstreams.value().upstreams.entries.size();
     host.evacuations = upstreams.value().evacuations;
+    host.refused_with_free_slots = read_refusals(host.address);
     return host;
 }
 
--- a/tests/inspect/fleet_report_test.cpp
+++ b/tests/inspect/fleet_report_test.cpp
@@ -45,7 +45,9 @@
 
 TEST(fleet_report, describes_store_services_unusable_objects_and_hosts)
 {
-    const auto lines = describe(fleet_report{store, {host(7, {2, 30}), host(6, {2, 30})}});
+    auto lagging = host(6, {2, 30});
+    lagging.refused_with_free_slots = 4;
+    const auto lines = describe(fleet_report{store, {host(7, {2, 30}), lagging}});
     LONGS_EQUAL(7, lines.size());
     STRCMP_EQUAL("store: revision 40 of epoch 2", lines[0].c_str());
     STRCMP_EQUAL("configuration: version 7, 3 routes", lines[1].c_str());
@@ -54,7 +56,7 @@
     STRCMP_EQUAL("unusable object: i-9 (zone)", lines[4].c_str());
     STRCMP_EQUAL("host edge-1 in east at 127.0.0.1:7720: configuration 7, 3 upstreams at revision 30 of epoch 2",
                  lines[5].c_str());
-    STRCMP_CONTAINS(": lags (configuration)", lines[6].c_str());
+    STRCMP_CONTAINS(", 4 flows refused with free slots: lags (configuration)", lines[6].c_str());
 }
 
 // Failure: an operator takes a data centre for evacuated although a host still sends new flows there, or has not
--- a/tests/steer/admission_test.cpp
+++ b/tests/steer/admission_test.cpp
@@ -193,7 +193,7 @@
                                       plan.hosts, all.worth(0), settled.worth(0),
                                       all.total_worth() / before.between(begin, end).total_worth(), all.arrivals / room,
                                       all.served / room, all.refused, fleet.refused_untruly,
-                                      fleet.refused_with_free_slots())
+                                      fleet.refused_with_free_slots)
                          .asCharString());
             CHECK(all.worth(0) >= urgent_worth);
             CHECK(settled.worth(0) >= settled_urgent_worth);
@@ -201,7 +201,7 @@
             // Refused are at most the flows beyond the room, and 5 % of the room.
             CHECK(all.arrivals >= 0.95 * room);
             CHECK(fleet.refused_untruly <= untrue_share * all.refused);
-            CHECK(fleet.refused_with_free_slots() <= 0.015 * all.refused);
+            CHECK(fleet.refused_with_free_slots <= 0.015 * all.refused);
             DOUBLES_EQUAL(0, fleet.between(0s, begin).refused, 0);
         }
     }
--- a/tests/steer/queueing_fleet.hpp
+++ b/tests/steer/queueing_fleet.hpp
@@ -134,6 +134,11 @@
             now_ = next.time;
             next.act();
         }
+        for (std::size_t i = 0; i < plan_.hosts && plan_.has_admission; ++i)
+        {
+            const auto refused = hosts_[i]->admissions().of(0).take_refused_with_free_slots();
+            refused_with_free_slots += static_cast<double>(refused);
+        }
     }
 
     /// New flows per second that the upstreams can take.
@@ -159,16 +164,7 @@
     }
 
     /// Flows that were refused while by the sums that their host knew, slots were free.
-    double refused_with_free_slots() const
-    {
-        double sum = 0;
-        for (const auto& host : hosts_)
-        {
-            sum += plan_.has_admission ? static_cast<double>(host->admissions().of(0).refused_with_free_slots()) : 0;
-        }
-        return sum;
-    }
-
+    double refused_with_free_slots = 0;
     /// Flows that were refused while upstreams processed or queued fewer requests than they had slots.
     double refused_untruly = 0;
     std::vector<double> in_time_by_caller;
--- a/tests/store_stub/read_fleet_test.cpp
+++ b/tests/store_stub/read_fleet_test.cpp
@@ -37,6 +37,7 @@
     LONGS_EQUAL(2, report.hosts.size());
     LONGS_EQUAL(3, report.hosts.front().configuration_version);
     LONGS_EQUAL(2, report.hosts.front().upstreams);
+    LONGS_EQUAL(0, report.hosts.front().refused_with_free_slots.value());
     CHECK(report.hosts.back().failure.has_value());
     CHECK_FALSE(inspect::is_current(report));
 }
