Count rejections after a wait, and exclude no upstream by late loads

Cause: an upstream whose queue is full rejects 20 to 90 ms after the request, while only flows that ended within 10 ms counted as rejected. Three of four rejections were missed; the missed ones moved the typical size of answers, so that the rest was missed, too, and admission took them for served. Hosts also excluded an upstream whose queue was full by the mean of late sums: all left it together, filled the others and came back.

Change: a short answer counts as a rejection within the answer target of 400 ms. Only this host's own open requests, which it knows exactly, make an upstream full; those of others are part of its load.

--- a/src/steer/rejected_flows.hpp
+++ b/src/steer/rejected_flows.hpp
@@ -12,16 +12,17 @@
 
 /// Recognises flows that an upstream rejects by a short answer. The host does not see answers, only
 /// how far the caller has acknowledged them, so a rejection is an answer that is far shorter than
-/// those of the service usually are, at once after the request.
+/// those of the service usually are. The time to it does not tell: it contains the wait in a queue.
 ///
 /// Keeps the mean and the mean deviation of the logarithm of the answers' sizes. A service whose
 /// answers differ widely has a large deviation, and none of its flows counts as rejected.
 class answer_sizes
 {
 public:
-    /// Time from a request to the end of a rejected flow: less than a request takes to process
-    /// (15 ms).
-    static constexpr base::duration rejection_limit = std::chrono::milliseconds{10};
+    /// Time from a request to the end of a rejected flow. An upstream whose queue is full may reject only when it gets
+    /// to the request: 20 to 90 ms later in a burst. An answer after the callers' answer target (400 ms) has another
+    /// cause.
+    static constexpr base::duration rejection_limit = std::chrono::milliseconds{400};
 
     /// Records a flow that ended `elapsed` after its last request, of whose answer the caller
     /// acknowledged `size` bytes. Returns true when the upstream rejected it.
--- a/src/steer/upstream_selection.cpp
+++ b/src/steer/upstream_selection.cpp
@@ -45,7 +45,7 @@
     usable,
     /// Its data centre was evacuated until recently, and this flow is not in the part that it takes.
     returning,
-    /// It has no room. Before silent ones: a rejection is known within milliseconds, while a silent
+    /// It has no room. Before silent ones: a rejection is known within 20 to 90 ms, while a silent
     /// upstream costs the caller a retransmission timeout.
     full,
     /// The link to its data centre is silent.
@@ -87,13 +87,27 @@
 /// Requests that an upstream queues beyond its slots before it rejects some.
 constexpr std::uint32_t queued_requests = 8;
 
-/// Returns true when the upstream has no room by what is known of its load. One slot is what a
-/// registration without a statement has, so that it says nothing about the room.
+/// Returns true when an upstream with this many open requests rejects the next one. One slot is what a registration
+/// without a statement has, so that it says nothing about the room.
+bool is_queue_full(const upstream_incarnation& upstream, double open_requests)
+{
+    return upstream.entry.slots > 1 && open_requests >= upstream.entry.slots + queued_requests;
+}
+
+/// Returns true when the upstream has no room for this host's requests alone, or holds as many flows as it may. The
+/// requests of other hosts are known too late to exclude it by them: all hosts would leave it together, fill the other
+/// upstreams and come back. They are part of its load, and its rejections are.
 bool is_full(const upstream_incarnation& upstream, const service_limits& limits)
 {
-    const bool is_queue_full = upstream.entry.slots > 1 && upstream.open_requests + upstream.mean_remote_requests >=
-                                                               upstream.entry.slots + queued_requests;
-    return is_queue_full || (limits.max_flows > 0 && upstream.flows + upstream.remote_flows >= limits.max_flows);
+    return is_queue_full(upstream, upstream.open_requests) ||
+           (limits.max_flows > 0 && upstream.flows + upstream.remote_flows >= limits.max_flows);
+}
+
+/// Returns true when new flows to the upstream are likely to be rejected, by all that is known.
+bool is_crowded(const upstream_incarnation& upstream, const service_limits& limits, base::time_point now)
+{
+    return is_full(upstream, limits) || is_rejecting(upstream, now) ||
+           is_queue_full(upstream, upstream.open_requests + upstream.mean_remote_requests);
 }
 
 /// Returns true when the upstream is starting and gets no new flow from this host now.
@@ -232,7 +246,7 @@
         }
         const bool has_room = !is_full(*upstream, request.limits);
         ++total;
-        crowded += !has_room || is_rejecting(*upstream, now) ? 1 : 0;
+        crowded += is_crowded(*upstream, request.limits, now) ? 1 : 0;
         if (upstream == request.tried)
         {
             fallback = upstream;
