--- a/include/galenabay/inspect/fleet_report.hpp
+++ b/include/galenabay/inspect/fleet_report.hpp
@@ -63,6 +63,9 @@
     /// Its estimates of the upstreams, and why it did not give them; empty when it did.
     steer::answer_time_report answer_times{};
     std::optional<base::error> answer_times_failure{};
+    /// New flows that it refused for lack of room while slots were free by the latest sums; empty when the host does
+    /// not tell.
+    std::optional<std::uint64_t> refused_with_free_slots{};
 };
 
 /// A store and the hosts that it lists, as they were when they were read.
--- a/src/edge/peer_state.hpp
+++ b/src/edge/peer_state.hpp
@@ -21,6 +21,10 @@
 /// Status 503 means that the estimates were requested from the packet thread: the next call gets them.
 constexpr const char* answer_times_path = "/state/answer-times";
 
+/// Path at which a host serves the number of new flows that it refused while slots were free by the latest sums, as
+/// decimal digits.
+constexpr const char* refusals_path = "/state/refusals";
+
 /// Reads what a host serves at `path`. Errors: as `net::http_session::call`.
 inline base::result<std::string> fetch_from_peer(const base::endpoint& peer, std::string path,
                                                  std::chrono::milliseconds timeout)
--- a/src/inspect/read_fleet.cpp
+++ b/src/inspect/read_fleet.cpp
@@ -8,7 +8,12 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <system_error>
 #include <thread>
 #include <utility>
 
@@ -105,6 +110,20 @@
     return answer ? peers::decode_answer_times(answer.value()) : answer.error();
 }
 
+/// Returns nothing for a host of an earlier release.
+std::optional<std::uint64_t> read_refusals(const base::endpoint& host)
+{
+    const auto body = edge::fetch_from_peer(host, edge::refusals_path, host_timeout);
+    std::uint64_t count = 0;
+    if (!body)
+    {
+        return std::nullopt;
+    }
+    const auto* end = body.value().data() + body.value().size();
+    const auto [rest, failure] = std::from_chars(body.value().data(), end, count);
+    return failure == std::errc{} && rest == end ? std::optional{count} : std::nullopt;
+}
+
 host_answer read_host(host_answer host)
 {
     const auto configuration = read_state(host.address, object_kind::configuration);
@@ -126,6 +145,7 @@
     {
         host.answer_times_failure = answer_times.error();
     }
+    host.refused_with_free_slots = read_refusals(host.address);
     return host;
 }
 
--- a/src/steer/upstream_selection.cpp
+++ b/src/steer/upstream_selection.cpp
@@ -45,7 +45,7 @@
     usable,
     /// Its data centre was evacuated until recently, and this flow is not in the part that it takes.
     returning,
-    /// It has no room. Before silent ones: a rejection is known within milliseconds, while a silent
+    /// It has no room. Before silent ones: a rejection is known within 20 to 90 ms, while a silent
     /// upstream costs the caller a retransmission timeout.
     full,
     /// The link to its data centre is silent.
@@ -67,7 +67,10 @@
 /// Returns the load of this and the other hosts per slot of the upstream.
 double load_of(const upstream_incarnation& upstream, base::time_point now)
 {
-    const double flows = upstream.flows + upstream.remote_flows;
+    // A flow with an open request counts by the mean of the requests: where flows carry one request, the
+    // latest sum of the flows differs from the present one as much as that of the requests does.
+    const double idle_remote_flows = upstream.remote_flows - std::min(upstream.remote_flows, upstream.remote_requests);
+    const double flows = upstream.flows + idle_remote_flows + upstream.mean_remote_requests;
     const double requests = upstream.open_requests + upstream.mean_remote_requests;
     const double load = (1.0 + flows + request_weight * requests) * upstream.load_factor / upstream.entry.slots *
                             upstream.relative_answer_time +
@@ -75,16 +78,36 @@
     return is_starting(upstream, now) ? load * warm_up_slowdown : load;
 }
 
+/// Returns how far the load may differ from the present one because the other hosts' requests are known late.
+double load_uncertainty(const upstream_incarnation& upstream)
+{
+    return (1 + request_weight) * upstream.mean_remote_requests / upstream.entry.slots;
+}
+
 /// Requests that an upstream queues beyond its slots before it rejects some.
 constexpr std::uint32_t queued_requests = 8;
 
-/// Returns true when the upstream has no room by what is known of its load. One slot is what a
-/// registration without a statement has, so that it says nothing about the room.
+/// Returns true when an upstream with this many open requests rejects the next one. One slot is what a registration
+/// without a statement has, so that it says nothing about the room.
+bool is_queue_full(const upstream_incarnation& upstream, double open_requests)
+{
+    return upstream.entry.slots > 1 && open_requests >= upstream.entry.slots + queued_requests;
+}
+
+/// Returns true when the upstream has no room for this host's requests alone, or holds as many flows as it may. The
+/// requests of other hosts are known too late to exclude it by them: all hosts would leave it together, fill the other
+/// upstreams and come back. They are part of its load, and its rejections are.
 bool is_full(const upstream_incarnation& upstream, const service_limits& limits)
 {
-    const bool is_queue_full = upstream.entry.slots > 1 && upstream.open_requests + upstream.mean_remote_requests >=
-                                                               upstream.entry.slots + queued_requests;
-    return is_queue_full || (limits.max_flows > 0 && upstream.flows + upstream.remote_flows >= limits.max_flows);
+    return is_queue_full(upstream, upstream.open_requests) ||
+           (limits.max_flows > 0 && upstream.flows + upstream.remote_flows >= limits.max_flows);
+}
+
+/// Returns true when new flows to the upstream are likely to be rejected, by all that is known.
+bool is_crowded(const upstream_incarnation& upstream, const service_limits& limits, base::time_point now)
+{
+    return is_full(upstream, limits) || is_rejecting(upstream, now) ||
+           is_queue_full(upstream, upstream.open_requests + upstream.mean_remote_requests);
 }
 
 /// Returns true when the upstream is starting and gets no new flow from this host now.
@@ -148,7 +171,11 @@
     }
     auto* first = select_evenly(from, random);
     auto* second = select_evenly(from, random);
-    return load_of(*second, now) < load_of(*first, now) ? second : first;
+    // With certainty of the loads, the less loaded one is selected. The share of the more loaded one rises to
+    // a half with the uncertainty.
+    const double uncertainty = std::max(load_uncertainty(*first), load_uncertainty(*second));
+    const double excess = load_of(*first, now) - load_of(*second, now);
+    return excess > uncertainty * (2 * random.unit() - 1) ? second : first;
 }
 
 /// Returns the local upstream unless its load is much higher. The share of the flows that leave rises
@@ -194,7 +221,8 @@
     selection result;
     upstream_incarnation* fallback = nullptr;
     // A data centre that is returning takes the flows whose number is below its share.
-    const double flow_number = evacuations.has_returned() ? random.unit() : 0;
+    const bool has_returned = evacuations.has_returned();
+    const double flow_number = has_returned ? random.unit() : 0;
     std::size_t total = 0;
     std::size_t crowded = 0;
     for (auto* upstream : registry.of_service(request.service))
@@ -218,14 +246,15 @@
         }
         const bool has_room = !is_full(*upstream, request.limits);
         ++total;
-        crowded += !has_room || is_rejecting(*upstream, now) ? 1 : 0;
+        crowded += is_crowded(*upstream, request.limits, now) ? 1 : 0;
         if (upstream == request.tried)
         {
             fallback = upstream;
             continue;
         }
         auto found = class_of(registry, *upstream, now);
-        if (found == usable && flow_number >= evacuations.share_of(data_centre, request.limits.warm_up_time, now))
+        if (has_returned && found == usable &&
+            flow_number >= evacuations.share_of(data_centre, request.limits.warm_up_time, now))
         {
             found = returning;
         }
--- a/tests/store_stub/read_fleet_test.cpp
+++ b/tests/store_stub/read_fleet_test.cpp
@@ -40,6 +40,7 @@
     CHECK_FALSE(report.hosts.front().answer_times_failure.has_value());
     LONGS_EQUAL(2, report.hosts.front().answer_times.upstreams.size());
     STRCMP_EQUAL("i-1", report.hosts.front().answer_times.upstreams.front().id.c_str());
+    LONGS_EQUAL(0, report.hosts.front().refused_with_free_slots.value());
     CHECK(report.hosts.back().failure.has_value());
     CHECK_FALSE(inspect::is_current(report));
 }
