Own rejections no longer refuse the most urgent flows

Cause: a host with a few flows a second that had counted six rejections derived a share from them that refused urgent flows, too. The estimate also rose by only 3 % in 2 s when nothing was rejected. Change: in a service with several urgencies, a host's own rejections limit the less urgent flows only. The estimate rises by what is left to the tolerated rejections.

--- a/src/steer/admission.cpp
+++ b/src/steer/admission.cpp
@@ -126,6 +126,8 @@
     }
     const double taken = admitted > rejected ? admitted - rejected : 0;
     range_ = divide_capacity(taken, offered, offered);
+    // A few flows say too little to refuse the most urgent ones.
+    range_->limit = ranks_ > 1 ? std::max(range_->limit, 1.0) : range_->limit;
     range_->flows_per_second /= std::chrono::duration<double>(rate_window::latest_time).count();
     budget_ = 0;
     refilled_at_ = now;
--- a/src/steer/capacity_estimate.cpp
+++ b/src/steer/capacity_estimate.cpp
@@ -161,7 +161,10 @@
     else
     {
         // Hosts with few flows do not spend all of their budgets, so that less may be admitted than the estimate.
-        const double increase = std::clamp(1 / std::max(seen.occupancy, 0.1), small_increase, largest_increase);
+        // Between the rejections of now and the tolerated ones.
+        const double margin = 1 + tolerated_share - seen.rejected / std::max(seen.admitted, 1.0);
+        const double least = has_counted ? std::max(small_increase, margin) : small_increase;
+        const double increase = std::clamp(1 / std::max(seen.occupancy, 0.1), least, largest_increase);
         capacity_ = std::min(std::max(*capacity_, served(seen)) * increase, largest_excess * served(seen));
     }
     corrected_at_ = now;
--- a/tests/steer/admission_test.cpp
+++ b/tests/steer/admission_test.cpp
@@ -151,17 +151,17 @@
     struct expectation
     {
         queueing_fleet::plan plan;
-        double urgent_worth = 0.96;
+        double urgent_worth = 0.97;
         double settled_urgent_worth = 0.985;
         /// Of the refused flows, those refused while the upstreams had free slots.
         double untrue_share = 0.015;
     };
     const expectation cases[]{
-        {.plan = {.has_late_loads = true, .demand = demand}, .urgent_worth = 0.97},
-        {.plan = {.has_late_loads = true, .demand = demand, .upstreams = 4, .hosts = 36}, .urgent_worth = 0.97},
+        {.plan = {.has_late_loads = true, .demand = demand}},
+        {.plan = {.has_late_loads = true, .demand = demand, .upstreams = 4, .hosts = 36}},
         {.plan = {.sum_delay = 1s, .has_late_loads = true, .demand = demand, .upstreams = 10, .hosts = 150}},
         {.plan = {.has_late_loads = true, .demand = demand, .moves_demand = true, .hosts = 100}},
-        {.plan = {.has_late_loads = true, .demand = demand, .loses_host = true, .hosts = 60}, .urgent_worth = 0.97},
+        {.plan = {.has_late_loads = true, .demand = demand, .loses_host = true, .hosts = 60}},
         // Too few flows for evidence of their own: the first second passes before the sums show the burst.
         {.plan = {.has_late_loads = true, .demand = demand, .upstreams = 4, .hosts = 400},
          .urgent_worth = 0.91,
@@ -211,15 +211,21 @@
 // flows were refused at 0.9 of the capacity, because upstreams that all hosts selected rejected a fifth.
 TEST(admission, nothing_is_refused_below_the_room_with_late_loads)
 {
+    double arrivals = 0;
+    double rejected = 0;
     for (const auto seed : seeds)
     {
         const auto fleet =
             run_fleet({.has_late_loads = true, .demand = {0.4, 0.5}, .burst = 1, .hosts = 100, .seed = seed});
         const auto all = fleet.between(0s, queueing_fleet::end);
         DOUBLES_EQUAL(0, all.refused, 0);
-        CHECK(all.rejected < 0.1 * all.arrivals);
         CHECK(in_time(all, 0) > 0.99 && in_time(all, 1) > 0.99);
+        arrivals += all.arrivals;
+        rejected += all.rejected;
     }
+    // 0.08 when hosts always select the upstream that was less loaded a second ago.
+    UT_PRINT(StringFromFormat("rejected %.4f", rejected / arrivals).asCharString());
+    CHECK(rejected < 0.06 * arrivals);
 }
 
 // Rejections are counted by another part; until then only the open requests show a shortage.
