--- a/src/steer/upstream_selection.hpp
+++ b/src/steer/upstream_selection.hpp
@@ -48,10 +48,10 @@
 bool takes_new_flows(const upstream_incarnation& upstream, const evacuation_table& evacuations);
 
 /// Selects the upstream for a new flow: the less loaded of two random ones of the best
-/// available class, in this host's data centre unless its load is much higher than elsewhere.
-/// Ready upstreams come first, then those of a data centre that is returning and takes only a
-/// part of its flows, full ones, those of a data centre whose link is silent, silent ones, and those
-/// with a missing registration. One for which `takes_new_flows` is false is never selected, `tried`
+/// available class, or either one where the difference is uncertain because loads are known late, in this host's data
+/// centre unless its load is much higher than elsewhere. Ready upstreams come first, then those of a data centre that
+/// is returning and takes only a part of its flows, full ones, those of a data centre whose link is silent, silent
+/// ones, and those with a missing registration. One for which `takes_new_flows` is false is never selected, `tried`
 /// only when there is no other.
 selection select_upstream(const upstream_registry& registry, const evacuation_table& evacuations,
                           const selection_request& request, base::random_source& random, base::time_point now);
--- a/tests/steer/admission_test.cpp
+++ b/tests/steer/admission_test.cpp
@@ -236,6 +236,26 @@
     CHECK(in_time(burst_of(after), 0) > in_time(burst_of(before), 0) + 0.1);
 }
 
+// A host with few flows a second sees a burst only by some rejections; a share derived from so few would refuse the
+// flows that admission is to protect.
+TEST(admission, own_rejections_refuse_less_urgent_flows_only)
+{
+    service_admission state{2};
+    state.update({}, 0s, {.slots = 2, .open_requests = 0}, 1, 400ms, at(0s));
+    for (std::uint32_t caller = 0; caller < 6; ++caller)
+    {
+        CHECK(state.admit(0, caller, 0.9, 0, at(100ms)));
+        state.count_forwarded(at(100ms));
+    }
+    state.count_rejected(6, at(150ms));
+    for (std::uint32_t caller = 0; caller < 20; ++caller)
+    {
+        CHECK(state.admit(0, caller, 0.9, 0, at(200ms)));
+        CHECK_FALSE(state.admit(1, caller, 0.9, 0, at(200ms)));
+    }
+    LONGS_EQUAL(20, state.take_refused_with_free_slots());
+}
+
 // A caller that is refused by its turn must come first within a bounded time, whatever the share.
 TEST(admission, a_turn_comes_within_three_slots_divided_by_the_share)
 {
