Exchange the shares of starting upstreams between store, hosts and inspect

Cause: the list of holders has to reach the store's object and the processes that it names, and operators have to see who has a share.

The datagram WarmUpShares has the incarnation, the store's epoch and the list. The state of a host has the starting upstreams of which it has a share and the number of flows that it refused; galenactl inspect shows both. Metrics galenabay_warm_up_shares and galenabay_adopted_shares_total, log line warm_up_share_adopted, holders and share in warm_up_claimed.

--- a/include/galenabay/inspect/fleet_report.hpp
+++ b/include/galenabay/inspect/fleet_report.hpp
@@ -59,6 +59,10 @@
     std::size_t upstreams = 0;
     /// The evacuations that it adopted last; empty when it does not evacuate data centres.
     std::optional<steer::evacuation_set> evacuations{};
+    /// New flows a second that it may send to each starting upstream of which it has a share, and
+    /// the number of flows that it refused because of such rates since its process started.
+    std::map<std::string, double> share_rates{};
+    std::uint64_t limited_flows = 0;
 };
 
 /// A store and the hosts that it lists, as they were when they were read.
--- a/include/galenabay/peers/fleet_exchange.hpp
+++ b/include/galenabay/peers/fleet_exchange.hpp
@@ -75,6 +75,8 @@
     std::size_t max_votes = 16;
     /// Members in an answer to a joining host, and in a digest.
     std::size_t max_members = 20;
+    /// Bytes of the host names in a list of processes that share a rate.
+    std::size_t max_holder_bytes = 800;
     std::size_t digest_members = 2;
 };
 
@@ -121,6 +123,8 @@
         std::optional<upstream_changes> changes;
         /// Evacuations that the message contains, to adopt unless a newer set is known.
         std::optional<steer::evacuation_set> evacuations{};
+        /// Processes that share the rate of a starting upstream.
+        std::optional<steer::warm_up_shares> shares{};
     };
 
     /// Records a host that the store lists.
@@ -172,6 +176,14 @@
     {
         return peers_.rank_for(key, now);
     }
+    /// Returns this process and, in the order of `rank_for`, other ones of this data centre: at most
+    /// `count` with names of at most `max_holder_bytes`, so that the list fits into a datagram.
+    std::vector<steer::share_holder> holders_for(std::uint64_t key, std::size_t count, base::time_point now) const;
+    /// Returns the datagram with a list of this host for the other processes in it.
+    outgoing_message on_shares(const steer::warm_up_shares& shares, base::time_point now) const
+    {
+        return {.content = shares, .to = peers_.addresses_of(shares.holders, now)};
+    }
 
     /// Returns the sum of the other hosts' load on each upstream, with the time since the
     /// latest answer that any of them saw.
--- a/include/galenabay/peers/message_codec.hpp
+++ b/include/galenabay/peers/message_codec.hpp
@@ -4,6 +4,7 @@
 #include <galenabay/peers/host_status.hpp>
 #include <galenabay/peers/load_sums.hpp>
 #include <galenabay/peers/upstream_changes.hpp>
+#include <galenabay/steer/warm_up_shares.hpp>
 
 #include <cstddef>
 #include <span>
@@ -15,7 +16,8 @@
 {
 
 /// Content of one datagram between hosts.
-using message = std::variant<host_status, upstream_changes, load_summary, load_digest, member_list>;
+using message =
+    std::variant<host_status, upstream_changes, load_summary, load_digest, member_list, steer::warm_up_shares>;
 
 /// Encodes a message as packed Cap'n Proto.
 std::vector<std::byte> encode(const message& value);
--- a/include/galenabay/peers/peer_view.hpp
+++ b/include/galenabay/peers/peer_view.hpp
@@ -6,6 +6,7 @@
 #include <galenabay/peers/host_status.hpp>
 #include <galenabay/peers/load_sums.hpp>
 #include <galenabay/peers/load_table.hpp>
+#include <galenabay/steer/warm_up_shares.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -85,6 +86,11 @@
     /// their names and `key`, so that the first ranks are spread over the hosts; nullopt when this
     /// host is leaving.
     std::optional<std::size_t> rank_for(std::uint64_t key, base::time_point now) const;
+    /// Returns the first `count` other live hosts of this data centre in the same order.
+    std::vector<steer::share_holder> ranked_for(std::uint64_t key, std::size_t count, base::time_point now) const;
+    /// Returns the addresses of those of the processes that are live in this data centre.
+    std::vector<base::endpoint> addresses_of(const std::vector<steer::share_holder>& processes,
+                                             base::time_point now) const;
     /// Returns the other hosts among the first `count` live ones of this data centre, by rank.
     std::vector<member> first_ranked(std::size_t count, base::time_point now) const;
 
--- a/include/galenabay/peers/upstream_changes.hpp
+++ b/include/galenabay/peers/upstream_changes.hpp
@@ -40,6 +40,16 @@
     friend auto operator<=>(const upstream_changes&, const upstream_changes&) = default;
 };
 
+/// An upstream whose new flows are limited while it is starting. Plain value.
+struct starting_upstream
+{
+    std::string id;
+    /// New flows a second that the host may send to it; 0 without a share.
+    double share_rate = 0;
+
+    friend auto operator<=>(const starting_upstream&, const starting_upstream&) = default;
+};
+
 /// A host's copy of the store. Plain value.
 struct edge_state
 {
@@ -49,6 +59,10 @@
     upstream_changes upstreams;
     /// Empty where data centres are not evacuated.
     std::optional<steer::evacuation_set> evacuations{};
+    /// Empty where no service states a rate for starting upstreams.
+    std::vector<starting_upstream> starting{};
+    /// New flows that the host refused because of such a rate since its process started.
+    std::uint64_t limited_flows = 0;
 
     friend auto operator<=>(const edge_state&, const edge_state&) = default;
 };
--- a/schema/edge.capnp
+++ b/schema/edge.capnp
@@ -221,12 +221,40 @@
   epoch @6 :UInt64;
 }
 
+struct StartingUpstream {
+  # An upstream whose new flows are limited while it is starting.
+  id @0 :Text;
+  shareRate @1 :Float64;
+  # New flows per second that the host may send to it; 0 without a share.
+}
+
 struct EdgeState {
   # A host's copy of the store, served to hosts that cannot or need not read the store.
   configuration @0 :EdgeConfiguration;
   upstreams @1 :UpstreamChanges;
   evacuations @2 :Evacuations;
   # Null on deployments without evacuations.
+  startingUpstreams @3 :List(StartingUpstream);
+  # Null where no service states a rate for starting upstreams.
+  limitedFlows @4 :UInt64;
+  # New flows that the host refused because of such a rate since its process started.
+}
+
+struct ShareHolder {
+  # A process that may send new flows to a starting upstream.
+  host @0 :Text;
+  startedUs @1 :UInt64;
+  # Start of the process in microseconds of Unix time.
+}
+
+struct WarmUpShares {
+  # Processes that share the rate of a starting upstream, as the store's object lists them.
+  id @0 :Text;
+  startedMs @1 :UInt64;
+  epoch @2 :UInt64;
+  # Epoch of the store's answer that contained the list; 0 when unknown.
+  holders @3 :List(ShareHolder);
+  # The owner first.
 }
 
 struct EdgeMessage {
@@ -237,5 +265,6 @@
     summary @2 :LoadSummary;
     digest @3 :LoadDigest;
     members @4 :List(Member);
+    shares @5 :WarmUpShares;
   }
 }
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -89,6 +89,7 @@
             .registry = {.retention = settings.flow_age_limit},
             .evacuation_bound = settings.evacuation_bound,
             .clock_offset = unix_time - base::steady_now().time_since_epoch(),
+            .warm_ups = {.overshoot = settings.warm_up_overshoot, .slack = settings.warm_up_slack},
             .learned_capacity = features.learned_capacity};
 }
 
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -70,6 +70,10 @@
       slow_upstreams{gauge(registry_, "galenabay_slow_upstreams",
                            "Upstreams that get less than half of an even share because their answers are late")},
       starting_upstreams{gauge(registry_, "galenabay_starting_upstreams", "Upstreams that are slow after their start")},
+      warm_up_shares{gauge(registry_, "galenabay_warm_up_shares",
+                           "Starting upstreams to which this host may send a part of their rate of new flows")},
+      adopted_shares{counter(registry_, "galenabay_adopted_shares_total",
+                             "Parts of the rate of starting upstreams that owners gave to this host")},
       collects{gauge(registry_, "galenabay_collects", "1 while this host collects the loads of its data centre")},
       covered_hosts{
           gauge(registry_, "galenabay_covered_hosts", "Other hosts whose loads this host takes into account")},
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -95,6 +95,9 @@
     /// Upstreams that lost half of their capacity by their answer times.
     prometheus::Gauge& slow_upstreams;
     prometheus::Gauge& starting_upstreams;
+    /// Starting upstreams of which this host has a share, and shares that it got by a message.
+    prometheus::Gauge& warm_up_shares;
+    prometheus::Counter& adopted_shares;
     prometheus::Gauge& collects;
     /// Hosts whose loads this host's selection of upstreams takes into account.
     prometheus::Gauge& covered_hosts;
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -29,12 +29,19 @@
 /// callers have retransmitted older ones.
 constexpr base::duration startup_deferral = std::chrono::milliseconds{1'000};
 
+/// Returns the options with the process by which lists of holders name this one.
+steer::steering_options with_self(steer::steering_options options, const packet_worker::identity& self)
+{
+    options.warm_ups.self = {.host = self.name, .process_started_us = self.started_us};
+    return options;
+}
+
 } // namespace
 
 packet_worker::packet_worker(net::udp_socket socket, net::udp_socket peers, identity self,
                              std::vector<base::endpoint> seeds, const steer::steering_options& options,
                              std::uint64_t seed, shared_state& state, edge_metrics& metrics)
-    : socket_{std::move(socket)}, state_{state}, metrics_{metrics}, steerer_{options, seed},
+    : socket_{std::move(socket)}, state_{state}, metrics_{metrics}, steerer_{with_self(options, self), seed},
       peers_{std::move(peers), peers::fleet_exchange{self, std::move(seeds), {}, base::mix(seed, 1)}, metrics},
       has_evacuations_{options.evacuation_bound.has_value()}, probes_{state, wakeup_, metrics.thread_failures},
       warm_ups_{{.host = std::move(self.name), .process_started_us = self.started_us}, state, metrics, wakeup_},
@@ -151,6 +158,10 @@
     }
     const auto decision = steerer_.on_packet(*header, now);
     metrics_.decisions(decision.reason).Increment();
+    limited_flows_ +=
+        decision.action == steer::steering_action::reset && decision.reason == steer::steering_reason::warm_up_limit
+            ? 1
+            : 0;
     log_.packet(*header, decision, steerer_.routes().version(), now);
     switch (decision.action)
     {
@@ -245,7 +256,7 @@
     metrics_.upstreams.Set(static_cast<double>(steerer_.registry().size()));
     metrics_.peers.Set(static_cast<double>(peers_.exchange().live_count(now)));
     metrics_.covered_hosts.Set(static_cast<double>(peers_.exchange().covered_hosts(now)));
-    metrics_.starting_upstreams.Set(static_cast<double>(steerer_.starting_upstreams(now).size()));
+    report_warm_ups(now);
     metrics_.flows.Set(static_cast<double>(steerer_.flow_count()));
     metrics_.slow_upstreams.Set(static_cast<double>(steerer_.slow_count()));
     report_behind(now);
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -103,6 +103,14 @@
     /// Applies the results of those calls.
     void apply_warm_up_reports(base::time_point now);
     void apply_claim(const steer::claim_answer& answer, base::time_point now);
+    /// Applies the list of the processes that share the rate of a starting upstream.
+    void apply_shares(const steer::warm_up_shares& shares, base::time_point now);
+    /// Sends the lists that are due to the processes that they name.
+    void send_shares(base::time_point now);
+    /// Returns the starting upstreams of which this host has a share, for its state.
+    std::vector<peers::starting_upstream> shared_upstreams(base::time_point now);
+    /// Measures the starting upstreams and brings the published state of their shares up to date.
+    void report_warm_ups(base::time_point now);
     /// Requests the removal of listed objects that no starting upstream needs.
     void remove_unused_warm_ups(const std::vector<std::string>& listed, base::time_point now);
     /// Logs the upstreams that started again after an unexpected end.
@@ -171,6 +179,8 @@
     warm_up_worker warm_ups_;
     warm_up_cleanup warm_up_cleanup_;
     base::time_point next_warm_up_list_{};
+    /// New flows that were refused because of the rate of starting upstreams, in total.
+    std::uint64_t limited_flows_ = 0;
     std::vector<net::packet> buffers_;
     base::time_point defer_until_{};
     base::time_point next_tick_{};
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -1,6 +1,7 @@
 #include "packet_worker.hpp"
 
 #include <galenabay/base/log.hpp>
+#include <galenabay/base/steady_clock.hpp>
 
 #include <memory>
 #include <utility>
@@ -32,7 +33,7 @@
 void packet_worker::exchange_with_peers(base::time_point now)
 {
     const bool any_status = peers_.receive(now,
-                                           [this](const peers::fleet_exchange::effects& effects)
+                                           [this, now](const peers::fleet_exchange::effects& effects)
                                            {
                                                if (effects.changes)
                                                {
@@ -42,6 +43,10 @@
                                                {
                                                    adopt(*effects.evacuations, "peer");
                                                }
+                                               if (effects.shares)
+                                               {
+                                                   apply_shares(*effects.shares, now);
+                                               }
                                            });
     if (any_status)
     {
@@ -247,6 +252,8 @@
     auto state = std::make_shared<peers::edge_state>();
     state->upstreams.revision = upstreams_position_.revision();
     state->evacuations = known_evacuations();
+    state->starting = shared_upstreams(base::steady_now());
+    state->limited_flows = limited_flows_;
     steerer_.registry().for_each(
         [&](const steer::upstream_incarnation& upstream)
         {
--- a/src/edge/packet_worker_warm_ups.cpp
+++ b/src/edge/packet_worker_warm_ups.cpp
@@ -18,28 +18,41 @@
 /// Interval at which the host that watches the store looks for objects that nobody else removes.
 constexpr base::duration cleanup_interval = warm_up_cleanup::min_age;
 
+/// Largest number of starting upstreams in the state that is served to other hosts, whose size is
+/// bounded.
+constexpr std::size_t max_shared_upstreams = 64;
+
 std::string object_name(const steer::upstream_entry& entry)
 {
     return adapter::warm_up_object_name(entry.id, entry.started_ms);
 }
 
+/// Returns the key by which the hosts of a data centre are ranked for an incarnation.
+std::uint64_t rank_key(const std::string& id, std::uint64_t started_ms)
+{
+    return base::mix(base::hash_text(id), started_ms);
+}
+
 } // namespace
 
 void packet_worker::request_warm_ups(base::time_point now)
 {
     const auto rank_of = [&](const steer::upstream_entry& entry)
-    { return peers_.exchange().rank_for(base::mix(base::hash_text(entry.id), entry.started_ms), now); };
+    { return peers_.exchange().rank_for(rank_key(entry.id, entry.started_ms), now); };
     for (const auto& request : steerer_.take_warm_up_requests(rank_of, now))
     {
         const bool is_claim = request.what == steer::warm_up_request::kind::claim;
+        const auto key = rank_key(request.id, request.started_ms);
         const bool taken = warm_ups_.request({.what = is_claim ? warm_up_call::kind::claim : warm_up_call::kind::remove,
                                               .token = request.token,
-                                              .name = adapter::warm_up_object_name(request.id, request.started_ms)});
+                                              .name = adapter::warm_up_object_name(request.id, request.started_ms),
+                                              .holders = peers_.exchange().holders_for(key, request.max_shares, now)});
         if (!taken && is_claim)
         {
             apply_claim({.token = request.token, .result = steer::claim_result::failed, .epoch = 0}, now);
         }
     }
+    send_shares(now);
     if (!state_.follows.load() || !steerer_.routes().has_warm_up_rates())
     {
         next_warm_up_list_ = now + cleanup_interval;
@@ -76,8 +89,57 @@
         log_event{log_level::info, "warm_up_claimed"}
             .with("object", object_name(upstream->entry))
             .with("result", name_of(answer.result))
-            .with("owned", owned ? 1 : 0);
+            .with("owned", owned ? 1 : 0)
+            .with("holders", answer.holders.size())
+            .with("share_per_s", steerer_.warm_up_share(*upstream, now));
+        snapshot_due_ = true;
     }
+    send_shares(now);
+}
+
+void packet_worker::apply_shares(const steer::warm_up_shares& shares, base::time_point now)
+{
+    if (!steerer_.on_shares(shares, now))
+    {
+        return;
+    }
+    metrics_.adopted_shares.Increment();
+    log_event{log_level::info, "warm_up_share_adopted"}
+        .with("object", adapter::warm_up_object_name(shares.id, shares.started_ms))
+        .with("owner", shares.holders.front().host)
+        .with("holders", shares.holders.size());
+    snapshot_due_ = true;
+}
+
+void packet_worker::send_shares(base::time_point now)
+{
+    for (const auto& shares : steerer_.take_announcements(now))
+    {
+        peers_.send({peers_.exchange().on_shares(shares, now)});
+    }
+}
+
+std::vector<peers::starting_upstream> packet_worker::shared_upstreams(base::time_point now)
+{
+    std::vector<peers::starting_upstream> shared;
+    for (const auto* upstream : steerer_.starting_upstreams(now))
+    {
+        const auto rate = steerer_.warm_up_share(*upstream, now);
+        if (rate > 0 && shared.size() < max_shared_upstreams)
+        {
+            shared.push_back({.id = upstream->entry.id, .share_rate = rate});
+        }
+    }
+    return shared;
+}
+
+void packet_worker::report_warm_ups(base::time_point now)
+{
+    metrics_.starting_upstreams.Set(static_cast<double>(steerer_.starting_upstreams(now).size()));
+    const auto shared = shared_upstreams(now).size();
+    // The published rates and the number of refused flows are at most one interval old.
+    snapshot_due_ = snapshot_due_ || shared > 0 || metrics_.warm_up_shares.Value() > 0;
+    metrics_.warm_up_shares.Set(static_cast<double>(shared));
 }
 
 void packet_worker::remove_unused_warm_ups(const std::vector<std::string>& listed, base::time_point now)
--- a/src/edge/warm_up_worker.cpp
+++ b/src/edge/warm_up_worker.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-warm_up_worker::warm_up_worker(adapter::warm_up_owner self, shared_state& state, edge_metrics& metrics,
+warm_up_worker::warm_up_worker(steer::share_holder self, shared_state& state, edge_metrics& metrics,
                                net::wakeup_event& consumer)
     : self_{std::move(self)}, state_{state}, metrics_{metrics}, consumer_{consumer}
 {
@@ -101,17 +101,18 @@
 {
     auto client = adapter::store_client::make(state_.store(), object_kind::warm_ups, store_answer_timeout);
     const auto count_call = [this] { metrics_.store_calls(object_kind::warm_ups).Increment(); };
-    const auto created = client.create_warm_up(call.name, self_, count_call);
+    const auto created = client.create_warm_up(call.name, call.holders, count_call);
     if (!created)
     {
         report_failure("warm_up_claim_failed", call.name, created.error());
         return {.token = call.token, .result = steer::claim_result::failed, .epoch = 0};
     }
-    const auto& owner = created.value().owner;
+    const auto& owner = created.value().holders.front();
     const auto own_result = owner == self_ ? steer::claim_result::created : steer::claim_result::inherited;
     return {.token = call.token,
             .result = owner.host == self_.host ? own_result : steer::claim_result::taken,
-            .epoch = created.value().epoch};
+            .epoch = created.value().epoch,
+            .holders = created.value().holders};
 }
 
 void warm_up_worker::remove(const std::string& name)
--- a/src/edge/warm_up_worker.hpp
+++ b/src/edge/warm_up_worker.hpp
@@ -33,6 +33,8 @@
     kind what = kind::list;
     steer::upstream_token token = 0;
     std::string name;
+    /// For a claim: the processes that the object is to list, this one first.
+    std::vector<steer::share_holder> holders{};
 };
 
 /// Result of a claim or list.
@@ -50,8 +52,7 @@
 {
 public:
     /// `consumer` belongs to the packet thread and outlives this worker.
-    warm_up_worker(adapter::warm_up_owner self, shared_state& state, edge_metrics& metrics,
-                   net::wakeup_event& consumer);
+    warm_up_worker(steer::share_holder self, shared_state& state, edge_metrics& metrics, net::wakeup_event& consumer);
     warm_up_worker(const warm_up_worker&) = delete;
     warm_up_worker& operator=(const warm_up_worker&) = delete;
     ~warm_up_worker();
@@ -80,7 +81,7 @@
     void report_failure(const char* event, const std::string& name, const base::error& failure);
     void push(warm_up_report report);
 
-    adapter::warm_up_owner self_;
+    steer::share_holder self_;
     shared_state& state_;
     edge_metrics& metrics_;
     net::wakeup_event& consumer_;
--- a/src/inspect/fleet_report.cpp
+++ b/src/inspect/fleet_report.cpp
@@ -1,6 +1,9 @@
 #include <galenabay/inspect/fleet_report.hpp>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
+#include <system_error>
 
 namespace galenabay::inspect
 {
@@ -55,6 +58,25 @@
            to_string(host.evacuations->revision);
 }
 
+/// Returns the text of a rate with two decimal places.
+std::string to_string(double rate)
+{
+    std::array<char, 32> text{};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), rate, std::chars_format::fixed, 2);
+    return end.ec == std::errc{} ? std::string(text.data(), end.ptr) : "many";
+}
+
+std::string describe_starting(const host_answer& host)
+{
+    std::vector<std::string> words;
+    for (const auto& [id, rate] : host.share_rates)
+    {
+        words.push_back(id + " " + to_string(rate) + "/s");
+    }
+    return (words.empty() ? "" : ", starting " + join(words)) +
+           (host.limited_flows == 0 ? "" : ", " + std::to_string(host.limited_flows) + " refused by warm-up limits");
+}
+
 bool has_configuration(const host_answer& host, const store_contents& store)
 {
     return host.configuration_version >= store.configuration_version;
@@ -95,7 +117,7 @@
     }
     return label + "configuration " + std::to_string(host.configuration_version) + ", " +
            std::to_string(host.upstreams) + " upstreams at revision " + to_string(host.upstreams_revision) +
-           describe_evacuations(host) + describe_lag(host, store);
+           describe_evacuations(host) + describe_starting(host) + describe_lag(host, store);
 }
 
 } // namespace
--- a/src/inspect/read_fleet.cpp
+++ b/src/inspect/read_fleet.cpp
@@ -95,6 +95,11 @@
     host.upstreams_revision = upstreams.value().upstreams.revision;
     host.upstreams = upstreams.value().upstreams.entries.size();
     host.evacuations = upstreams.value().evacuations;
+    for (const auto& one : upstreams.value().starting)
+    {
+        host.share_rates.emplace(one.id, one.share_rate);
+    }
+    host.limited_flows = upstreams.value().limited_flows;
     return host;
 }
 
--- a/src/peers/fleet_exchange.cpp
+++ b/src/peers/fleet_exchange.cpp
@@ -77,6 +77,23 @@
     }
 }
 
+std::vector<steer::share_holder> fleet_exchange::holders_for(std::uint64_t key, std::size_t count,
+                                                             base::time_point now) const
+{
+    std::vector<steer::share_holder> holders{{.host = self_.name, .process_started_us = self_.started_us}};
+    std::size_t bytes = self_.name.size();
+    for (auto& other : peers_.ranked_for(key, count, now))
+    {
+        bytes += other.host.size();
+        if (holders.size() >= count || bytes > options_.max_holder_bytes)
+        {
+            break;
+        }
+        holders.push_back(std::move(other));
+    }
+    return holders;
+}
+
 void fleet_exchange::on_pause(base::time_point now)
 {
     summaries_.clear();
@@ -115,6 +132,10 @@
     {
         return on_digest(*digest, now);
     }
+    if (const auto* shares = std::get_if<steer::warm_up_shares>(&received); shares != nullptr)
+    {
+        return {.messages = {}, .view_changed = false, .changes = {}, .evacuations = {}, .shares = *shares};
+    }
     learn(std::get<member_list>(received).members, false, now);
     return {};
 }
--- a/src/peers/message_codec.cpp
+++ b/src/peers/message_codec.cpp
@@ -3,6 +3,7 @@
 #include "demands_codec.hpp"
 #include "evacuations_codec.hpp"
 #include "load_sums_codec.hpp"
+#include "warm_up_shares_codec.hpp"
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
@@ -313,6 +314,10 @@
             {
                 write_digest(content, root.initDigest());
             }
+            else if constexpr (std::is_same_v<content_type, steer::warm_up_shares>)
+            {
+                write_shares(content, root.initShares());
+            }
             else
             {
                 write_members(content.members, root.initMembers(static_cast<unsigned>(content.members.size())));
@@ -338,6 +343,8 @@
             return read_digest(in.getDigest());
         case schema::EdgeMessage::MEMBERS:
             return member_list{.members = read_members(in.getMembers())};
+        case schema::EdgeMessage::SHARES:
+            return read_shares(in.getShares());
         }
         // A newer build may send other kinds of messages.
         kj::throwFatalException(KJ_EXCEPTION(UNIMPLEMENTED, "unknown kind of message"));
@@ -352,6 +359,7 @@
     write_configuration(state.configuration, root.initConfiguration());
     write_changes(state.upstreams, root.initUpstreams());
     write_evacuations(state.evacuations, root);
+    write_starting(state, root);
     return pack<std::string>(built);
 }
 
@@ -361,7 +369,9 @@
     {
         return edge_state{.configuration = read_configuration(in.getConfiguration()),
                           .upstreams = read_changes(in.getUpstreams()),
-                          .evacuations = read_evacuations(in)};
+                          .evacuations = read_evacuations(in),
+                          .starting = read_starting(in),
+                          .limited_flows = in.getLimitedFlows()};
     };
     return unpack<schema::EdgeState>(as_array(body.data(), body.size()), "decode_peer_state", read);
 }
--- a/src/peers/peer_view.cpp
+++ b/src/peers/peer_view.cpp
@@ -154,6 +154,45 @@
     return before;
 }
 
+std::vector<steer::share_holder> peer_view::ranked_for(std::uint64_t key, std::size_t count, base::time_point now) const
+{
+    std::vector<std::pair<std::uint64_t, steer::share_holder>> ranked;
+    for_each_live(now,
+                  [&](const peer& other)
+                  {
+                      const auto& status = other.status;
+                      if (!status.leaving)
+                      {
+                          ranked.emplace_back(
+                              base::mix(base::hash_text(status.name), key),
+                              steer::share_holder{.host = status.name, .process_started_us = status.started_us});
+                      }
+                  });
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<steer::share_holder> first;
+    for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i)
+    {
+        first.push_back(std::move(ranked[i].second));
+    }
+    return first;
+}
+
+std::vector<base::endpoint> peer_view::addresses_of(const std::vector<steer::share_holder>& processes,
+                                                    base::time_point now) const
+{
+    std::vector<base::endpoint> addresses;
+    for (const auto& process : processes)
+    {
+        const auto known = peers_.find(process.host);
+        if (known != peers_.end() && is_local(known->second) && is_live(known->second, now) &&
+            known->second.status.started_us == process.process_started_us)
+        {
+            addresses.push_back(known->second.address);
+        }
+    }
+    return addresses;
+}
+
 std::vector<member> peer_view::first_ranked(std::size_t count, base::time_point now) const
 {
     std::vector<std::pair<decltype(rank_of(name_)), const peer*>> ranked;
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -273,23 +273,34 @@
 
 TEST(store_objects, the_owner_of_a_starting_upstream_is_read_as_it_was_written)
 {
-    const warm_up_owner owner{.host = "edge-1", .process_started_us = 1'785'880'304'094'123};
+    const steer::share_holder owner{.host = "edge-1", .process_started_us = 1'785'880'304'094'123};
     const auto name = warm_up_object_name("i-3", 1'000);
     STRCMP_EQUAL("i-3-1000", name.c_str());
-    const auto read = decode_single(object_kind::warm_ups, encode_warm_up(name, owner), "store");
-    CHECK(read.value().warm_up == owner);
-    STRCMP_EQUAL(name.c_str(), read.value().name.c_str());
+    const steer::share_holder other{.host = "edge-2", .process_started_us = 7};
+    for (const auto& holders : {std::vector{owner}, std::vector{owner, other}})
+    {
+        const auto body = encode_warm_up(name, holders);
+        const auto read = decode_single(object_kind::warm_ups, body, "store");
+        CHECK(read.value().warm_up == holders);
+        STRCMP_EQUAL(name.c_str(), read.value().name.c_str());
+        // One process has no list, as in an object of an earlier release.
+        CHECK_EQUAL(holders.size() > 1, body.find("shares") != std::string::npos);
+    }
 }
 
 // Failure: an answer that cannot be read must not make this host an owner.
 TEST(store_objects, an_unreadable_owner_of_a_starting_upstream_is_none)
 {
-    for (const auto* spec : {"{}", R"({"host":""})", R"({"host":"a"})", R"({"host":"a","process-started-us":"1"})",
-                             R"({"process-started-us":1})", "null"})
+    for (const auto* spec :
+         {"{}", R"({"host":""})", R"({"host":"a"})", R"({"host":"a","process-started-us":"1"})",
+          R"({"process-started-us":1})", "null", R"({"host":"a","process-started-us":1,"shares":[]})",
+          R"({"host":"a","process-started-us":1,"shares":null})",
+          R"({"host":"a","process-started-us":1,"shares":[{"host":"a"}]})",
+          R"({"host":"a","process-started-us":1,"shares":[{"host":"a","process-started-us":2}]})"})
     {
         const auto body = std::string{R"({"meta":{"name":"i-3-1000"},"spec":)"} + spec + "}";
         const auto read = decode_single(object_kind::warm_ups, body, "store");
-        CHECK_FALSE(read.value().warm_up.has_value());
+        CHECK(read.value().warm_up.empty());
         CHECK_FALSE(read.value().fault.empty());
     }
     CHECK_FALSE(decode_single(object_kind::warm_ups, "{}", "store").has_value());
--- a/tests/inspect/fleet_report_test.cpp
+++ b/tests/inspect/fleet_report_test.cpp
@@ -57,6 +57,16 @@
     STRCMP_CONTAINS(": lags (configuration)", lines[6].c_str());
 }
 
+// Failure: an operator does not see why a host refuses new flows while upstreams start.
+TEST(fleet_report, shows_the_starting_upstreams_and_refused_flows_of_a_host)
+{
+    auto known = host(7, {2, 30});
+    known.share_rates = {{"i-1", 4.0 / 3}, {"i-2", 4}};
+    known.limited_flows = 12;
+    STRCMP_CONTAINS("epoch 2, starting i-1 1.33/s, i-2 4.00/s, 12 refused by warm-up limits",
+                    describe(fleet_report{store, {known}}).back().c_str());
+}
+
 // Failure: an operator takes a data centre for evacuated although a host still sends new flows there, or has not
 // taken it back.
 TEST(fleet_report, a_host_lags_until_it_has_evacuated_what_the_store_lists)
--- a/tests/peers/message_codec_test.cpp
+++ b/tests/peers/message_codec_test.cpp
@@ -113,6 +113,20 @@
     CHECK(std::get<member_list>(decode_message(encode(message{list})).value()) == list);
 }
 
+TEST(message_codec, encodes_and_decodes_the_shares_of_a_starting_upstream)
+{
+    steer::warm_up_shares shares{.id = "i-1", .started_ms = 1785880304094, .epoch = 3, .holders = {}};
+    for (std::uint64_t i = 0; i < steer::max_share_holders; ++i)
+    {
+        shares.holders.push_back(
+            {.host = "edge-east-" + std::to_string(100 + i), .process_started_us = 1'785'880'304'094'123 + i});
+    }
+    const auto encoded = encode(message{shares});
+    CHECK(std::get<steer::warm_up_shares>(decode_message(encoded).value()) == shares);
+    // An owner sends up to 25 of these a second, and a host has 22 KB/s for all messages.
+    CHECK(encoded.size() <= 600);
+}
+
 TEST(message_codec, encodes_and_decodes_changes)
 {
     const upstream_changes changes{.previous_revision = {.epoch = 2, .number = 40},
@@ -139,6 +153,8 @@
     state.upstreams.revision = {.epoch = 3, .number = 12};
     state.upstreams.entries.push_back(make_entry("i-1"));
     state.evacuations = make_status().evacuations;
+    state.starting = {{.id = "i-1", .share_rate = 0.75}};
+    state.limited_flows = 12;
     CHECK(decode_state(encode(state)).value() == state);
 }
 
--- a/tests/peers/odd_messages_test.cpp
+++ b/tests/peers/odd_messages_test.cpp
@@ -82,7 +82,12 @@
                         .page = page,
                         .remote_votes = votes,
                         .members = {make_stamp("edge-4", "east").sender}},
-            member_list{.members = {make_stamp("edge-5", "west").sender}}};
+            member_list{.members = {make_stamp("edge-5", "west").sender}},
+            steer::warm_up_shares{
+                .id = "i-1",
+                .started_ms = 1785880304094,
+                .epoch = 3,
+                .holders = {{.host = "edge-2", .process_started_us = 5}, {.host = "edge-1", .process_started_us = 6}}}};
 }
 
 /// Undoes the packing of a message.
--- a/tests/peers/peer_view_test.cpp
+++ b/tests/peers/peer_view_test.cpp
@@ -379,6 +379,20 @@
         }
     }
     CHECK(*std::min_element(first.begin(), first.end()) > 5);
+    // The others are listed in the same order.
+    const auto listed = views.front().ranked_for(7, host_count, at(100ms));
+    LONGS_EQUAL(host_count - 1, listed.size());
+    std::size_t last = 0;
+    for (const auto& one : listed)
+    {
+        const auto own =
+            std::find_if(views.begin() + 1, views.end(),
+                         [&](const peer_view& view) { return view.addresses_of({one}, at(100ms)).empty(); });
+        const auto rank = *own->rank_for(7, at(100ms));
+        CHECK(last == 0 || rank > last);
+        last = rank;
+    }
+    LONGS_EQUAL(2, views.front().ranked_for(7, 2, at(100ms)).size());
     views.front().set_leaving(true);
     CHECK_FALSE(views.front().rank_for(1, at(100ms)).has_value());
 }
