Let holders of a share use their part of the rate when they get few flows

Change: with more than one holder, the waiting time shortens the time to the next flow as far as no span of 1.1 s has more flows than with depth 1. So the bound of rate + holders in any second stays, with 0.1 s for delays that differ. An owner alone is paced as before. The tests of shares count flows instead of the time between two. Lists are sent with 60 ms for each datagram.

--- a/include/galenabay/steer/warm_up_budget.hpp
+++ b/include/galenabay/steer/warm_up_budget.hpp
@@ -2,6 +2,8 @@
 
 #include <galenabay/base/time.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <cmath>
 
 namespace galenabay::steer
@@ -9,21 +11,42 @@
 
 /// Paces the new flows to one starting upstream: a token bucket of depth 1, so that any span of one
 /// second has at most one flow more than the rate. Does no I/O and reads no clock.
+///
+/// With `catch_up`, the time for which a token waited for a flow shortens the time to the next one,
+/// as far as any span of `checked_span` has no more flows than without: the number of flows that fit
+/// into it at the rate, and one. A host that gets few new flows then uses its part of the rate.
 class warm_up_budget
 {
 public:
+    enum class pacing
+    {
+        depth_one,
+        catch_up,
+    };
+
+    /// A second, and the difference of the delays between hosts and upstreams.
+    static constexpr base::duration checked_span = std::chrono::milliseconds{1'100};
+
     /// Returns true when a new flow may go to the upstream.
     bool has_token(base::time_point now) const noexcept { return now >= next_at_; }
 
     /// Takes the token, which is there again after the time between two flows of `rate` a second.
     /// `rate`: above 0.
-    void take(double rate, base::time_point now)
+    void take(double rate, base::time_point now, pacing how = pacing::depth_one)
     {
         constexpr double microseconds_per_second = 1e6;
         // Longer than any warm-up.
         constexpr double longest_us = 86'400 * microseconds_per_second;
         const double spacing_us = std::fmin(std::ceil(microseconds_per_second / rate), longest_us);
-        next_at_ = now + base::duration{static_cast<base::duration::rep>(spacing_us)};
+        const base::duration spacing{static_cast<base::duration::rep>(spacing_us)};
+        if (how == pacing::depth_one)
+        {
+            next_at_ = now + spacing;
+            return;
+        }
+        // Flows in a span are at most the whole part of (span + tolerance) / spacing, and one.
+        const auto tolerance = (checked_span / spacing + 1) * spacing - checked_span - base::duration{1};
+        next_at_ = std::max(next_at_ + spacing, now + spacing - tolerance);
     }
 
 private:
--- a/src/steer/warm_up_claims.cpp
+++ b/src/steer/warm_up_claims.cpp
@@ -211,9 +211,10 @@
 
 std::vector<warm_up_shares> warm_up_claims::take_announcements(base::time_point now)
 {
-    // With 25 datagrams of at most 600 bytes a second, an owner of many upstreams stays below
-    // 22 KB/s; the lists of so many upstreams are repeated less often.
-    constexpr base::duration time_per_datagram = std::chrono::milliseconds{40};
+    // An owner of one upstream sends at most 15 datagrams of some 500 bytes a second. One of many
+    // upstreams sends hardly more and repeats each list less often, since the control traffic of a
+    // host is limited.
+    constexpr base::duration time_per_datagram = std::chrono::milliseconds{60};
     constexpr base::duration burst = std::chrono::seconds{1};
     constexpr base::duration first_repeat = std::chrono::milliseconds{300};
     constexpr base::duration second_repeat = std::chrono::milliseconds{700};
@@ -287,7 +288,9 @@
 {
     GALENABAY_INVARIANT(has_token(token, now) && rate > 0);
     auto& claimed = rows_.at(token);
-    claimed.budget.take(rate / static_cast<double>(claimed.own_share->holders), now);
+    const auto holders = claimed.own_share->holders;
+    claimed.budget.take(rate / static_cast<double>(holders), now,
+                        holders > 1 ? warm_up_budget::pacing::catch_up : warm_up_budget::pacing::depth_one);
 }
 
 } // namespace galenabay::steer
--- a/tests/steer/starting_upstreams_test.cpp
+++ b/tests/steer/starting_upstreams_test.cpp
@@ -247,7 +247,7 @@
         const auto opened = static_cast<double>(fleet.admitted() - before) / full;
         const auto possible = std::min(2.0 * static_cast<double>(hosts) / rate / starting_fleet::upstream_count, 1.0);
         UT_PRINT(StringFromFormat("%d hosts: %.3f of the full rate", static_cast<int>(hosts), opened).asCharString());
-        CHECK(opened >= 0.7 * possible);
+        CHECK(opened >= 0.8 * possible);
         LONGS_EQUAL(0, fleet.violations(rate * overshoot + slack));
     }
 }
--- a/tests/steer/warm_up_claims_test.cpp
+++ b/tests/steer/warm_up_claims_test.cpp
@@ -4,8 +4,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <chrono>
 #include <cmath>
 #include <utility>
+#include <vector>
 
 using namespace galenabay;
 using namespace galenabay::steer;
@@ -26,6 +28,37 @@
 
 } // namespace
 
+TEST_GROUP(warm_up_budget){};
+
+// Failure: a host that gets its new flows unevenly sends more of them in a second than the bound on
+// all hosts leaves room for, or more than its part of the rate on average.
+TEST(warm_up_budget, catching_up_adds_no_flow_to_any_checked_span)
+{
+    for (const double part : {0.2, 0.25, 0.667, 0.9, 1.0, 1.3, 4.0, 12.5})
+    {
+        base::random_source random{static_cast<std::uint64_t>(part * 1'000)};
+        warm_up_budget budget;
+        std::vector<base::duration> sent;
+        const auto length = 200s;
+        for (base::duration now{0}; now < length;
+             now += base::duration{random.below(static_cast<std::uint64_t>(1e6 / part))})
+        {
+            if (budget.has_token(at(now)))
+            {
+                budget.take(part, at(now), warm_up_budget::pacing::catch_up);
+                sent.push_back(now);
+            }
+        }
+        const auto span = std::chrono::duration<double>(warm_up_budget::checked_span).count();
+        const auto bound = static_cast<std::size_t>(span * part) + 1;
+        for (std::size_t first = 0; first + bound < sent.size(); ++first)
+        {
+            CHECK(sent[first + bound] - sent[first] > warm_up_budget::checked_span);
+        }
+        CHECK(static_cast<double>(sent.size()) <= part * std::chrono::duration<double>(length).count() + 2);
+    }
+}
+
 TEST_GROUP(warm_up_claims)
 {
     upstream_registry registry{{}};
@@ -63,15 +96,19 @@
     {
         return claims.has_token(token_of(entry), at(now));
     }
-    /// Returns the time until the next new flow after one at `now`.
-    base::duration spacing(base::duration now)
+    /// Sends as many new flows as possible in three seconds from `now` on. Returns their number.
+    std::size_t flows_in_three_seconds(base::duration now)
     {
-        claims.take_token(token_of(entry), ::rate, at(now));
-        auto next = now;
-        for (; !has_token(next); next += 1ms)
+        std::size_t sent = 0;
+        for (const auto end = now + 3s; now < end; now += 1ms)
         {
+            if (has_token(now))
+            {
+                claims.take_token(token_of(entry), ::rate, at(now));
+                ++sent;
+            }
         }
-        return next - now;
+        return sent;
     }
 };
 
@@ -157,13 +194,12 @@
     CHECK_FALSE(has_token(100ms));
     CHECK(claims.on_shares(shares_of({other, self, third}), at(200ms)));
     DOUBLES_EQUAL(rate / 3, claims.share_rate(token_of(entry), at(200ms)), 1e-9);
-    CHECK(spacing(300ms) == 750ms);
+    LONGS_EQUAL(5, flows_in_three_seconds(300ms));
     // A repeated message neither refills the bucket nor lets the process claim or tell others.
-    claims.take_token(token_of(entry), rate, at(2s));
-    CHECK_FALSE(claims.on_shares(shares_of({other, self, third}), at(2s + 10ms)));
-    CHECK_FALSE(has_token(2s + 10ms));
-    LONGS_EQUAL(0, update(3s).size());
-    LONGS_EQUAL(0, claims.take_announcements(at(3s)).size());
+    CHECK_FALSE(claims.on_shares(shares_of({other, self, third}), at(3'300ms)));
+    CHECK_FALSE(has_token(3'300ms));
+    LONGS_EQUAL(0, update(3'400ms).size());
+    LONGS_EQUAL(0, claims.take_announcements(at(3'400ms)).size());
     update(7'900ms);
     CHECK(has_token(7'900ms));
     CHECK_FALSE(has_token(8s));
@@ -217,7 +253,7 @@
     update(0s);
     update(1s);
     CHECK_FALSE(answer(claim_result::taken, 1'100ms, 1, {other, self}));
-    CHECK(spacing(1'100ms) == 500ms);
+    LONGS_EQUAL(7, flows_in_three_seconds(1'100ms));
 }
 
 TEST(warm_up_claims, the_owner_repeats_its_list_until_the_upstream_is_warm)
@@ -225,7 +261,7 @@
     update(0s);
     update(1s);
     CHECK(answer(claim_result::created, 1'100ms, 1, {self, other, third}));
-    CHECK(spacing(1'100ms) == 750ms);
+    LONGS_EQUAL(5, flows_in_three_seconds(1'100ms));
     std::vector<base::duration> sent;
     for (auto now = base::duration{1'100ms}; now < 9s; now += 100ms)
     {
@@ -247,7 +283,7 @@
     update(0s);
     update(1s);
     CHECK(answer(claim_result::inherited, 1'100ms, 1, {{.host = self.host, .process_started_us = 9}, other, self}));
-    CHECK(spacing(1'100ms) == 750ms);
+    LONGS_EQUAL(5, flows_in_three_seconds(1'100ms));
     LONGS_EQUAL(0, claims.take_announcements(at(2s)).size());
 }
 
