--- a/src/edge/warm_up_cleanup.hpp
+++ b/src/edge/warm_up_cleanup.hpp
@@ -15,8 +15,9 @@
 class warm_up_cleanup
 {
 public:
-    /// Time for which an object must have been seen before it is removed. By then all hosts know
-    /// the upstream, or that it is warm.
+    /// Time for which an object must have been seen unused before it is removed. By then all hosts
+    /// know the upstream, or that it is warm. One of an upstream that this host has lost sight of may
+    /// be in use by the processes that it lists.
     static constexpr base::duration min_age = std::chrono::seconds{60};
 
     /// Returns the names of the objects to remove. `listed`: those in the store; `in_use`: those of
@@ -28,21 +29,21 @@
         std::vector<std::string> unused;
         for (const auto& name : listed)
         {
-            const auto known = first_seen_.find(name);
-            const auto since = known == first_seen_.end() ? now : known->second;
+            const auto known = unused_since_.find(name);
+            const auto since = known == unused_since_.end() || in_use.contains(name) ? now : known->second;
             seen.emplace(name, since);
-            if (now - since >= min_age && !in_use.contains(name))
+            if (now - since >= min_age)
             {
                 unused.push_back(name);
             }
         }
-        first_seen_ = std::move(seen);
+        unused_since_ = std::move(seen);
         return unused;
     }
 
 private:
-    /// When each object was first listed.
-    std::map<std::string, base::time_point> first_seen_;
+    /// Since when each object was listed and not in use.
+    std::map<std::string, base::time_point> unused_since_;
 };
 
 } // namespace galenabay::edge
--- a/tests/edge/warm_up_cleanup_test.cpp
+++ b/tests/edge/warm_up_cleanup_test.cpp
@@ -28,3 +28,13 @@
     cleanup.on_list({}, {}, start + 60s);
     LONGS_EQUAL(0, cleanup.on_list({"i-1-1"}, {}, start + 120s).size());
 }
+
+// Failure: an upstream that this host does not know for a moment loses its object while processes that
+// it lists still use their shares, and another host lists others.
+TEST(warm_up_cleanup, an_object_that_was_in_use_until_now_is_kept)
+{
+    cleanup.on_list({"i-1-1"}, {"i-1-1"}, start);
+    cleanup.on_list({"i-1-1"}, {"i-1-1"}, start + 60s);
+    LONGS_EQUAL(0, cleanup.on_list({"i-1-1"}, {}, start + 120s - 1ms).size());
+    LONGS_EQUAL(1, cleanup.on_list({"i-1-1"}, {}, start + 120s).size());
+}
--- a/tests/store_stub/test_host.hpp
+++ b/tests/store_stub/test_host.hpp
@@ -72,6 +72,8 @@
     base::endpoint packets;
     base::endpoint readiness;
     std::unique_ptr<edge::edge_host> running;
+    /// New flows a second beyond the stated rate that a starting upstream may get.
+    double warm_up_slack = 0;
 
     void start(const std::string& name, const base::endpoint& store, std::vector<base::endpoint> seeds = {},
                const std::string& data_centre = "east", std::optional<base::duration> evacuation_bound = {})
@@ -88,7 +90,8 @@
                                                .config_bound = in_force_bound,
                                                .stop_bound = 1s,
                                                .flow_age_limit = 60s,
-                                               .evacuation_bound = evacuation_bound},
+                                               .evacuation_bound = evacuation_bound,
+                                               .warm_up_slack = warm_up_slack},
                                               0);
         CHECK(started.has_value());
         running = std::make_unique<edge::edge_host>(std::move(started).value());
--- a/tests/store_stub/warm_up_owner_test.cpp
+++ b/tests/store_stub/warm_up_owner_test.cpp
@@ -94,3 +94,30 @@
     std::this_thread::sleep_for(3s);
     CHECK(is_released());
 }
+
+// Failure: with many hosts, those that own nothing refuse all new flows while upstreams start.
+TEST(warm_up_owner, hosts_of_the_data_centre_share_the_rate)
+{
+    test_host other;
+    store.put("config", "main", configuration_with_rate("5"));
+    for (auto* one : {&host, &other})
+    {
+        one->warm_up_slack = 3;
+        one->start(one == &host ? "edge-1" : "edge-2", store_address, {host.peers, other.peers});
+    }
+    CHECK(holds_within(start_bound, [&] { return host.version_in_force() == 1 && other.version_in_force() == 1; }));
+    // By then, each host has the other one's status.
+    std::this_thread::sleep_for(2s);
+    store.put("servers", "i-1", starting_registration(6'000));
+    const auto has_half = [](const test_host& one)
+    {
+        const auto known = one.state("servers");
+        return known && known->starting == std::vector<peers::starting_upstream>{{.id = "i-1", .share_rate = 2.5}};
+    };
+    CHECK(holds_within(start_bound, [&] { return has_half(host) && has_half(other); }));
+    const auto body = store.handle("GET", std::string{"/objects/"} + kind + "/" + object, "").body;
+    STRCMP_CONTAINS("\"shares\":[{", body.c_str());
+    STRCMP_CONTAINS("edge-1", body.c_str());
+    STRCMP_CONTAINS("edge-2", body.c_str());
+    CHECK(holds_within(8s, [&] { return is_released(); }));
+}
