--- a/tests/peers/peer_view_test.cpp
+++ b/tests/peers/peer_view_test.cpp
@@ -258,7 +258,9 @@
     }
     CHECK_FALSE(view.with_newer_configuration(7, random, at(0s)).has_value());
     std::vector<base::endpoint> asked;
-    for (int i = 0; i < 100; ++i)
+    constexpr int times = 100;
+    asked.reserve(times);
+    for (int i = 0; i < times; ++i)
     {
         asked.push_back(*view.with_newer_configuration(6, random, at(0s)));
     }
