--- a/include/galenabay/inspect/fleet_report.hpp
+++ b/include/galenabay/inspect/fleet_report.hpp
@@ -66,6 +66,10 @@
     /// New flows that it refused for lack of room while slots were free by the latest sums; empty when the host does
     /// not tell.
     std::optional<std::uint64_t> refused_with_free_slots{};
+    /// New flows a second that it may send to each starting upstream of which it has a share, and
+    /// the number of flows that it refused because of such rates since its process started.
+    std::map<std::string, double> share_rates{};
+    std::uint64_t limited_flows = 0;
 };
 
 /// A store and the hosts that it lists, as they were when they were read.
--- a/src/inspect/read_fleet.cpp
+++ b/src/inspect/read_fleet.cpp
@@ -146,6 +146,11 @@
         host.answer_times_failure = answer_times.error();
     }
     host.refused_with_free_slots = read_refusals(host.address);
+    for (const auto& one : upstreams.value().starting)
+    {
+        host.share_rates.emplace(one.id, one.share_rate);
+    }
+    host.limited_flows = upstreams.value().limited_flows;
     return host;
 }
 
--- a/tests/peers/peer_view_test.cpp
+++ b/tests/peers/peer_view_test.cpp
@@ -258,7 +258,9 @@
     }
     CHECK_FALSE(view.with_newer_configuration(7, random, at(0s)).has_value());
     std::vector<base::endpoint> asked;
-    for (int i = 0; i < 100; ++i)
+    constexpr int times = 100;
+    asked.reserve(times);
+    for (int i = 0; i < times; ++i)
     {
         asked.push_back(*view.with_newer_configuration(6, random, at(0s)));
     }
@@ -379,6 +381,20 @@
         }
     }
     CHECK(*std::min_element(first.begin(), first.end()) > 5);
+    // The others are listed in the same order.
+    const auto listed = views.front().ranked_for(7, host_count, at(100ms));
+    LONGS_EQUAL(host_count - 1, listed.size());
+    std::size_t last = 0;
+    for (const auto& one : listed)
+    {
+        const auto own =
+            std::find_if(views.begin() + 1, views.end(),
+                         [&](const peer_view& view) { return view.addresses_of({one}, at(100ms)).empty(); });
+        const auto rank = *own->rank_for(7, at(100ms));
+        CHECK(last == 0 || rank > last);
+        last = rank;
+    }
+    LONGS_EQUAL(2, views.front().ranked_for(7, 2, at(100ms)).size());
     views.front().set_leaving(true);
     CHECK_FALSE(views.front().rank_for(1, at(100ms)).has_value());
 }
