Let registrations expire in the soak only during an outage

Cause: a fault that leaves the store readable (slow, lost or late writes) replaced an outage that was in force. registrations_expired then removed the registrations from a store that hosts could read, up to 3.8 s before the upstreams registered again, so that hosts took them for gone and reset their flows.

Change: such a fault no longer ends an outage, and registrations are removed only while the store is unavailable.

--- a/tools/edge_soak/store_faults.cpp
+++ b/tools/edge_soak/store_faults.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstdio>
 #include <utility>
 
 namespace galenabay::edge_soak
@@ -22,6 +23,11 @@
 
 constexpr std::array unavailable{store_fault::busy, store_fault::limited, store_fault::silent, store_fault::reset};
 
+bool is_unavailable(store_fault fault)
+{
+    return std::find(unavailable.begin(), unavailable.end(), fault) != unavailable.end();
+}
+
 } // namespace
 
 std::string configuration_text(std::uint64_t version, std::size_t extra, bool starting_rate)
@@ -99,7 +105,12 @@
 
 void store_faults::disturb_all(double now, store_fault fault, double seconds)
 {
-    store_.set_fault(fault);
+    // A store that is slow or loses answers can be read, so such a fault does not end an outage: registrations may
+    // have expired in it, and hosts would find them missing until the upstreams register again.
+    if (is_unavailable(fault) || !is_unavailable(store_.fault()))
+    {
+        store_.set_fault(fault);
+    }
     for (std::size_t i = 0; i < hosts_.size(); ++i)
     {
         hosts_.disturb(i, now + seconds);
@@ -189,6 +200,11 @@
     schedule_.add(now + seconds / 2,
                   [this](double)
                   {
+                      if (!is_unavailable(store_.fault()))
+                      {
+                          std::printf("registrations_kept fault=store_available\n");
+                          return;
+                      }
                       for (const auto& name : store_.names("servers"))
                       {
                           store_.remove("servers", name);
