Keep flows open that were opened by the token of an earlier incarnation

Cause: an upstream that restarts under its id and address listens again before all hosts know of it. A host that does not know writes the token of the earlier incarnation into a SYN.

Change: an ended incarnation has a successor if the id, service, number and address are the same. A host resets the flows that were certainly open on the earlier incarnation, as before, and still does so when the caller sends again.

No existing test was changed.

--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -304,10 +304,21 @@
     bool has_unconfirmed_failures(const upstream_incarnation& upstream, base::time_point now) const;
     /// Returns true when at least as many upstreams answered after `since` as are avoided.
     bool do_most_upstreams_answer(base::time_point since, base::time_point now);
-    /// Removes the upstream's flows and appends to `resets` the open ones that were seen
-    /// established on it.
-    void reset_flows(const upstream_incarnation& ended, steering_reason reason, std::vector<lost_flow>& resets,
-                     base::time_point now);
+    /// Removes the flows of an upstream that does not answer, and appends to `resets` the open ones that
+    /// were seen established on it.
+    void reset_flows(const upstream_incarnation& silent, std::vector<lost_flow>& resets, base::time_point now);
+    /// Does the same for an incarnation that has ended. Flows that may be open on its successor, since
+    /// this host learnt of the restart late, continue there: the successor resets those that it does
+    /// not have.
+    void end_flows(const upstream_incarnation& ended, std::vector<lost_flow>& resets, base::time_point now);
+    /// Returns the latest time at which a flow was certainly opened on the ended incarnation, not on
+    /// its successor.
+    base::time_point find_last_opened(const upstream_incarnation& ended, base::time_point now);
+    /// Returns the upstream that takes a packet by the token of an ended incarnation; null when the
+    /// flow must be reset. Another host may have opened the flow on the successor by the earlier
+    /// token, before it learnt of the restart. `flow`: what this host knows of it, or null.
+    upstream_incarnation* find_continuation(const upstream_incarnation& ended, const flow_state* flow,
+                                            base::time_point now);
     /// Collects the changes, and the resets for flows of upstreams that ended by them.
     outcome process_changes(std::vector<upstream_registry::change> changes, base::time_point now);
     /// Records a change in the history of restarts. Adds it to the relapses of `effects` when it is one.
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -48,6 +48,8 @@
     /// No flow of this incarnation can continue.
     bool ended = false;
     base::time_point ended_at{};
+    /// The next incarnation of the same id, service, number and address; 0 when there is none.
+    upstream_token successor = 0;
 
     /// Part of `upstream_registry::digest`; 0 while the upstream is not listed.
     std::uint64_t digest_part = 0;
@@ -154,7 +156,7 @@
                                     base::time_point now);
     /// Records that the store could not be read: registrations may expire although their
     /// upstreams are alive.
-    void store_failed(base::time_point now) { store_failed_at_ = now; }
+    void store_failed(base::time_point now);
 
     /// Ends incarnations that were missing for `missing_grace` and removes ended ones
     /// after `retention`. Returns those that it ended and those that took their place.
@@ -162,11 +164,17 @@
 
     /// Returns null when no incarnation has the token.
     upstream_incarnation* find(upstream_token token);
+    /// Returns the incarnation that listens where an ended one did, under its number; null when
+    /// none does, as far as is known.
+    upstream_incarnation* find_successor(const upstream_incarnation& ended);
     /// Returns the incarnations of a service that have not ended.
     const std::vector<upstream_incarnation*>& of_service(const std::string& service) const;
 
     /// Returns true when no read of the store failed for `missing_grace`.
     bool is_store_settled(base::time_point now) const;
+    /// Returns since when changes of the store may have been missed because it could not be read;
+    /// `now` when it is settled.
+    base::time_point unsettled_since(base::time_point now) const;
     /// Returns true when the registration went missing shortly after the store failed, so
     /// that it may have expired although the upstream is alive.
     bool may_have_expired(const upstream_incarnation& incarnation) const;
@@ -236,6 +244,8 @@
     void replace_with_earlier_starts(std::vector<change>& changes, base::time_point now);
     change mark_missing(upstream_incarnation& incarnation, base::time_point now);
     void end(upstream_incarnation& incarnation, base::time_point now);
+    /// Records that `next` follows `ended`, if it has the same service, number and address.
+    static void link(upstream_incarnation& ended, const upstream_incarnation& next);
     void update(upstream_incarnation& incarnation, const upstream_entry& entry, base::time_point now);
     /// Brings the digest up to date after the incarnation changed.
     void update_digest(upstream_incarnation& incarnation);
@@ -250,6 +260,8 @@
     /// Revision of the latest complete list: what it does not contain was gone by then.
     store_revision listed_at_;
     std::optional<base::time_point> store_failed_at_;
+    /// The first of the failures that ended with the latest one.
+    base::time_point store_failing_since_{};
     std::uint64_t outdated_count_ = 0;
     /// Sum of `digest_part` of all incarnations.
     std::uint64_t digest_sum_ = 0;
--- a/src/steer/flow_table.hpp
+++ b/src/steer/flow_table.hpp
@@ -24,6 +24,11 @@
     /// Time from the SYN to the packet that showed its answer; 0 when this host did not see both.
     std::uint32_t round_trip_us = 0;
     base::time_point last_seen{};
+    /// When this host saw the flow's SYN, or its first packet when the SYN went through another host.
+    base::time_point opened_at{};
+    /// When the newest request was sent that the upstream has answered since, as far as is certain:
+    /// the upstream ran then, or later.
+    base::time_point answered_request_at{};
     /// When this host first saw the caller's newest data.
     base::time_point sent_at{};
     /// Sequence number of the caller's newest data.
@@ -42,6 +47,10 @@
     bool established = false;
     /// The caller sent data that the upstream has not answered yet.
     bool waiting = false;
+    /// The caller sent new data while it waited, so that it is unknown to what an answer belongs.
+    bool pipelined = false;
+    /// The flow was reset because its upstream's incarnation has ended.
+    bool was_reset = false;
     /// The caller closed its side; the flow no longer counts as load.
     bool closing = false;
 };
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -131,62 +131,6 @@
     return process_changes({registry_.remove(id, revision, now)}, now);
 }
 
-steerer::outcome steerer::process_changes(std::vector<upstream_registry::change> changes, base::time_point now)
-{
-    outcome effects;
-    for (const auto& change : changes)
-    {
-        if (change.kind == upstream_change::none)
-        {
-            continue;
-        }
-        effects.changes.push_back(change);
-        record_restart(change, effects, now);
-        if (change.kind == upstream_change::ended)
-        {
-            reset_flows(*change.incarnation, steering_reason::upstream_ended, effects.resets, now);
-        }
-    }
-    // A restart ends the earlier incarnation, which has no change of its own.
-    if (std::any_of(changes.begin(), changes.end(),
-                    [](const auto& change) { return change.kind == upstream_change::restarted; }))
-    {
-        registry_.for_each(
-            [&](const upstream_incarnation& incarnation)
-            {
-                if (incarnation.ended && incarnation.flows > 0)
-                {
-                    reset_flows(incarnation, steering_reason::upstream_ended, effects.resets, now);
-                }
-            });
-    }
-    return effects;
-}
-
-void steerer::reset_flows(const upstream_incarnation& ended, steering_reason reason, std::vector<lost_flow>& resets,
-                          base::time_point now)
-{
-    flows_->erase_if(
-        [&](const flow_key& key, flow_state& flow)
-        {
-            if (flow.token != ended.token)
-            {
-                return false;
-            }
-            // A flow of which only the SYN was seen may have opened on another upstream through
-            // another host; its caller retransmits the SYN if it did not.
-            if (flow.established && !flow.closing)
-            {
-                resets.push_back({.reset = {.flow = key, .sequence = flow.acknowledged},
-                                  .token = ended.token,
-                                  .reason = reason,
-                                  .waited = flow.waiting ? now - flow.sent_at : base::duration{0}});
-            }
-            release(flow);
-            return true;
-        });
-}
-
 void steerer::release(flow_state& flow)
 {
     auto* upstream = registry_.find(flow.token);
@@ -223,14 +167,13 @@
     auto* flow = flows_->find(header.flow);
     if (upstream->ended)
     {
-        if (flow != nullptr)
+        upstream = find_continuation(*upstream, flow, now);
+        if (upstream == nullptr)
         {
-            release(*flow);
-            flows_->erase(header.flow);
+            return reset(header, steering_reason::upstream_ended);
         }
-        return reset(header, steering_reason::upstream_ended);
     }
-    if (flow != nullptr && flow->token != header.token)
+    if (flow != nullptr && (flow->token != upstream->token || flow->was_reset))
     {
         release(*flow);
         flows_->erase(header.flow);
@@ -242,8 +185,9 @@
         if (flow != nullptr)
         {
             // Its earlier requests went through other hosts.
-            *flow = {.token = header.token,
+            *flow = {.token = upstream->token,
                      .last_seen = now,
+                     .opened_at = now,
                      .acknowledged = header.acknowledged,
                      .requests = 1,
                      .established = true};
@@ -274,6 +218,7 @@
         if (flow.waiting)
         {
             answer_times_->on_answer(flow, upstream, now);
+            flow.answered_request_at = flow.pipelined ? flow.answered_request_at : flow.sent_at;
             flow.waiting = false;
             --upstream.open_requests;
         }
@@ -294,6 +239,7 @@
         flow.answer_start = header.acknowledged;
         flow.sent_at = now;
         flow.retransmissions = 0;
+        flow.pipelined = flow.waiting;
         if (!flow.waiting)
         {
             flow.waiting = true;
@@ -347,6 +293,11 @@
     }
     const auto& service = *route.service;
     auto* known = flows_->find(header.flow);
+    if (known != nullptr && known->was_reset)
+    {
+        flows_->erase(header.flow);
+        known = nullptr;
+    }
     auto* tried = known != nullptr && !known->established ? registry_.find(known->token) : nullptr;
     if (tried != nullptr)
     {
@@ -405,7 +356,7 @@
     {
         return;
     }
-    *flow = {.token = chosen.token, .last_seen = now};
+    *flow = {.token = chosen.token, .last_seen = now, .opened_at = now};
     ++chosen.flows;
     unanswered_syns_->push({.flow = header.flow, .token = chosen.token, .sent_at = now});
 }
--- a/src/steer/steerer_failure_detection.cpp
+++ b/src/steer/steerer_failure_detection.cpp
@@ -153,7 +153,7 @@
     }
     mark_silent(upstream, now, options_.avoid_time);
     ++silence_count_;
-    reset_flows(upstream, steering_reason::upstream_silent, resets, now);
+    reset_flows(upstream, resets, now);
 }
 
 steerer::outcome steerer::check_votes(base::time_point now)
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -115,6 +115,15 @@
     return true;
 }
 
+void upstream_registry::store_failed(base::time_point now)
+{
+    if (is_store_settled(now))
+    {
+        store_failing_since_ = now;
+    }
+    store_failed_at_ = now;
+}
+
 void upstream_registry::observe_epoch(std::uint64_t epoch, base::time_point now)
 {
     if (epoch <= epoch_)
@@ -148,6 +157,7 @@
         return {};
     }
     auto kind = upstream_change::added;
+    upstream_incarnation* earlier = nullptr;
     if (const auto known = by_id_.find(entry.id); known != by_id_.end())
     {
         auto& current = *known->second;
@@ -167,6 +177,7 @@
         }
         end(current, now);
         kind = upstream_change::restarted;
+        earlier = &current;
     }
     const auto token = token_of(entry);
     auto& slot = by_token_[token];
@@ -184,7 +195,12 @@
         slot->warm_at = base::time_point::max();
     }
     slot->ended = false;
+    slot->successor = 0;
     update(*slot, entry, now);
+    if (earlier != nullptr)
+    {
+        link(*earlier, *slot);
+    }
     by_id_[entry.id] = slot.get();
     by_service_[entry.service].push_back(slot.get());
     return {kind, slot.get()};
@@ -270,6 +286,14 @@
     by_id_.erase(incarnation.entry.id);
 }
 
+void upstream_registry::link(upstream_incarnation& ended, const upstream_incarnation& next)
+{
+    const bool is_in_place = ended.token != next.token && ended.entry.id == next.entry.id &&
+                             ended.entry.service == next.entry.service && ended.entry.number == next.entry.number &&
+                             ended.entry.address == next.entry.address;
+    ended.successor = is_in_place ? next.token : 0;
+}
+
 std::vector<upstream_registry::change> upstream_registry::expire(base::time_point now)
 {
     std::vector<change> changes;
@@ -310,12 +334,19 @@
         }
         const auto entry = std::move(row->second.entry);
         row = earlier_starts_.erase(row);
+        upstream_incarnation* replaced = nullptr;
         if (const auto known = by_id_.find(entry.id); known != by_id_.end())
         {
-            changes.push_back({upstream_change::ended, known->second});
-            end(*known->second, now);
+            replaced = known->second;
+            changes.push_back({upstream_change::ended, replaced});
+            end(*replaced, now);
         }
-        changes.push_back(put(entry, now));
+        const auto added = put(entry, now);
+        if (replaced != nullptr && added.incarnation != nullptr)
+        {
+            link(*replaced, *added.incarnation);
+        }
+        changes.push_back(added);
     }
 }
 
@@ -325,6 +356,17 @@
     return known == by_token_.end() ? nullptr : known->second.get();
 }
 
+upstream_incarnation* upstream_registry::find_successor(const upstream_incarnation& ended)
+{
+    // An incarnation that is in use again has no successor, so the chain has no cycle.
+    auto* next = ended.successor == 0 ? nullptr : find(ended.successor);
+    while (next != nullptr && next->ended)
+    {
+        next = next->successor == 0 ? nullptr : find(next->successor);
+    }
+    return next;
+}
+
 const std::vector<upstream_incarnation*>& upstream_registry::of_service(const std::string& service) const
 {
     static const std::vector<upstream_incarnation*> none;
@@ -351,6 +393,11 @@
     return !store_failed_at_ || now - *store_failed_at_ >= limits_.missing_grace;
 }
 
+base::time_point upstream_registry::unsettled_since(base::time_point now) const
+{
+    return is_store_settled(now) ? now : store_failing_since_;
+}
+
 bool upstream_registry::may_have_expired(const upstream_incarnation& incarnation) const
 {
     return incarnation.missing_since && store_failed_at_ &&
