Test that a late acknowledgement does not count a flow to the ended incarnation

Cause: two conditions of restarted_upstream could be taken out without a failing test. Change: a sixth test, in which a caller acknowledges an answer after its upstream has restarted, and a flow of the new incarnation has an answered request. Seven conditions taken out in turn (chain of answered requests, time of the request, lost reset, same place, outage of the store, lone host, flows that may continue): at least one test red each.

--- a/tests/steer/restarted_upstream_test.cpp
+++ b/tests/steer/restarted_upstream_test.cpp
@@ -21,7 +21,7 @@
     }
 
     /// A flow that sends a request through `host` each 200 ms in a time, and gets its answer.
-    void use(test_host& host, std::uint16_t port, std::chrono::milliseconds from, std::chrono::milliseconds until)
+    void use(test_host & host, std::uint16_t port, std::chrono::milliseconds from, std::chrono::milliseconds until)
     {
         for (auto now = from; now < until; now += 200ms)
         {
@@ -75,6 +75,24 @@
     check_action(steering_action::forward, late.core.on_packet(syn(2), at(20'700ms)));
 }
 
+// A caller acknowledges an answer with its next request, so that the earlier incarnation seems to
+// answer after its end; a flow that was opened on the new one by then was taken for one of before.
+TEST(restarted_upstream, a_late_acknowledgement_does_not_count_flows_to_the_earlier_incarnation)
+{
+    use(late, 1, 100ms, 19s);
+    late.run_until(19'100ms);
+    // The request is sent twice, or the host would take it for abandoned.
+    late.core.on_packet(data(1, token_of(before), 18'900, 18'900), at(19'100ms));
+    late.run_until(20'300ms);
+    late.core.on_packet(syn(2), at(20'300ms));
+    late.core.on_packet(data(2, token_of(before), 1, 500), at(20'400ms));
+    late.core.on_packet(data(2, token_of(before), 101, 600), at(20'450ms));
+    late.core.on_packet(data(1, token_of(before), 20'500, 20'500), at(20'500ms));
+    const auto effects = late.core.on_upstream(after, at(21s));
+    LONGS_EQUAL(1, effects.resets.size());
+    LONGS_EQUAL(1, effects.resets.front().reset.flow.caller_port);
+}
+
 // Failure: as in the first test, while the store could not be read for longer than a restart takes
 // to become known otherwise.
 TEST(restarted_upstream, a_flow_that_was_opened_while_the_store_was_away_continues)
