--- a/src/steer/flow_table.hpp
+++ b/src/steer/flow_table.hpp
@@ -77,6 +77,15 @@
     void erase(const flow_key& key) { flows_.erase(key); }
     std::size_t size() const noexcept { return flows_.size(); }
 
+    /// Calls `visit(state)` with each flow.
+    template <typename Visitor> void for_each(Visitor visit) const
+    {
+        for (const auto& [key, state] : flows_)
+        {
+            visit(state);
+        }
+    }
+
     /// Removes the flows for which `decide(key, state)` is true.
     template <typename Decision> void erase_if(Decision decide)
     {
--- a/src/steer/steerer_ended_flows.cpp
+++ b/src/steer/steerer_ended_flows.cpp
@@ -124,14 +124,13 @@
 base::time_point steerer::find_last_opened(const upstream_incarnation& ended, base::time_point now)
 {
     std::vector<std::pair<base::time_point, base::time_point>> flows;
-    flows_->erase_if(
-        [&](const flow_key&, const flow_state& flow)
+    flows_->for_each(
+        [&](const flow_state& flow)
         {
             if (flow.token == ended.token && flow.established)
             {
                 flows.emplace_back(flow.opened_at, flow.answered_request_at);
             }
-            return false;
         });
     std::sort(flows.begin(), flows.end());
     const auto is_alone = peer_count_ == 0 && registry_.is_store_settled(now);
