End the flows of an upstream that another token or service replaces

An upstream that restarted with a token that another upstream has in use was ended without a change, so its flows got no reset (two tokens of 32 bits are equal by chance). A registration that keeps id and start time and names another service took over the token: open flows then reached the other service. Both now end the earlier incarnation as a change, which resets its flows; the new registration gets no flows while the token is in use.

two_upstreams_with_one_token_do_not_share_flows expected the other service to take over the token. It now expects that open flows are reset and that no packet reaches the other service.

--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -148,6 +148,7 @@
         return {};
     }
     auto kind = upstream_change::added;
+    upstream_incarnation* replaced = nullptr;
     if (const auto known = by_id_.find(entry.id); known != by_id_.end())
     {
         auto& current = *known->second;
@@ -166,15 +167,16 @@
             return {upstream_change::none, &current};
         }
         end(current, now);
+        replaced = &current;
         kind = upstream_change::restarted;
     }
     const auto token = token_of(entry);
     auto& slot = by_token_[token];
-    if (slot && (!slot->ended || slot->entry.id != entry.id))
+    if (slot && (!slot->ended || slot->entry.id != entry.id || slot->entry.service != entry.service))
     {
         // With two upstreams of one token, packets could reach the wrong one, so the
         // later one gets no flows.
-        return {upstream_change::none, nullptr};
+        return replaced == nullptr ? change{} : change{upstream_change::ended, replaced};
     }
     if (!slot)
     {
--- a/tests/steer/steerer_test.cpp
+++ b/tests/steer/steerer_test.cpp
@@ -239,14 +239,31 @@
     CHECK(fresh.is_ready());
 }
 
+// Failure: packets of a flow whose token two services have reach the other service.
 TEST(steerer, two_upstreams_with_one_token_do_not_share_flows)
 {
     // Equal ids and start times give equal tokens, also for different services.
     const auto first = make_upstream("i-1", 1);
     test_host host{{first}};
-    auto other = make_upstream("i-1", 1, 1000, "other");
-    host.core.on_upstream(other, at(1s));
-    const auto* known = host.core.registry().find(token_of(first));
-    STRCMP_EQUAL("other", known->entry.service.c_str());
+    host.core.on_packet(data(1, token_of(first), 1, 5), at(0s));
+    const auto effects = host.core.on_upstream(make_upstream("i-1", 1, 1000, "other"), at(1s));
+    LONGS_EQUAL(1, effects.resets.size());
+    CHECK(host.core.registry().find(token_of(first))->ended);
+    check_reason(steering_reason::upstream_ended, host.core.on_packet(data(2, token_of(first), 1, 5), at(1s)));
     check_reason(steering_reason::no_upstream, host.core.on_packet(syn(1), at(1s)));
 }
+
+// Failure: flows of an earlier incarnation got no reset when the token of the next one was in use already.
+TEST(steerer, a_restart_with_a_token_in_use_ends_the_flows_of_the_earlier_incarnation)
+{
+    const auto other = make_upstream("i-25636", 1);
+    const auto restarted = make_upstream("i-193647", 2);
+    LONGS_EQUAL(token_of(other), token_of(restarted));
+    const auto earlier = make_upstream("i-193647", 2, 999);
+    test_host host{{other, earlier}};
+    host.core.on_packet(data(1, token_of(earlier), 1, 5), at(0s));
+    const auto effects = host.core.on_upstream(restarted, at(1s));
+    LONGS_EQUAL(1, effects.resets.size());
+    LONGS_EQUAL(token_of(earlier), effects.resets.front().token);
+    check_reason(steering_reason::upstream_ended, host.core.on_packet(data(1, token_of(earlier), 1, 5), at(1s)));
+}
