Keep threads and updates when a step fails with an exception

Causes: the log line about a shortage of memory finds no memory either, and the exception then left the guarded step, the loop of the status server, or the log thread, and ended the process. An update of the store that the packet thread had taken from its ring, or that the store thread had read, was lost when its use threw: the watch went on behind it.

A store thread lists again after a failed step, with its usual pauses, and counts as unable to read the store.

Not covered: a shortage that hits the log library inside the log thread, whose destructor does not throw.

--- a/include/galenabay/base/ring.hpp
+++ b/include/galenabay/base/ring.hpp
@@ -33,6 +33,19 @@
     /// Consumer only. False when the ring is empty.
     bool pop(T& element) { return queue_.pop(element); }
 
+    /// Consumer only. Calls `use` with the oldest element and removes the element when `use`
+    /// returns; after an exception it is still queued. False when the ring is empty.
+    template <typename Use> bool use_first(Use use)
+    {
+        if (queue_.read_available() == 0)
+        {
+            return false;
+        }
+        use(std::as_const(queue_.front()));
+        queue_.pop();
+        return true;
+    }
+
     /// Returns the number of queued elements; an estimate when called from a third thread.
     std::size_t size() const { return queue_.read_available(); }
     std::size_t capacity() const noexcept { return capacity_; }
--- a/include/galenabay/base/standard_error.hpp
+++ b/include/galenabay/base/standard_error.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <string>
+#include <string_view>
 
 namespace galenabay::base
 {
 
 /// Writes a line to standard error, unless that would wait for its reader. A longer text than a pipe takes at once is
-/// cut off.
-void print_to_standard_error(const std::string& line);
+/// cut off. Takes no memory.
+void print_to_standard_error(std::string_view line);
 
 } // namespace galenabay::base
--- a/src/base/log_queue.cpp
+++ b/src/base/log_queue.cpp
@@ -1,5 +1,7 @@
 #include "log_queue.hpp"
 
+#include <exception>
+#include <new>
 #include <utility>
 
 namespace galenabay::base
@@ -31,7 +33,15 @@
             return;
         }
         was_empty = lines_.empty();
-        lines_.push_back(std::move(line));
+        try
+        {
+            lines_.push_back(std::move(line));
+        }
+        catch (const std::bad_alloc&)
+        {
+            ++dropped_;
+            return;
+        }
     }
     if (was_empty)
     {
@@ -47,6 +57,7 @@
 
 void log_queue::run()
 {
+    std::deque<std::string> batch;
     std::unique_lock lock{mutex_};
     while (true)
     {
@@ -55,22 +66,41 @@
         {
             return;
         }
-        auto batch = std::exchange(lines_, {});
+        std::swap(batch, lines_);
         const auto dropped = std::exchange(dropped_, 0);
         writing_ = true;
         lock.unlock();
+        const auto lost = write_all(batch, dropped);
+        batch.clear();
+        lock.lock();
+        dropped_ += lost;
+        writing_ = false;
+        drained_.notify_all();
+    }
+}
+
+std::uint64_t log_queue::write_all(const std::deque<std::string>& lines, std::uint64_t dropped) const
+{
+    // Of all lines, with one about those that were dropped before.
+    std::uint64_t left = lines.size() + dropped;
+    try
+    {
         if (dropped > 0)
         {
             write_("level=warning event=log_lines_left_out count=" + std::to_string(dropped));
+            left -= dropped;
         }
-        for (const auto& line : batch)
+        for (const auto& line : lines)
         {
             write_(line);
+            --left;
         }
-        lock.lock();
-        writing_ = false;
-        drained_.notify_all();
     }
+    catch (const std::exception&)
+    {
+        // The next line that is written is preceded by one with their number.
+    }
+    return left;
 }
 
 } // namespace galenabay::base
--- a/src/base/log_queue.hpp
+++ b/src/base/log_queue.hpp
@@ -26,8 +26,8 @@
     /// Writes the queued lines and joins the thread.
     ~log_queue();
 
-    /// Queues a line. Drops it when the queue is full; the next line that is written is preceded by one with the number
-    /// of dropped lines.
+    /// Queues a line. Drops it when the queue is full or memory is short; the next line that is written is preceded by
+    /// one with the number of dropped lines.
     void push(std::string line);
 
     /// Waits until everything is written, at most `limit`.
@@ -35,6 +35,9 @@
 
 private:
     void run();
+    /// Writes a line about `dropped` lines, if there were any, and `lines`. Returns the number of lines that were lost
+    /// because a write failed with an exception.
+    std::uint64_t write_all(const std::deque<std::string>& lines, std::uint64_t dropped) const;
 
     std::function<void(const std::string&)> write_;
     std::mutex mutex_;
--- a/src/base/standard_error.cpp
+++ b/src/base/standard_error.cpp
@@ -9,7 +9,7 @@
 namespace galenabay::base
 {
 
-void print_to_standard_error(const std::string& line)
+void print_to_standard_error(std::string_view line)
 {
     // A pipe that is ready takes at least PIPE_BUF bytes.
     pollfd output{STDERR_FILENO, POLLOUT, 0};
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -145,6 +145,8 @@
     std::array<update_ring, adapter::object_kind_count> updates_{update_ring{ring_capacity}, update_ring{ring_capacity},
                                                                  update_ring{ring_capacity}, update_ring{ring_capacity},
                                                                  update_ring{ring_capacity}};
+    /// Attempts to apply the oldest update of the ring that is being emptied.
+    int apply_attempts_ = 0;
     peer_link peers_;
     bool collects_ = false;
     /// Data centres are evacuated on this deployment.
--- a/src/edge/packet_worker_updates.cpp
+++ b/src/edge/packet_worker_updates.cpp
@@ -15,14 +15,29 @@
 using base::log_event;
 using base::log_level;
 
+/// Attempts to apply an update that ends with an exception. Packets wait meanwhile, so that
+/// there are few; a shortage of memory may have passed at the next one.
+constexpr int max_apply_attempts = 3;
+
 } // namespace
 
 void packet_worker::apply_queued(update_ring& ring)
 {
-    std::shared_ptr<const store_update> update;
-    while (ring.pop(update))
+    const auto apply_first = [this](const std::shared_ptr<const store_update>& update)
+    {
+        if (apply_attempts_++ < max_apply_attempts)
+        {
+            apply(*update);
+        }
+        else
+        {
+            log_event{log_level::error, "update_given_up"}.with("kind", adapter::name_of(update->objects_of));
+            state_.request_list(update->objects_of);
+        }
+        apply_attempts_ = 0;
+    };
+    while (ring.use_first(apply_first))
     {
-        apply(*update);
     }
 }
 
--- a/src/edge/registration_worker.cpp
+++ b/src/edge/registration_worker.cpp
@@ -39,7 +39,10 @@
 {
     while (!state_.stopping())
     {
-        run_guarded("registration", metrics_.thread_failures, [this] { run_step(); });
+        if (!run_guarded("registration", metrics_.thread_failures, [this] { run_step(); }))
+        {
+            schedule_.on_failed(base::steady_now());
+        }
     }
 }
 
--- a/src/edge/shared_state.hpp
+++ b/src/edge/shared_state.hpp
@@ -77,6 +77,10 @@
         }
         changed_.notify_all();
     }
+    /// Requests a new list of a kind from the store, because an update could not be applied.
+    void request_list(adapter::object_kind kind) { list_requested_[index(kind)].store(true); }
+    /// Takes the request for a list, so that each one is served once.
+    bool take_list_request(adapter::object_kind kind) { return list_requested_[index(kind)].exchange(false); }
     /// Takes the host of the last read request, so that each request is served once.
     std::optional<base::endpoint> take_read_request(adapter::object_kind kind)
     {
@@ -153,6 +157,7 @@
 
     std::atomic<bool> stop_{false};
     std::array<std::atomic<bool>, kind_count> store_reachable_{};
+    std::array<std::atomic<bool>, kind_count> list_requested_{};
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::array<std::optional<base::endpoint>, kind_count> newer_peers_{};
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -68,12 +68,21 @@
 {
     while (!state_.stopping())
     {
-        run_guarded(name_of(kind_), metrics_.thread_failures, [this] { run_step(); });
+        if (!run_guarded(name_of(kind_), metrics_.thread_failures, [this] { run_step(); }))
+        {
+            // What the step had read may be lost; a list contains it.
+            watch_.on_failure(base::error_code::malformed, base::steady_now());
+            state_.store_reachable(kind_).store(false);
+        }
     }
 }
 
 void store_worker::run_step()
 {
+    if (state_.take_list_request(kind_))
+    {
+        watch_.on_incomplete_changes(base::steady_now());
+    }
     const auto call = watch_.next();
     const bool follows = !watch_.has_list() || state_.follows.load();
     // A store that has returned from an older copy lacks an accepted configuration until the
--- a/src/net/status_server.cpp
+++ b/src/net/status_server.cpp
@@ -4,6 +4,7 @@
 #include "status_connection.hpp"
 
 #include <galenabay/base/log.hpp>
+#include <galenabay/base/standard_error.hpp>
 #include <galenabay/base/steady_clock.hpp>
 #include <galenabay/base/token_bucket.hpp>
 
@@ -18,6 +19,7 @@
 #include <exception>
 #include <limits>
 #include <optional>
+#include <string_view>
 #include <system_error>
 #include <thread>
 #include <utility>
@@ -273,16 +275,25 @@
     }
 
     /// Logs at a bounded rate.
-    void report(const char* event, const std::string& detail)
+    void report(const char* event, std::string_view detail)
     {
-        if (lines_.take(base::steady_now()))
+        if (!lines_.take(base::steady_now()))
+        {
+            return;
+        }
+        const auto left_out = lines_.refused() - std::exchange(reported_, lines_.refused());
+        try
         {
-            const auto left_out = lines_.refused() - std::exchange(reported_, lines_.refused());
             log_event{log_level::warning, event}
                 .with("server", name_)
                 .with("detail", detail)
                 .with("left_out", left_out);
         }
+        catch (const std::exception&)
+        {
+            // The memory whose shortage is reported may be missing for the log line, too.
+            base::print_to_standard_error("level=warning event=status_failed detail=\"no memory for the log line\"\n");
+        }
     }
 
     std::string name_;
--- a/tests/base/log_queue_test.cpp
+++ b/tests/base/log_queue_test.cpp
@@ -5,6 +5,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <CppUTest/TestMemoryAllocator.h>
+
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -59,3 +62,40 @@
     }
     CHECK(counted);
 }
+
+// Failure: a log line without memory, or whose write threw, ended the process.
+TEST(log_queue, lines_without_memory_or_whose_write_fails_are_counted)
+{
+    std::promise<void> release;
+    auto released = release.get_future().share();
+    std::promise<void> begun;
+    std::vector<std::string> written;
+    {
+        base::log_queue queue{[&](const std::string& line)
+                              {
+                                  if (line == "throws")
+                                  {
+                                      begun.set_value();
+                                      released.wait();
+                                      throw std::runtime_error{line};
+                                  }
+                                  written.push_back(line);
+                              }};
+        queue.push("throws");
+        begun.get_future().wait();
+        setCurrentNewAllocator(NullUnknownAllocator::defaultAllocator());
+        for (std::size_t i = 0; i < base::log_queue::max_lines; ++i)
+        {
+            queue.push({});
+        }
+        setCurrentNewAllocatorToDefault();
+        release.set_value();
+        queue.flush(10s);
+        queue.push("last");
+        queue.flush(10s);
+    }
+    STRCMP_EQUAL("last", written.back().c_str());
+    // In front of the lines for which there was memory.
+    STRCMP_CONTAINS("log_lines_left_out", written.front().c_str());
+    CHECK(written.size() < base::log_queue::max_lines);
+}
--- a/tests/edge/guarded_step_test.cpp
+++ b/tests/edge/guarded_step_test.cpp
@@ -3,7 +3,9 @@
 #include <CppUTest/TestHarness.h>
 
 #include <CppUTest/MemoryLeakWarningPlugin.h>
+#include <CppUTest/TestMemoryAllocator.h>
 
+#include <new>
 #include <stdexcept>
 
 using namespace galenabay::edge;
@@ -20,3 +22,14 @@
     run_guarded("test", failures, [] {});
     DOUBLES_EQUAL(1.0, failures.Value(), 0.0);
 }
+
+// Failure: a shortage of memory ended the process, since the log line about it found no memory either.
+TEST(guarded_step, a_shortage_of_memory_does_not_leave_the_step)
+{
+    prometheus::Counter failures;
+    setCurrentNewAllocator(NullUnknownAllocator::defaultAllocator());
+    const bool completed = run_guarded("test", failures, [] { throw std::bad_alloc{}; });
+    setCurrentNewAllocatorToDefault();
+    CHECK_FALSE(completed);
+    DOUBLES_EQUAL(1.0, failures.Value(), 0.0);
+}
