Refuse a response body that stops at the time limit

The library's stream keeps the exception of a read that failed and ends as if the body were whole. A body with a Content-Length was compared with it; one without a length or in chunks was returned as whole. Both are now a time-out.

http_session.an_answer_of_unknown_length_that_stops_is_a_failure failed first (no length). message_codec.a_state_that_is_broken_off… passes without a change: no part of another host's state decodes.

--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -44,6 +44,11 @@
                                      "the response body exceeds the size limit of the request");
         }
     }
+    // The stream keeps the exception of a read that failed, such as one for the time limit.
+    if (stream.bad())
+    {
+        return base::error::make(error_code::timeout, request.step, peer, "the response body stopped before its end");
+    }
     return body;
 }
 
--- a/tests/net/http_session_test.cpp
+++ b/tests/net/http_session_test.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <functional>
 #include <string>
@@ -163,6 +164,18 @@
     return whole.substr(0, whole.size() - 3);
 }
 
+/// Parts of answers, after the status line: without a length, in chunks and with a length.
+constexpr std::array<const char*, 3> stopped_answers{"\r\n[1", "Transfer-Encoding: chunked\r\n\r\n5\r\n[1",
+                                                     "Content-Length: 9\r\n\r\n[1"};
+
+/// Calls a server that sends `rest` and then nothing.
+base::result<net::http_response> get_stopped(const char* rest)
+{
+    const answering_server server{[&](int) { return "HTTP/1.1 200 OK\r\n" + std::string{rest}; }};
+    auto session = net::http_session::make(server.address(), 500ms);
+    return get(session);
+}
+
 /// The library keeps buffers and its first exceptions' state; calls fail here once before the
 /// first test, whose leak check would report them.
 [[maybe_unused]] const bool warmed_up = []
@@ -171,6 +184,7 @@
     const answering_server silent{[](int) { return std::string{}; }};
     auto session = net::http_session::make(server.address(), 500ms);
     auto other = net::http_session::make(silent.address(), 500ms);
+    std::for_each(stopped_answers.begin(), stopped_answers.end(), get_stopped);
     return get(session).has_value() || get(other).has_value();
 }();
 
@@ -201,6 +215,17 @@
     CHECK(answer.error().code() == base::error_code::timeout);
 }
 
+// Failure: the part of an answer that had arrived at the time limit was returned as a whole answer.
+TEST(http_session, an_answer_of_unknown_length_that_stops_is_a_failure)
+{
+    for (const auto* rest : stopped_answers)
+    {
+        const auto answer = get_stopped(rest);
+        CHECK_FALSE(answer.has_value());
+        CHECK(answer.error().code() == base::error_code::timeout);
+    }
+}
+
 TEST(http_session, a_connection_that_ends_without_an_answer_is_a_failure)
 {
     const answering_server server{[](int) { return std::string{}; }};
--- a/tests/peers/message_codec_test.cpp
+++ b/tests/peers/message_codec_test.cpp
@@ -164,6 +164,19 @@
     CHECK_FALSE(decode_state("").has_value());
 }
 
+// Failure: a part of another host's state, received without a length, was taken for a state with fewer upstreams.
+TEST(message_codec, a_state_that_is_broken_off_is_never_taken_for_a_whole_one)
+{
+    edge_state state;
+    state.configuration.version = 7;
+    state.upstreams.entries = {make_entry("i-1"), make_entry("i-2")};
+    const auto encoded = encode(state);
+    for (std::size_t size = 0; size < encoded.size(); ++size)
+    {
+        CHECK_FALSE(decode_state(encoded.substr(0, size)).has_value());
+    }
+}
+
 // Failure: a registration without a number, from another host, ended the process at the first
 // packet that was steered to it.
 TEST(message_codec, leaves_out_unusable_registrations_of_other_hosts)
