Steer the packets that are in the socket when a planned stop ends

The process ended without the packets that had reached its socket since the last batch; under load, and where routers still send here when the stop bound is near, these are SYNs that were just accepted, and their callers wait for a retransmission. The packet thread now steers what is left, for 200 ms at most, before the exit.

--- a/include/galenabay/edge/edge_host.hpp
+++ b/include/galenabay/edge/edge_host.hpp
@@ -44,7 +44,8 @@
     void retry_metrics();
 
     /// Reports "not ready" to the routers and goes on steering until they send no more
-    /// packets or the stop bound is near. Returns the time taken.
+    /// packets or the stop bound is near. Then ends the threads, the packet thread after the packets
+    /// that have reached its socket. Returns the time taken.
     std::chrono::milliseconds drain();
 
 private:
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -255,6 +255,9 @@
             }
             std::this_thread::sleep_for(drain_poll_interval);
         }
+        // Routers may still send packets here when the time is up.
+        state_.stop();
+        packets_.finish();
         return std::chrono::duration_cast<milliseconds>(base::steady_now() - begun);
     }
 
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -28,6 +28,9 @@
 /// Time after its start for which a host leaves packets in the socket until it is ready;
 /// callers have retransmitted older ones.
 constexpr base::duration startup_deferral = std::chrono::milliseconds{1'000};
+/// Longest time for which the packets that are in the socket at the end are steered: below the
+/// time that is reserved for the exit, and enough for several thousand packets.
+constexpr base::duration finish_limit = std::chrono::milliseconds{200};
 
 } // namespace
 
@@ -43,9 +46,15 @@
 }
 
 packet_worker::~packet_worker()
+{
+    finish();
+}
+
+void packet_worker::finish()
 {
     if (thread_.joinable())
     {
+        wakeup_.notify();
         thread_.join();
     }
 }
@@ -69,6 +78,15 @@
     {
         run_guarded("packets", metrics_.thread_failures, [this] { run_step(); });
     }
+    run_guarded("packets", metrics_.thread_failures, [this] { receive_rest(); });
+}
+
+void packet_worker::receive_rest()
+{
+    const auto end = base::steady_now() + finish_limit;
+    for (auto now = base::steady_now(); now < end && receive(now); now = base::steady_now())
+    {
+    }
 }
 
 void packet_worker::run_step()
@@ -125,20 +143,21 @@
     wakeup_.cancel();
 }
 
-void packet_worker::receive(base::time_point now)
+bool packet_worker::receive(base::time_point now)
 {
     std::array<net::packet*, net::batch_size> batch{};
     std::transform(buffers_.begin(), buffers_.end(), batch.begin(), [](net::packet& buffer) { return &buffer; });
     const auto got = net::receive_batch(socket_.descriptor(), batch);
     if (got.received == 0)
     {
-        return;
+        return false;
     }
     state_.last_packet_us.store(now.time_since_epoch().count());
     const auto end = std::partition(batch.begin(), batch.begin() + static_cast<std::ptrdiff_t>(got.received),
                                     [&](net::packet* datagram) { return decide(*datagram, now); });
     send({batch.begin(), end});
     metrics_.handling_time.Observe(seconds_between(now, base::steady_now()));
+    return true;
 }
 
 bool packet_worker::decide(net::packet& datagram, base::time_point now)
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -47,6 +47,9 @@
     /// Starts the threads; call it when the store threads are about to start. Throws `std::system_error` when the
     /// system refuses a thread; the one that has started then ends with `shared_state::stop`.
     void start();
+    /// Waits, after `shared_state::stop`, until the thread has steered the packets that are in the
+    /// socket, and has ended.
+    void finish();
 
     /// Ring for the updates of the thread that follows `kind`, and the event by which that
     /// thread wakes this one.
@@ -67,7 +70,10 @@
     /// Returns true while received packets stay in the socket because this host has just
     /// started and is not ready.
     bool is_deferring(base::time_point now) const;
-    void receive(base::time_point now);
+    /// Steers the packets of one batch. Returns false when there were none.
+    bool receive(base::time_point now);
+    /// Steers what has reached the socket before the thread ends.
+    void receive_rest();
     /// Decides one packet and rewrites it in place. Returns true when it is to be sent.
     bool decide(net::packet& datagram, base::time_point now);
     void apply_queued(update_ring& ring);
--- a/tests/edged/edged_process.cpp
+++ b/tests/edged/edged_process.cpp
@@ -36,7 +36,7 @@
     out << "node: \"" << name << "\"\nzone: \"" << data_centre << "\"\nbind-addrs:\n  datagram-addr: \""
         << packets.to_string() << "\"\n  readiness-addr: \"" << readiness.to_string() << "\"\nport-range: ["
         << peers.port() << ", " << peers.port() + peer_ports - 1
-        << "]\nbounds:\n  config-ms: 3000\n  grace-s: 3\n  flow-ttl-s: 60\n"
+        << "]\nbounds:\n  config-ms: 3000\n  grace-s: " << stop_time.count() << "\n  flow-ttl-s: 60\n"
         << (evacuation_bound ? "  evacuate-ms: " + std::to_string(evacuation_bound->count()) + "\n" : "")
         << "platform:\n  address: \"" << store.to_string() << "\"\n";
     return out.str();
--- a/tests/edged/edged_process.hpp
+++ b/tests/edged/edged_process.hpp
@@ -33,6 +33,8 @@
     base::endpoint store = next_address();
     /// Empty where data centres are not evacuated.
     std::optional<std::chrono::milliseconds> evacuation_bound{};
+    /// Time between the request to stop and the kill of the process.
+    std::chrono::seconds stop_time{3};
     std::uint16_t metrics_port = next_address().port();
 
     std::string text() const;
