Await settings that are being written at the start

A process that started between two writes of its settings ran with the first part when that part could be used: without evacuations, when evacuate-ms came later. The start now awaits 100 ms without a modification, for 0.5 s at most; a file that is older costs nothing. Signals stay pending meanwhile.

--- a/daemons/edge_process.cpp
+++ b/daemons/edge_process.cpp
@@ -7,6 +7,7 @@
 #include <galenabay/edge/address_check.hpp>
 
 #include <chrono>
+#include <thread>
 
 namespace galenabay
 {
@@ -25,7 +26,9 @@
 
 /// Longest wait at the start for settings that can be used: whoever writes the file may need that long.
 constexpr milliseconds settings_wait{5'000};
-/// Interval at which the settings are read during that wait.
+/// Longest wait at the start for a file with usable settings to be left unchanged by its writer.
+constexpr milliseconds settle_wait{500};
+/// Interval at which the settings are read during these waits.
 constexpr milliseconds settings_retry_interval{50};
 
 /// Interval at which the settings file is checked for a change without a signal.
@@ -87,19 +90,26 @@
 base::result<bool> edge_process::read_settings()
 {
     const auto begun = base::steady_now();
-    for (bool first = true;; first = false)
+    for (bool first = true;;)
     {
         auto read = file_.load();
-        if (read)
+        const auto waited = base::steady_now() - begun;
+        if (read && (waited >= settle_wait || file_.settled()))
         {
             settings_ = std::move(read).value();
             return true;
         }
-        if (base::steady_now() - begun >= settings_wait)
+        if (read)
+        {
+            // Signals stay pending for the time after the start.
+            std::this_thread::sleep_for(settings_retry_interval);
+            continue;
+        }
+        if (waited >= settings_wait)
         {
             return read.error();
         }
-        if (first)
+        if (std::exchange(first, false))
         {
             base::configure_log("unknown", "unknown", log_level::info);
             log_event{log_level::warning, "settings_awaited"}
--- a/daemons/settings_file.cpp
+++ b/daemons/settings_file.cpp
@@ -2,6 +2,8 @@
 
 #include <sys/stat.h>
 
+#include <chrono>
+
 namespace galenabay
 {
 
@@ -19,6 +21,15 @@
     return refused_ || current() != loaded_;
 }
 
+bool settings_file::settled() const
+{
+    // Longer than a writer pauses between two writes of so small a file.
+    constexpr std::chrono::nanoseconds settle_time = std::chrono::milliseconds{100};
+    const auto age =
+        std::chrono::system_clock::now().time_since_epoch() - std::chrono::nanoseconds{loaded_.modified_ns};
+    return !changed() && (age < std::chrono::nanoseconds{0} || age >= settle_time);
+}
+
 settings_file::version settings_file::current() const
 {
     constexpr std::int64_t nanoseconds_per_second = 1'000'000'000;
--- a/daemons/settings_file.hpp
+++ b/daemons/settings_file.hpp
@@ -24,6 +24,9 @@
     /// Returns true when the file is to be read: it is another file, its size or modification time differs from that at
     /// the last `load`, or that `load` failed, since the file may have been incomplete.
     bool changed() const;
+    /// Returns true unless the file was modified since the last `load`, or so short a time ago that its writer may not
+    /// have finished. A file that is modified in the future counts as old.
+    bool settled() const;
 
 private:
     /// What tells one version of the file from another.
--- a/tests/edged/settings_test.cpp
+++ b/tests/edged/settings_test.cpp
@@ -11,6 +11,9 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace galenabay;
 using namespace galenabay::edged_test;
@@ -64,6 +67,24 @@
     check_awaits([this](const auto& host) { host.write_settings(half()); }, 2s);
 }
 
+// Failure: a process that was started between two writes of its settings ran without the ones of the second, which are
+// optional: without evacuations until its next start.
+TEST(edged_settings, ones_that_are_being_written_are_awaited_although_their_first_part_can_be_used)
+{
+    auto text = settings.text();
+    const auto bounds = text.find("bounds:");
+    const auto size = text.find("platform:") - bounds;
+    text += text.substr(bounds, size);
+    text.erase(bounds, size);
+    edged_process host{settings};
+    host.write_settings(text);
+    host.start();
+    std::this_thread::sleep_for(40ms);
+    host.write_settings(text + "  evacuate-ms: 5000\n");
+    CHECK(holds_within(start_bound, [&] { return host.is_ready(); }));
+    CHECK(store.calls_of("evacuations") > 0);
+}
+
 TEST(edged_settings, that_stay_unusable_end_the_process_with_2_after_a_bounded_wait)
 {
     constexpr auto wait_bound = 8s;
@@ -142,6 +163,27 @@
     CHECK(host.is_ready());
 }
 
+// Failure: settings that take effect at the next start only were changed without a line in the log.
+TEST(edged_settings, a_change_that_needs_a_restart_is_logged)
+{
+    edged_process host{settings};
+    host.start();
+    CHECK(holds_within(start_bound, [&] { return host.is_ready(); }));
+    const std::vector<std::pair<std::string, std::string>> changes{{"edge-1", "edge-2"},
+                                                                   {"\"east\"", "\"west\""},
+                                                                   {"port-range: [", "port-range: [7720, 7735]\n#"},
+                                                                   {"config-ms: 3000", "config-ms: 2000"},
+                                                                   {"flow-ttl-s: 60", "flow-ttl-s: 50"},
+                                                                   {"platform:", "  evacuate-ms: 5000\nplatform:"}};
+    for (std::size_t i = 0; i < changes.size(); ++i)
+    {
+        auto text = settings.text();
+        host.write_settings(text.replace(text.find(changes[i].first), changes[i].first.size(), changes[i].second));
+        host.signal(SIGHUP);
+        CHECK(holds_within(start_bound, [&] { return host.count("settings_need_restart") == i + 1; }));
+    }
+}
+
 TEST(edged_settings, signals_during_a_stop_do_not_change_it)
 {
     edged_process host{settings};
