--- a/tests/steer/steerer_test.cpp
+++ b/tests/steer/steerer_test.cpp
@@ -239,6 +239,29 @@
     CHECK(fresh.is_ready());
 }
 
+// Failure: late packets of an earlier flow with the same addresses and ports reached the upstream of the later one.
+TEST(steerer, a_later_flow_with_the_same_ends_and_late_packets_of_the_earlier_one_keep_their_upstreams)
+{
+    test_host host{{make_upstream("i-1", 1), make_upstream("i-2", 2)}};
+    const auto first = host.core.on_packet(syn(1), at(0s));
+    host.core.on_packet(data(1, first.token, 1, 5), at(0s));
+    host.core.on_packet(fin(1, first.token, 101, 6), at(1s));
+    auto second = host.core.on_packet(syn(1), at(2s));
+    for (int tries = 0; second.token == first.token && tries < 50; ++tries)
+    {
+        host.core.on_packet(fin(1, second.token, 1, 0), at(2s));
+        second = host.core.on_packet(syn(1), at(2s));
+    }
+    CHECK(second.token != first.token);
+    for (const auto& opened : {second, first, second})
+    {
+        const auto decision = host.core.on_packet(data(1, opened.token, 1, 5), at(3s));
+        check_action(steering_action::forward, decision);
+        LONGS_EQUAL(opened.upstream_number, decision.upstream_number);
+    }
+    LONGS_EQUAL(1, host.core.flow_count());
+}
+
 // Failure: packets of a flow whose token two services have reach the other service.
 TEST(steerer, two_upstreams_with_one_token_do_not_share_flows)
 {
