Refuse a body in chunks without its last chunk

The HTTP library takes the end of the connection for the last chunk and returned the part as a whole body. The client now checks that the bytes received end with a blank line; without one the call is a time-out.

A whole body in chunks still arrives (new test).

--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <istream>
 #include <ostream>
+#include <string_view>
 #include <utility>
 
 namespace galenabay::net
@@ -93,36 +94,6 @@
     message.set("If-Match", "\"" + std::to_string(*request.expected_version) + "\"");
 }
 
-base::result<http_response> receive(Poco::Net::HTTPClientSession& session, const http_request& request,
-                                    const std::string& peer)
-{
-    HTTPResponse response;
-    auto& stream = session.receiveResponse(response);
-    BOOST_OUTCOME_TRY(body, read_bounded(stream, request, peer));
-    if (response.hasContentLength() && response.getContentLength64() != static_cast<Poco::Int64>(body.size()))
-    {
-        return base::error::make(error_code::timeout, request.step, peer,
-                                 "the response body is shorter or longer than its Content-Length");
-    }
-    const auto header = request.response_header.empty() ? "" : response.get(request.response_header, "");
-    switch (response.getStatus())
-    {
-    case HTTPResponse::HTTP_OK:
-    case HTTPResponse::HTTP_CREATED:
-        return http_response{true, std::move(body), header};
-    case HTTPResponse::HTTP_NO_CONTENT:
-        return http_response{false, {}, header};
-    case HTTPResponse::HTTP_CONFLICT:
-        if (request.returns_conflict)
-        {
-            return http_response{true, std::move(body), header, true};
-        }
-        [[fallthrough]];
-    default:
-        return error_of(response.getStatus(), request, peer);
-    }
-}
-
 Poco::Timespan timespan_of(base::duration time)
 {
     return Poco::Timespan{std::chrono::duration_cast<std::chrono::microseconds>(time).count()};
@@ -138,8 +109,12 @@
         deadline_ = deadline;
         receive_limit_ = each;
         send_limit_ = each;
+        last_received_.clear();
     }
 
+    /// Returns true when the bytes received since `begin` end with a blank line, as a whole body in chunks does.
+    bool ended_with_blank_line() const { return last_received_ == blank_line; }
+
     using StreamSocketImpl::receiveBytes;
     using StreamSocketImpl::sendBytes;
     // NOLINTNEXTLINE(readability-identifier-naming): overrides a library function
@@ -163,6 +138,8 @@
         }
         const int received = StreamSocketImpl::receiveBytes(buffer, length, flags);
         deadline_ += std::max(received, 0) * transfer_time_per_byte;
+        last_received_.append(static_cast<const char*>(buffer), static_cast<std::size_t>(std::max(received, 0)));
+        last_received_.erase(0, last_received_.size() - std::min(last_received_.size(), blank_line.size()));
         return received;
     }
 
@@ -179,11 +156,49 @@
         return left;
     }
 
+    static constexpr std::string_view blank_line = "\r\n\r\n";
+
+    std::string last_received_;
     base::time_point deadline_{};
     base::duration receive_limit_{};
     base::duration send_limit_{};
 };
 
+base::result<http_response> receive(Poco::Net::HTTPClientSession& session, const bounded_socket& socket,
+                                    const http_request& request, const std::string& peer)
+{
+    HTTPResponse response;
+    auto& stream = session.receiveResponse(response);
+    BOOST_OUTCOME_TRY(body, read_bounded(stream, request, peer));
+    if (response.hasContentLength() && response.getContentLength64() != static_cast<Poco::Int64>(body.size()))
+    {
+        return base::error::make(error_code::timeout, request.step, peer,
+                                 "the response body is shorter or longer than its Content-Length");
+    }
+    // The library takes the end of the connection for the last chunk.
+    if (response.getChunkedTransferEncoding() && !socket.ended_with_blank_line())
+    {
+        return base::error::make(error_code::timeout, request.step, peer, "the last chunk of the body is missing");
+    }
+    const auto header = request.response_header.empty() ? "" : response.get(request.response_header, "");
+    switch (response.getStatus())
+    {
+    case HTTPResponse::HTTP_OK:
+    case HTTPResponse::HTTP_CREATED:
+        return http_response{true, std::move(body), header};
+    case HTTPResponse::HTTP_NO_CONTENT:
+        return http_response{false, {}, header};
+    case HTTPResponse::HTTP_CONFLICT:
+        if (request.returns_conflict)
+        {
+            return http_response{true, std::move(body), header, true};
+        }
+        [[fallthrough]];
+    default:
+        return error_of(response.getStatus(), request, peer);
+    }
+}
+
 /// A socket with a given implementation, which the library's class does not offer to callers.
 class bounded_stream : public Poco::Net::StreamSocket
 {
@@ -229,7 +244,7 @@
         }
         try
         {
-            return receive(session_, request, peer_);
+            return receive(session_, *socket_, request, peer_);
         }
         catch (const Poco::Exception& failure)
         {
--- a/tests/net/http_session_test.cpp
+++ b/tests/net/http_session_test.cpp
@@ -93,7 +93,7 @@
     /// An answer that ends before its length says so is followed by the end of the connection.
     static bool broken_off(const std::string& text)
     {
-        return text.find("\r\n\r\n{") != std::string::npos && text.back() != '}';
+        return text.ends_with("[2") || (text.find("\r\n\r\n{") != std::string::npos && text.back() != '}');
     }
 
     std::function<std::string(int)> answer_;
@@ -165,8 +165,10 @@
 }
 
 /// Parts of answers, after the status line: without a length, in chunks and with a length.
-constexpr std::array<const char*, 3> stopped_answers{"\r\n[1", "Transfer-Encoding: chunked\r\n\r\n5\r\n[1",
-                                                     "Content-Length: 9\r\n\r\n[1"};
+/// The connection ends after "[2".
+constexpr std::array<const char*, 5> stopped_answers{
+    "\r\n[1", "Transfer-Encoding: chunked\r\n\r\n5\r\n[1", "Content-Length: 9\r\n\r\n[1",
+    "Transfer-Encoding: chunked\r\n\r\n5\r\n[2", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n2\r\n[2"};
 
 /// Calls a server that sends `rest` and then nothing.
 base::result<net::http_response> get_stopped(const char* rest)
@@ -226,6 +228,15 @@
     }
 }
 
+TEST(http_session, an_answer_in_chunks_arrives_whole)
+{
+    const answering_server server{[](int) {
+        return std::string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1\r\n}\r\n0\r\n\r\n"};
+    }};
+    auto session = net::http_session::make(server.address(), 500ms);
+    STRCMP_EQUAL("{}", get(session).value().body.c_str());
+}
+
 TEST(http_session, a_connection_that_ends_without_an_answer_is_a_failure)
 {
     const answering_server server{[](int) { return std::string{}; }};
