Faults that the reviews found: shares within a second, lists of any length, long flows

Causes and changes: - A holder of a share caught up on 1.1 s of flows within one second, so that all holders together exceeded the hard limit (40 new flows instead of 39 for a rate of 30, overshoot 1.2 and slack 3). Spans of 1 s and of 1.1 s are both limited now. - A datagram of 20 bytes could state a million holders and take 40 MB and more. Lists beyond 16 holders name nobody. - Flows that hosts without a share refused were published only with the next change. - Services of long flows got the random part of the selection by late requests, and their upstreams counted as full by other rules than before. Both now hold for services of short flows only. - A SYN that was lost counted as the opening of its flow, which a restart of the upstream could then reset. - A report of answer times that throws kept the packet thread from its ticks.

Tests: warm_up_budget.holders_that_always_have_flows_... and the check of both spans, the list of 17 holders, and room.long_flows_go_to_the_less_loaded_of_two_upstreams are new. late_loads_do_not_exclude_an_upstream now has the short flows that the rule is for.

--- a/include/galenabay/peers/upstream_changes.hpp
+++ b/include/galenabay/peers/upstream_changes.hpp
@@ -50,6 +50,9 @@
     friend auto operator<=>(const starting_upstream&, const starting_upstream&) = default;
 };
 
+/// Largest number of starting upstreams in a host's state, whose size is bounded.
+constexpr std::size_t max_starting_upstreams = 64;
+
 /// A host's copy of the store. Plain value.
 struct edge_state
 {
--- a/include/galenabay/steer/warm_up_budget.hpp
+++ b/include/galenabay/steer/warm_up_budget.hpp
@@ -3,6 +3,7 @@
 #include <galenabay/base/time.hpp>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cmath>
 
@@ -13,8 +14,8 @@
 /// second has at most one flow more than the rate. Does no I/O and reads no clock.
 ///
 /// With `catch_up`, the time for which a token waited for a flow shortens the time to the next one,
-/// as far as any span of `checked_span` has no more flows than without: the number of flows that fit
-/// into it at the rate, and one. A host that gets few new flows then uses its part of the rate.
+/// as far as any span of each of `checked_spans` has no more flows than without: the number of flows
+/// that fit into it at the rate, and one. A host that gets few new flows then uses its part of the rate.
 class warm_up_budget
 {
 public:
@@ -24,8 +25,10 @@
         catch_up,
     };
 
-    /// A second, and the difference of the delays between hosts and upstreams.
-    static constexpr base::duration checked_span = std::chrono::milliseconds{1'100};
+    /// The span that is limited, and one with the difference of the delays between hosts and upstreams. The
+    /// longer one alone would let all of its flows be sent within the first second.
+    static constexpr std::array<base::duration, 2> checked_spans{std::chrono::milliseconds{1'000},
+                                                                 std::chrono::milliseconds{1'100}};
 
     /// Returns true when a new flow may go to the upstream.
     bool has_token(base::time_point now) const noexcept { return now >= next_at_; }
@@ -45,7 +48,11 @@
             return;
         }
         // Flows in a span are at most the whole part of (span + tolerance) / spacing, and one.
-        const auto tolerance = (checked_span / spacing + 1) * spacing - checked_span - base::duration{1};
+        auto tolerance = base::duration::max();
+        for (const auto span : checked_spans)
+        {
+            tolerance = std::min(tolerance, (span / spacing + 1) * spacing - span - base::duration{1});
+        }
         next_at_ = std::max(next_at_ + spacing, now + spacing - tolerance);
     }
 
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -113,6 +113,8 @@
     apply_warm_up_reports(base::steady_now());
     if (state_.answer_times.is_requested())
     {
+        // Taken back first: a request whose report throws must not keep this thread from its ticks.
+        state_.answer_times.withdraw();
         const auto now = base::steady_now();
         state_.answer_times.publish(steerer_.report_answer_times(now), now);
     }
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -189,6 +189,7 @@
     base::time_point next_warm_up_list_{};
     /// New flows that were refused because of the rate of starting upstreams, in total.
     std::uint64_t limited_flows_ = 0;
+    std::uint64_t published_limited_flows_ = 0;
     std::vector<net::packet> buffers_;
     base::time_point defer_until_{};
     base::time_point next_tick_{};
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -254,6 +254,7 @@
     state->evacuations = known_evacuations();
     state->starting = shared_upstreams(base::steady_now());
     state->limited_flows = limited_flows_;
+    published_limited_flows_ = limited_flows_;
     steerer_.registry().for_each(
         [&](const steer::upstream_incarnation& upstream)
         {
--- a/src/edge/packet_worker_warm_ups.cpp
+++ b/src/edge/packet_worker_warm_ups.cpp
@@ -18,10 +18,6 @@
 /// Interval at which the host that watches the store looks for objects that nobody else removes.
 constexpr base::duration cleanup_interval = warm_up_cleanup::min_age;
 
-/// Largest number of starting upstreams in the state that is served to other hosts, whose size is
-/// bounded.
-constexpr std::size_t max_shared_upstreams = 64;
-
 std::string object_name(const steer::upstream_entry& entry)
 {
     return adapter::warm_up_object_name(entry.id, entry.started_ms);
@@ -125,7 +121,7 @@
     for (const auto* upstream : steerer_.starting_upstreams(now))
     {
         const auto rate = steerer_.warm_up_share(*upstream, now);
-        if (rate > 0 && shared.size() < max_shared_upstreams)
+        if (rate > 0 && shared.size() < peers::max_starting_upstreams)
         {
             shared.push_back({.id = upstream->entry.id, .share_rate = rate});
         }
@@ -138,7 +134,8 @@
     metrics_.starting_upstreams.Set(static_cast<double>(steerer_.starting_upstreams(now).size()));
     const auto shared = shared_upstreams(now).size();
     // The published rates and the number of refused flows are at most one interval old.
-    snapshot_due_ = snapshot_due_ || shared > 0 || metrics_.warm_up_shares.Value() > 0;
+    snapshot_due_ = snapshot_due_ || shared > 0 || metrics_.warm_up_shares.Value() > 0 ||
+                    limited_flows_ != published_limited_flows_;
     metrics_.warm_up_shares.Set(static_cast<double>(shared));
 }
 
--- a/src/edge/requested_report.hpp
+++ b/src/edge/requested_report.hpp
@@ -30,6 +30,8 @@
         requested_.store(true, std::memory_order_relaxed);
         return nullptr;
     }
+    /// Withdraws the request; `read` makes a new one.
+    void withdraw() noexcept { requested_.store(false, std::memory_order_relaxed); }
     /// Returns true when a report is to be published.
     bool is_requested() const noexcept { return requested_.load(std::memory_order_relaxed); }
     void publish(Report made, base::time_point now)
@@ -38,7 +40,6 @@
         const std::lock_guard lock{mutex_};
         latest_ = std::move(report);
         made_at_ = now;
-        requested_.store(false, std::memory_order_relaxed);
     }
 
 private:
--- a/src/peers/warm_up_shares_codec.hpp
+++ b/src/peers/warm_up_shares_codec.hpp
@@ -24,10 +24,16 @@
     }
 }
 
+/// A list of more holders than a process may write names nobody: elements without content take no bytes, so that a
+/// datagram can state a million of them.
 inline steer::warm_up_shares read_shares(schema::WarmUpShares::Reader in)
 {
     steer::warm_up_shares read{
         .id = in.getId(), .started_ms = in.getStartedMs(), .epoch = in.getEpoch(), .holders = {}};
+    if (in.getHolders().size() > steer::max_share_holders)
+    {
+        return read;
+    }
     for (const auto holder : in.getHolders())
     {
         read.holders.push_back({.host = holder.getHost(), .process_started_us = holder.getStartedUs()});
@@ -56,6 +62,10 @@
     std::vector<starting_upstream> read;
     for (const auto one : in.getStartingUpstreams())
     {
+        if (read.size() == max_starting_upstreams)
+        {
+            break;
+        }
         const auto rate = one.getShareRate();
         read.push_back({.id = one.getId(), .share_rate = std::isfinite(rate) ? std::max(rate, 0.0) : 0});
     }
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -206,6 +206,8 @@
 {
     if (!flow.established)
     {
+        // The first SYN may have been lost, and a copy of it gone through another host.
+        flow.opened_at = now;
         answer_time_sampler::on_handshake(flow, now);
     }
     flow.last_seen = now;
@@ -320,7 +322,8 @@
                                            .tried = tried,
                                            .links = &links_,
                                            .first_try = header.acknowledged == 0 && tried == nullptr,
-                                           .warm_ups = &warm_ups_},
+                                           .warm_ups = &warm_ups_,
+                                           .has_short_flows = answer_times_->has_short_flows(service)},
                                           random_, now);
     if (stays_on(tried, service, selected.short_of_room))
     {
--- a/src/steer/upstream_selection.cpp
+++ b/src/steer/upstream_selection.cpp
@@ -94,19 +94,21 @@
     return upstream.entry.slots > 1 && open_requests >= upstream.entry.slots + queued_requests;
 }
 
-/// Returns true when the upstream has no room for this host's requests alone, or holds as many flows as it may. The
-/// requests of other hosts are known too late to exclude it by them: all hosts would leave it together, fill the other
-/// upstreams and come back. They are part of its load, and its rejections are.
-bool is_full(const upstream_incarnation& upstream, const service_limits& limits)
+/// Returns true when the upstream has no room, or holds as many flows as it may. Where flows are short, the requests of
+/// other hosts are known too late to exclude it by them: all hosts would leave it together, fill the other upstreams
+/// and come back. They are part of its load, and its rejections are.
+bool is_full(const upstream_incarnation& upstream, const selection_request& request)
 {
-    return is_queue_full(upstream, upstream.open_requests) ||
-           (limits.max_flows > 0 && upstream.flows + upstream.remote_flows >= limits.max_flows);
+    const double remote_requests = request.has_short_flows ? 0 : upstream.mean_remote_requests;
+    const auto max_flows = request.limits.max_flows;
+    return is_queue_full(upstream, upstream.open_requests + remote_requests) ||
+           (max_flows > 0 && upstream.flows + upstream.remote_flows >= max_flows);
 }
 
 /// Returns true when new flows to the upstream are likely to be rejected, by all that is known.
-bool is_crowded(const upstream_incarnation& upstream, const service_limits& limits, base::time_point now)
+bool is_crowded(const upstream_incarnation& upstream, const selection_request& request, base::time_point now)
 {
-    return is_full(upstream, limits) || is_rejecting(upstream, now) ||
+    return is_full(upstream, request) || is_rejecting(upstream, now) ||
            is_queue_full(upstream, upstream.open_requests + upstream.mean_remote_requests);
 }
 
@@ -159,7 +161,8 @@
 
 /// Returns the less loaded of two random candidates, or as `select_among_uneven` does when they
 /// differ in speed; null when there are none.
-upstream_incarnation* select_less_loaded(const candidates& from, base::random_source& random, base::time_point now)
+upstream_incarnation* select_less_loaded(const candidates& from, bool has_short_flows, base::random_source& random,
+                                         base::time_point now)
 {
     if (from.empty())
     {
@@ -173,7 +176,7 @@
     auto* second = select_evenly(from, random);
     // With certainty of the loads, the less loaded one is selected. The share of the more loaded one rises to
     // a half with the uncertainty.
-    const double uncertainty = std::max(load_uncertainty(*first), load_uncertainty(*second));
+    const double uncertainty = has_short_flows ? std::max(load_uncertainty(*first), load_uncertainty(*second)) : 0;
     const double excess = load_of(*first, now) - load_of(*second, now);
     return excess > uncertainty * (2 * random.unit() - 1) ? second : first;
 }
@@ -244,9 +247,9 @@
             result.refusal = steering_reason::warm_up_limit;
             continue;
         }
-        const bool has_room = !is_full(*upstream, request.limits);
+        const bool has_room = !is_full(*upstream, request);
         ++total;
-        crowded += is_crowded(*upstream, request.limits, now) ? 1 : 0;
+        crowded += is_crowded(*upstream, request, now) ? 1 : 0;
         if (upstream == request.tried)
         {
             fallback = upstream;
@@ -270,8 +273,8 @@
     result.upstream = fallback;
     for (std::size_t found = usable; found < excluded; ++found)
     {
-        auto* local_choice = select_less_loaded(local[found], random, now);
-        auto* remote_choice = select_less_loaded(remote[found], random, now);
+        auto* local_choice = select_less_loaded(local[found], request.has_short_flows, random, now);
+        auto* remote_choice = select_less_loaded(remote[found], request.has_short_flows, random, now);
         if (auto* chosen = prefer_local(local_choice, remote_choice, random, now); chosen != nullptr)
         {
             result.upstream = chosen;
--- a/src/steer/upstream_selection.hpp
+++ b/src/steer/upstream_selection.hpp
@@ -30,6 +30,9 @@
     /// Starting upstreams that this host owns. Where the service states a rate for them, the others
     /// get no new flows from this host. Null: starting upstreams are not limited.
     const warm_up_claims* warm_ups = nullptr;
+    /// The service's flows carry one request each, so that what other hosts have open changes faster than it
+    /// becomes known.
+    bool has_short_flows = false;
 };
 
 /// The upstream for a new flow, or why there is none.
--- a/tests/edge/shared_state_test.cpp
+++ b/tests/edge/shared_state_test.cpp
@@ -29,6 +29,7 @@
     CHECK_FALSE(report.is_requested());
     CHECK(report.read(now) == nullptr);
     CHECK(report.is_requested());
+    report.withdraw();
     report.publish({.upstreams = {}, .left_out = 7}, now);
     CHECK_FALSE(report.is_requested());
     LONGS_EQUAL(7, report.read(now + 499ms)->left_out);
--- a/tests/peers/message_codec_test.cpp
+++ b/tests/peers/message_codec_test.cpp
@@ -125,6 +125,9 @@
     }
     const auto encoded = encode(message{shares});
     CHECK(std::get<steer::warm_up_shares>(decode_message(encoded).value()) == shares);
+    // Failure: a datagram that states a million holders took the memory of a small host.
+    shares.holders.push_back(shares.holders.front());
+    CHECK(std::get<steer::warm_up_shares>(decode_message(encode(message{shares})).value()).holders.empty());
     // An owner sends up to 25 of these a second, and a host has 22 KB/s for all messages.
     CHECK(encoded.size() <= 600);
 }
--- a/tests/steer/routing_under_shortage_test.cpp
+++ b/tests/steer/routing_under_shortage_test.cpp
@@ -223,11 +223,29 @@
 // and come back: at twice the room, a fifth of the arrivals was rejected while slots were free.
 TEST(room, late_loads_do_not_exclude_an_upstream)
 {
+    for (int i = 0; i < 64; ++i)
+    {
+        run_flow(2'000, 18ms);
+    }
     set_load(1, 12, 12);
     set_load(2, 10, 10);
     CHECK(count_first() > 20);
 }
 
+// The flows of other hosts are known in time where they are long. A random choice would only make the loads differ.
+TEST(room, long_flows_go_to_the_less_loaded_of_two_upstreams)
+{
+    int first = 0;
+    for (int i = 0; i < 3; ++i)
+    {
+        set_load(1, 400, 300);
+        set_load(2, 200, 300);
+        first += count_first();
+    }
+    // Three quarters of the draws contain the second one; nearly a half of all go to the first one by chance.
+    CHECK(first < 105);
+}
+
 // A rejection must lead to less load for a moment. Flows that are short for another reason must not
 // count: those of a service whose typical answer is not known yet, and flows that the caller ends
 // late or before an answer.
--- a/tests/steer/starting_upstreams_test.cpp
+++ b/tests/steer/starting_upstreams_test.cpp
@@ -34,6 +34,24 @@
     return 0;
 }
 
+/// Opens a service of which all upstreams start in a fleet whose hosts get two new flows a second each. Returns the
+/// part of the full rate at which it does.
+double open_with_few_flows(std::size_t hosts, double overshoot, double slack)
+{
+    starting_fleet fleet{{.configuration = limited_configuration(),
+                          .hosts = hosts,
+                          .flows_per_second = 2,
+                          .overshoot = overshoot,
+                          .slack = slack},
+                         3};
+    fleet.run(1'500ms);
+    const auto before = fleet.admitted();
+    fleet.run(6s);
+    LONGS_EQUAL(0, fleet.violations(rate * overshoot + slack));
+    const auto full = 6 * rate * starting_fleet::upstream_count;
+    return static_cast<double>(fleet.admitted() - before) / full;
+}
+
 } // namespace
 
 TEST_GROUP(starting_upstreams)
@@ -228,26 +246,23 @@
 }
 
 // Failure: with many hosts that get few new flows each, most of them own nothing and refuse all.
-TEST(starting_upstreams, open_a_service_by_shares_when_each_host_gets_few_new_flows)
+TEST(starting_upstreams, open_a_service_faster_by_shares_when_each_host_gets_few_new_flows)
 {
-    constexpr double overshoot = 1.5;
-    constexpr double slack = 5;
+    for (const std::size_t hosts : {20, 70, 195, 1'000})
+    {
+        CHECK(open_with_few_flows(hosts, 1.5, 5) > open_with_few_flows(hosts, 1, 1));
+    }
+}
+
+// The stated target: a service of which all upstreams start opens at its full rate, as far as that is offered.
+TEST(starting_upstreams, open_a_service_at_the_full_rate_when_each_host_gets_few_new_flows)
+{
+    constexpr double part_of_full_rate = 0.95;
     for (const std::size_t hosts : {9, 20, 70, 195, 1'000})
     {
-        starting_fleet fleet{{.configuration = limited_configuration(),
-                              .hosts = hosts,
-                              .flows_per_second = 2,
-                              .overshoot = overshoot,
-                              .slack = slack},
-                             3};
-        fleet.run(1'500ms);
-        const auto before = fleet.admitted();
-        fleet.run(6s);
-        const auto full = 6 * rate * starting_fleet::upstream_count;
-        const auto opened = static_cast<double>(fleet.admitted() - before) / full;
-        const auto possible = std::min(2.0 * static_cast<double>(hosts) / rate / starting_fleet::upstream_count, 1.0);
+        const auto offered = std::min(2.0 * static_cast<double>(hosts) / rate / starting_fleet::upstream_count, 1.0);
+        const auto opened = open_with_few_flows(hosts, 1.5, 5);
         UT_PRINT(StringFromFormat("%d hosts: %.3f of the full rate", static_cast<int>(hosts), opened).asCharString());
-        CHECK(opened >= 0.8 * possible);
-        LONGS_EQUAL(0, fleet.violations(rate * overshoot + slack));
+        CHECK(opened >= part_of_full_rate * offered);
     }
 }
--- a/tests/steer/warm_up_claims_test.cpp
+++ b/tests/steer/warm_up_claims_test.cpp
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
 #include <chrono>
 #include <cmath>
 #include <utility>
@@ -49,16 +50,40 @@
                 sent.push_back(now);
             }
         }
-        const auto span = std::chrono::duration<double>(warm_up_budget::checked_span).count();
-        const auto bound = static_cast<std::size_t>(span * part) + 1;
-        for (std::size_t first = 0; first + bound < sent.size(); ++first)
+        for (const auto span : warm_up_budget::checked_spans)
         {
-            CHECK(sent[first + bound] - sent[first] > warm_up_budget::checked_span);
+            const auto bound = static_cast<std::size_t>(std::chrono::duration<double>(span).count() * part) + 1;
+            for (std::size_t first = 0; first + bound < sent.size(); ++first)
+            {
+                CHECK(sent[first + bound] - sent[first] > span);
+            }
         }
         CHECK(static_cast<double>(sent.size()) <= part * std::chrono::duration<double>(length).count() + 2);
     }
 }
 
+// Failure: each holder sent what 1.1 s allow within the first second, so that all of them together exceeded the limit:
+// 40 new flows instead of 39, and 120 instead of 113.
+TEST(warm_up_budget, holders_that_always_have_flows_stay_within_the_limit_together)
+{
+    for (const auto& [rate, overshoot, slack] : {std::array{30.0, 1.2, 3.0}, {22.0, 1.2, 5.0}, {100.0, 1.1, 3.0}})
+    {
+        const auto holders = static_cast<double>(share_limit(rate, overshoot, slack));
+        warm_up_budget budget;
+        double sent = 0;
+        for (base::duration now{0}; now < 1s; now += 100us)
+        {
+            if (budget.has_token(at(now)))
+            {
+                budget.take(rate / holders, at(now), warm_up_budget::pacing::catch_up);
+                ++sent;
+            }
+        }
+        CHECK(holders > 1);
+        CHECK(sent * holders <= rate * overshoot + slack);
+    }
+}
+
 TEST_GROUP(warm_up_claims)
 {
     upstream_registry registry{{}};
