End a shortage that refusals alone hold up

Cause: refused callers try again, so that more was offered than the estimate of the capacity although there was no demand for it, and without rejections the estimate followed what was served downwards. Change: without a sign of a shortage the estimate never falls, and it is dropped when upstreams reject nothing and their queues are short for a second, whatever is offered. Test: admission.an_estimate_does_not_hold_a_shortage_up_by_its_own_refusals; it failed before.

--- a/src/steer/capacity_estimate.cpp
+++ b/src/steer/capacity_estimate.cpp
@@ -123,7 +123,10 @@
         return reset();
     }
     correct(seen, now);
-    if (seen.offered >= *capacity_)
+    // Refused callers try again, so that more may be offered than there is demand. Short queues and no rejections show
+    // that the service takes more.
+    const bool has_room = !counts_rejections(seen) && seen.occupancy < seen.occupancy_limit / 2;
+    if (seen.offered >= *capacity_ && !has_room)
     {
         enough_since_.reset();
         return false;
@@ -165,7 +168,9 @@
         const double margin = 1 + tolerated_share - seen.rejected / std::max(seen.admitted, 1.0);
         const double least = has_counted ? std::max(small_increase, margin) : small_increase;
         const double increase = std::clamp(1 / std::max(seen.occupancy, 0.1), least, largest_increase);
-        capacity_ = std::min(std::max(*capacity_, served(seen)) * increase, largest_excess * served(seen));
+        const double raised = std::min(std::max(*capacity_, served(seen)) * increase, largest_excess * served(seen));
+        // Without a sign of a shortage the estimate never falls: less is served because less is admitted.
+        capacity_ = std::max(*capacity_, raised);
     }
     corrected_at_ = now;
 }
--- a/tests/steer/admission_test.cpp
+++ b/tests/steer/admission_test.cpp
@@ -234,6 +234,32 @@
     CHECK(in_time(burst_of(after), 0) > in_time(burst_of(before), 0) + 0.1);
 }
 
+// Failure: refused callers try again, so that more was offered than the estimate although there was no demand for it,
+// and the estimate followed what was served downwards. In a trial with 32 upstreams, 69 of 100 requests were refused 12
+// s after a burst.
+TEST(admission, an_estimate_does_not_hold_a_shortage_up_by_its_own_refusals)
+{
+    capacity_estimate estimate;
+    CHECK(estimate.update(
+        {.offered = 9'000, .admitted = 9'000, .rejected = 5'000, .occupancy = 8, .occupancy_limit = 3, .hosts = 70},
+        at(0s)));
+    const auto begun_with = estimate.flows_per_second().value();
+    // Hosts with few flows admit less than the estimate. One request for each slot is the round trip of callers.
+    for (auto now = 4s; now < 20s; now += 1s)
+    {
+        estimate.update(
+            {.offered = 9'000, .admitted = 1'500, .rejected = 0, .occupancy = 1.6, .occupancy_limit = 3, .hosts = 70},
+            at(now));
+        CHECK(estimate.flows_per_second().value() >= begun_with);
+    }
+    // Queues are short.
+    estimate.update({.offered = 9'000, .admitted = 1'500, .occupancy = 1.4, .occupancy_limit = 3, .hosts = 70},
+                    at(20s));
+    CHECK(estimate.update({.offered = 9'000, .admitted = 1'500, .occupancy = 1.4, .occupancy_limit = 3, .hosts = 70},
+                          at(21s)));
+    CHECK_FALSE(estimate.flows_per_second().has_value());
+}
+
 // A host with few flows a second sees a burst only by some rejections; a share derived from so few would refuse the
 // flows that admission is to protect.
 TEST(admission, own_rejections_refuse_less_urgent_flows_only)
