--- a/include/galenabay/steer/service_room.hpp
+++ b/include/galenabay/steer/service_room.hpp
@@ -35,7 +35,7 @@
 };
 
 /// Derives a service's room. `open_requests`: those of all hosts, by their latest reports, with this
-/// host's own live ones. Counts the slots of the upstreams that may take new flows and that new flows do
+/// host's own ones of its last tick. Counts the slots of the upstreams that may take new flows and that new flows do
 /// not avoid. The open requests are divided between data centres in proportion to the loads that are
 /// known of each upstream, which may be several seconds old where the service has hundreds of upstreams.
 ///
--- a/src/steer/steerer_ended_flows.cpp
+++ b/src/steer/steerer_ended_flows.cpp
@@ -17,7 +17,7 @@
 /// host: in the fault soak it was unavailable for up to 4.5 s, and a first list was up to 6 s old.
 constexpr base::duration restart_delay = std::chrono::seconds{6};
 /// The same for a host that knows no other hosts: it watches the store itself, which answers at once. A host that has
-/// just started hears of the others in this time.
+/// just started gets the first statuses of the others in this time.
 constexpr base::duration lone_restart_delay = std::chrono::milliseconds{900};
 
 lost_flow make_lost(const flow_key& key, const flow_state& flow, steering_reason reason, base::time_point now)
