Use the thread-safe leak check in all test programs

Tests allocate on several threads, some while static objects are initialised, and the default overloads of new in CppUTest change one list without a lock.

--- a/tests/edge/guarded_step_test.cpp
+++ b/tests/edge/guarded_step_test.cpp
@@ -18,7 +18,7 @@
     // The log keeps the buffers of its first line, which the leak check would report.
     MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
     run_guarded("test", failures, [] { throw std::runtime_error{"unexpected"}; });
-    MemoryLeakWarningPlugin::turnOnDefaultNotThreadSafeNewDeleteOverloads();
+    MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
     run_guarded("test", failures, [] {});
     DOUBLES_EQUAL(1.0, failures.Value(), 0.0);
 }
