Stop counting flows and requests that upstreams ended unseen

A host does not see a reset from an upstream. A flow whose SYN was refused counted as load, and a request of several packets as open, until the idle timeout of 15 s. Such a flow now stops counting 350 ms after its SYN unless the caller repeats it, and such a request 1 s after its last packet where flows carry one request.

--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -303,8 +303,13 @@
     /// Counts a new flow, or decides about a SYN that the upstream `tried` did not answer. Returns
     /// true when that is to go to `tried` again, because it would exceed the retry budget.
     bool stays_on(const upstream_incarnation* tried, const std::string& service, bool short_of_room);
-    /// Takes requests that their callers have neither repeated nor got an answer to for rejected.
-    void check_abandoned_requests(base::time_point now);
+    /// Stops counting flows and requests that their callers have neither repeated nor got an answer to, and takes
+    /// such requests for rejected.
+    void check_abandoned_flows(base::time_point now);
+    /// Stops counting the flow's request as open.
+    static void stop_waiting(flow_state& flow, upstream_incarnation& upstream);
+    /// Counts a flow as load again whose SYN was answered after it was taken for refused.
+    static void count_again(flow_state& flow, upstream_incarnation& upstream);
     /// Records the SYNs that were not answered within `syn_answer_limit`.
     void check_unanswered_syns(base::time_point now);
     /// Records a packet that a caller sent again, and for the first time at `sent_at`.
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -196,6 +196,7 @@
     }
     if (flow != nullptr)
     {
+        count_again(*flow, *upstream);
         observe(*flow, *upstream, header, now);
     }
     return forward(*upstream, steering_reason::token);
@@ -362,6 +363,7 @@
     *flow = {.token = chosen.token, .last_seen = now, .opened_at = now};
     ++chosen.flows;
     unanswered_syns_->push({.flow = header.flow, .token = chosen.token, .sent_at = now});
+    unanswered_requests_->push({.flow = header.flow, .token = chosen.token, .sent_at = now});
 }
 
 void steerer::on_pause(base::time_point now)
@@ -383,7 +385,7 @@
     evacuations_.tick(now);
     mark_returned(now);
     check_unanswered_syns(now);
-    check_abandoned_requests(now);
+    check_abandoned_flows(now);
     check_links(now);
     update_answer_times(now);
     update_totals(now);
--- a/src/steer/steerer_load.cpp
+++ b/src/steer/steerer_load.cpp
@@ -1,11 +1,14 @@
 #include <galenabay/steer/steerer.hpp>
 
+#include "answer_time_sampler.hpp"
 #include "flow_table.hpp"
 #include "rejected_flows.hpp"
 #include "relative_answer_times.hpp"
 #include "sent_packet_queue.hpp"
 #include "shortage_state.hpp"
 
+#include <vector>
+
 // What counts as load of the upstreams: requests that callers have abandoned, flows that are no
 // longer used, and how fast the upstreams answer.
 namespace galenabay::steer
@@ -14,35 +17,86 @@
 namespace
 {
 
-/// Time after which a caller whose request has not been acknowledged has sent it again: the first
+/// Time after which a caller whose packet has not been acknowledged has sent it again: the first
 /// retransmission timeout of 200 ms, and the tenth of a second for which a process with a CPU quota
 /// may not run.
 constexpr base::duration abandonment_limit = std::chrono::milliseconds{350};
+/// Time for which a request of several packets counts as open without an answer, where flows carry one request. An
+/// upstream acknowledges every second packet, so that a caller may wait for the answer without sending anything: the
+/// limit is several times what a full queue and a slow request take.
+constexpr base::duration long_request_limit = std::chrono::milliseconds{1'000};
 
 } // namespace
 
-void steerer::check_abandoned_requests(base::time_point now)
+void steerer::check_abandoned_flows(base::time_point now)
 {
-    // The upstream acknowledges every second packet, so a caller repeats a request of one packet
-    // unless it is answered. One that did neither got a reset from the upstream, which this host
-    // does not see: the upstream had no room. Such requests counted as open until the flow's idle
-    // timeout, so that a service looked full for 15 s after a burst.
-    unanswered_requests_->pop_older(now - abandonment_limit,
-                                    [&](const sent_packet_queue::sent_packet& sent)
-                                    {
-                                        auto* flow = flows_->find(sent.flow);
-                                        auto* upstream = registry_.find(sent.token);
-                                        if (flow == nullptr || upstream == nullptr || upstream->ended ||
-                                            flow->token != sent.token || !flow->waiting ||
-                                            flow->sent_at != sent.sent_at || flow->retransmissions > 0)
-                                        {
-                                            return;
-                                        }
-                                        flow->waiting = false;
-                                        --upstream->open_requests;
-                                        record_rejection(*upstream, now);
-                                        ++shortage_->rejected_flows;
-                                    });
+    std::vector<sent_packet_queue::sent_packet> still_waiting;
+    unanswered_requests_->pop_older(
+        now - abandonment_limit,
+        [&](const sent_packet_queue::sent_packet& sent)
+        {
+            auto* flow = flows_->find(sent.flow);
+            auto* upstream = registry_.find(sent.token);
+            if (flow == nullptr || upstream == nullptr || upstream->ended || flow->token != sent.token)
+            {
+                return;
+            }
+            if (!flow->established)
+            {
+                // The upstream refused the SYN by a reset, which this host does not see. Such flows counted as
+                // load until the idle timeout: 300 for each upstream after a burst, so that the few upstreams
+                // with less of them got most of the new flows.
+                if (flow->last_seen == sent.sent_at)
+                {
+                    release(*flow);
+                }
+                return;
+            }
+            if (!flow->waiting)
+            {
+                return;
+            }
+            // An upstream acknowledges every second packet, so a caller repeats a request of one packet unless it is
+            // answered. One that did neither got a reset from the upstream, which this host does not see: the
+            // upstream had no room. Such requests counted as open until the flow's idle timeout, so that a service
+            // looked full for 15 s after a burst.
+            if (flow->sent_at == sent.sent_at && flow->retransmissions == 0)
+            {
+                stop_waiting(*flow, *upstream);
+                record_rejection(*upstream, now);
+                ++shortage_->rejected_flows;
+            }
+            else if (answer_times_->has_short_flows(upstream->entry.service))
+            {
+                if (now - flow->last_seen >= long_request_limit)
+                {
+                    stop_waiting(*flow, *upstream);
+                }
+                else
+                {
+                    still_waiting.push_back({.flow = sent.flow, .token = sent.token, .sent_at = now});
+                }
+            }
+        });
+    for (const auto& sent : still_waiting)
+    {
+        unanswered_requests_->push(sent);
+    }
+}
+
+void steerer::stop_waiting(flow_state& flow, upstream_incarnation& upstream)
+{
+    flow.waiting = false;
+    --upstream.open_requests;
+}
+
+void steerer::count_again(flow_state& flow, upstream_incarnation& upstream)
+{
+    if (flow.closing && !flow.established)
+    {
+        flow.closing = false;
+        ++upstream.flows;
+    }
 }
 
 void steerer::expire_flows(base::time_point now)
