Make votes against an upstream from a host's own evidence alone

Votes were made from the time until which new flows avoid an upstream, which the votes of other hosts extend: votes kept each other alive after their cause had ended. The two times are separate now. One unanswered SYN with the vote of another host still leads to avoidance, but no longer to a vote.

An upstream from which another host has got an answer since the votes began is not avoided because of them. Hosts near the upstream get answers also while the link from here is cut, so this holds for another data centre only once it has answered this host as well.

--- a/include/galenabay/steer/data_centre_evidence.hpp
+++ b/include/galenabay/steer/data_centre_evidence.hpp
@@ -84,6 +84,8 @@
     std::size_t silent_count() const noexcept { return silent_count_; }
     /// Returns true when new flows avoid the data centre.
     bool is_silent(const std::string& data_centre) const;
+    /// Returns when an upstream of the data centre answered last; the epoch of the clock if none has.
+    base::time_point last_answer(const std::string& data_centre) const;
     /// Counts a new flow that could go to a silent data centre. Returns true when it is to go there
     /// as a trial.
     bool take_trial(const std::string& data_centre, base::time_point now);
--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -305,6 +305,8 @@
     bool stays_on(const upstream_incarnation* tried, const std::string& service, bool short_of_room);
     /// Takes requests that their callers have neither repeated nor got an answer to for rejected.
     void check_abandoned_requests(base::time_point now);
+    /// Returns true when another host has got an answer from the upstream since hosts vote against it.
+    bool does_answer_others(const upstream_incarnation& upstream, base::time_point now) const;
     /// Records the SYNs that were not answered within `syn_answer_limit`.
     void check_unanswered_syns(base::time_point now);
     /// Records a packet that a caller sent again, and for the first time at `sent_at`.
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -101,9 +101,11 @@
     /// not connect to it.
     std::size_t silence_votes = 0;
     std::size_t unreachable_votes = 0;
-    /// New flows avoid the upstream until this time, by this host's evidence or that of
-    /// other hosts.
+    /// New flows avoid the upstream until this time, by this host's own evidence.
     base::time_point avoid_until{};
+    /// The same by the votes of other hosts, and since when they vote; empty when none does.
+    base::time_point voted_until{};
+    std::optional<base::time_point> voted_since;
 
     /// State of the attempts to connect, made while the upstream is suspected to be down.
     struct
--- a/src/steer/data_centre_evidence.cpp
+++ b/src/steer/data_centre_evidence.cpp
@@ -185,6 +185,12 @@
     return known != nullptr && known->silent;
 }
 
+base::time_point data_centre_evidence::last_answer(const std::string& data_centre) const
+{
+    const auto* known = find(data_centre);
+    return known != nullptr ? known->last_answer : base::time_point{};
+}
+
 bool data_centre_evidence::take_trial(const std::string& data_centre, base::time_point now)
 {
     auto& silent = record_of(data_centre);
--- a/src/steer/steerer_failure_detection.cpp
+++ b/src/steer/steerer_failure_detection.cpp
@@ -10,6 +10,15 @@
 namespace galenabay::steer
 {
 
+namespace
+{
+
+/// Age of the latest answer to another host up to which it shows that the upstream answers: sums are up to a second
+/// late.
+constexpr base::duration longest_answer_age = std::chrono::milliseconds{1'500};
+
+} // namespace
+
 bool steerer::is_silent(const upstream_incarnation& upstream, base::time_point now) const
 {
     return now < upstream.silent_until;
@@ -35,10 +44,11 @@
     {
         upstream->remote_progress = std::max(upstream->remote_progress, now - *seen.answered_ago);
     }
+    upstream->voted_since = seen.silence_votes > 0 ? std::optional{upstream->voted_since.value_or(now)} : std::nullopt;
     // This host's own evidence takes precedence over that of other hosts.
     if (seen.silence_votes > 0 && now - upstream->last_progress >= options_.silence_limit)
     {
-        upstream->avoid_until = std::max(upstream->avoid_until, now + options_.vote_time);
+        upstream->voted_until = does_answer_others(*upstream, now) ? base::time_point{} : now + options_.vote_time;
         links_.on_sign(upstream->entry.data_centre, token, data_centre_evidence::sign::vote, now, now);
         if (seen.unreachable_votes > 0)
         {
@@ -47,11 +57,25 @@
     }
 }
 
+bool steerer::does_answer_others(const upstream_incarnation& upstream, base::time_point now) const
+{
+    const auto voted_since = upstream.voted_since.value_or(now);
+    // The age of an answer does not contain the time that reports are under way; a process with a CPU quota may not run
+    // for a tenth of a second.
+    constexpr auto margin = std::chrono::milliseconds{100};
+    // Hosts near the upstream get answers also while the link from here is cut.
+    const bool is_linked = upstream.entry.data_centre == options_.data_centre ||
+                           links_.last_answer(upstream.entry.data_centre) > voted_since;
+    return is_linked && upstream.remote_progress > voted_since + margin &&
+           now - upstream.remote_progress < longest_answer_age;
+}
+
 bool steerer::is_avoided_locally(const upstream_incarnation& upstream, base::time_point now) const
 {
-    return is_silent(upstream, now) || is_unreachable(upstream, now) ||
-           (upstream.unanswered_syns > 0 &&
-            (is_avoided(upstream, now) || links_.is_silent(upstream.entry.data_centre)));
+    // Not `is_avoided`: votes that other hosts' votes lead to would keep each other alive.
+    const bool is_enough = upstream.unanswered_syns >= required_unanswered_syns && now < upstream.avoid_until;
+    return is_silent(upstream, now) || is_unreachable(upstream, now) || is_enough ||
+           (upstream.unanswered_syns > 0 && links_.is_silent(upstream.entry.data_centre));
 }
 
 void steerer::check_unanswered_syns(base::time_point now)
--- a/src/steer/steerer_shortage.cpp
+++ b/src/steer/steerer_shortage.cpp
@@ -36,6 +36,7 @@
                 other.retransmissions = 0;
                 other.silent_until = {};
                 other.avoid_until = {};
+                other.voted_until = {};
             }
         });
 }
--- a/src/steer/upstream_evidence.hpp
+++ b/src/steer/upstream_evidence.hpp
@@ -16,6 +16,7 @@
     upstream.unanswered_syns = 0;
     upstream.silent_until = {};
     upstream.avoid_until = {};
+    upstream.voted_until = {};
 }
 
 /// Marks the upstream as silent by this host's own evidence, so that new flows avoid it
@@ -52,15 +53,24 @@
     return upstream.retransmissions >= required_retransmissions && now - upstream.last_progress >= silence_limit;
 }
 
+/// Returns true while new flows avoid the upstream.
+inline bool is_avoided(const upstream_incarnation& upstream, base::time_point now)
+{
+    return now < std::max(upstream.avoid_until, upstream.voted_until);
+}
+
+/// Unanswered SYNs of this host without an answer in between that show, without the votes of other hosts, that the
+/// upstream may not answer.
+constexpr std::uint32_t required_unanswered_syns = 2;
+
 /// Records that a SYN got no answer although the upstream had time for it. A stopped
 /// upstream refuses new flows at once, which the caller sees but this host does not.
 /// Returns true when new flows begin to avoid the upstream.
 inline bool record_unanswered_syn(upstream_incarnation& upstream, base::time_point now, base::duration avoid_time)
 {
-    constexpr std::uint32_t required_unanswered_syns = 2;
     ++upstream.unanswered_syns;
     const bool is_enough = upstream.unanswered_syns >= required_unanswered_syns || upstream.silence_votes > 0;
-    const bool was_avoided = now < upstream.avoid_until;
+    const bool was_avoided = is_avoided(upstream, now);
     if (is_enough)
     {
         upstream.avoid_until = now + avoid_time;
@@ -96,10 +106,4 @@
     upstream.remote_seen_at = now;
 }
 
-/// Returns true while new flows avoid the upstream.
-inline bool is_avoided(const upstream_incarnation& upstream, base::time_point now)
-{
-    return now < upstream.avoid_until;
-}
-
 } // namespace galenabay::steer
--- a/tests/steer/failure_detection_test.cpp
+++ b/tests/steer/failure_detection_test.cpp
@@ -2,6 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <set>
+
+using namespace galenabay;
 using namespace galenabay::steer;
 using namespace galenabay::steer::test;
 
@@ -223,3 +226,34 @@
     }
     LONGS_EQUAL(0, host.run_until(3500ms).resets.size());
 }
+
+// Failure: votes that other hosts' votes led to kept each other alive; after a burst, hosts avoided upstreams with room
+// for more than 5 s.
+TEST(failure_detection, votes_of_others_lead_to_no_vote_and_end_when_the_upstream_answers_others)
+{
+    const auto upstream = make_upstream("i-1", 1);
+    test_host host{{upstream, make_upstream("i-2", 2)}};
+    const auto view = [&](base::duration now, base::duration answered_ago)
+    {
+        host.run_until(now);
+        host.core.on_remote_view(token_of(upstream), {.flows = 9, .silence_votes = 1, .answered_ago = answered_ago},
+                                 at(now));
+        std::set<std::uint64_t> used;
+        for (std::uint16_t flow = 0; flow < 30; ++flow)
+        {
+            const auto port = static_cast<std::uint16_t>(now / 1ms + flow);
+            const auto opened = host.core.on_packet(syn(port), at(now));
+            used.insert(opened.upstream_number);
+            host.core.on_packet(fin(port, opened.token, 1, 1), at(now + 1ms));
+            host.core.registry().find(token_of(upstream))->last_progress = at(0s);
+        }
+        return used.size();
+    };
+    host.core.registry().find(token_of(upstream))->unanswered_syns = 1;
+    LONGS_EQUAL(1, view(1s, 1s));
+    CHECK_FALSE(host.core.is_avoided_locally(*host.core.registry().find(token_of(upstream)), at(1s)));
+    LONGS_EQUAL(1, view(1800ms, 850ms));
+    LONGS_EQUAL(2, view(2s, 500ms));
+    // The answer is too old to speak against the votes.
+    LONGS_EQUAL(1, view(3'200ms, 1'700ms));
+}
