Stop counting a flow as load when its SYN gets no answer in time

An upstream that holds max-conns flows or whose queue is full refuses a SYN, which the host does not see. The flow counted as load until the idle timeout of 15 s, so that after a burst upstreams without a flow seemed to hold their limit of flows, and new flows concentrated on the few below it. The flow table could also fill with such flows.

A flow whose SYN is not answered within syn_answer_limit is no load until an answer comes, and is removed after closed_flow_retention. Hosts still try to connect to an upstream that has unanswered SYNs only.

--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -80,7 +80,8 @@
     /// Times of the history of restarts and of the ownership of starting upstreams.
     restart_history::options restarts{};
     warm_up_claims::options warm_ups{};
-    /// Time for which a closed flow is kept, for retransmissions of its last packets.
+    /// Time for which a closed flow is kept, for retransmissions of its last packets, and one whose
+    /// SYN was not answered.
     base::duration closed_flow_retention = std::chrono::seconds{2};
     /// The load of an upstream is corrected by its answer time relative to the other upstreams of
     /// its service.
@@ -346,6 +347,8 @@
     void record_restart(const upstream_registry::change& change, outcome& effects, base::time_point now);
     /// Brings the load that selection assumes for each upstream up to date.
     void update_assumed_loads(base::time_point now);
+    /// Stops counting a flow as load whose SYN the upstream has not answered in time.
+    static void stop_counting(flow_state& flow, upstream_incarnation& upstream);
     /// Stops counting the flow as load of its upstream.
     void release(flow_state& flow);
     /// Brings the upstreams' relative answer times up to date, when that is due.
--- a/src/steer/flow_table.hpp
+++ b/src/steer/flow_table.hpp
@@ -45,6 +45,8 @@
     std::uint16_t open_requests = 0;
     /// The upstream answered the SYN.
     bool established = false;
+    /// No answer to the SYN came in time: the flow does not count as load until one comes.
+    bool unanswered = false;
     /// The caller sent data that the upstream has not answered yet.
     bool waiting = false;
     /// The caller sent new data while it waited, so that it is unknown to what an answer belongs.
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -138,6 +138,11 @@
     {
         return;
     }
+    flow.closing = true;
+    if (flow.unanswered)
+    {
+        return;
+    }
     GALENABAY_INVARIANT(upstream->flows > 0);
     --upstream->flows;
     if (flow.waiting)
@@ -146,7 +151,6 @@
         --upstream->open_requests;
     }
     flow.waiting = false;
-    flow.closing = true;
 }
 
 steering_decision steerer::on_packet(const packet_header& header, base::time_point now)
@@ -208,6 +212,7 @@
     {
         // The first SYN may have been lost, and a copy of it gone through another host.
         flow.opened_at = now;
+        upstream.flows += std::exchange(flow.unanswered, false) && !flow.closing ? 1 : 0;
         answer_time_sampler::on_handshake(flow, now);
     }
     flow.last_seen = now;
--- a/src/steer/steerer_failure_detection.cpp
+++ b/src/steer/steerer_failure_detection.cpp
@@ -80,22 +80,26 @@
 
 void steerer::check_unanswered_syns(base::time_point now)
 {
-    unanswered_syns_->pop_older(now - options_.syn_answer_limit,
-                                [&](const sent_packet_queue::sent_packet& sent)
-                                {
-                                    const auto* flow = flows_->find(sent.flow);
-                                    auto* upstream = registry_.find(sent.token);
-                                    if (flow == nullptr || upstream == nullptr || flow->established ||
-                                        flow->token != sent.token || upstream->last_progress > sent.sent_at)
-                                    {
-                                        return;
-                                    }
-                                    silence_count_ +=
-                                        record_unanswered_syn(*upstream, now, options_.avoid_time) ? 1 : 0;
-                                    links_.on_sign(upstream->entry.data_centre, sent.token,
-                                                   data_centre_evidence::sign::unanswered_syn, sent.sent_at, now);
-                                    request_probe(*upstream, now);
-                                });
+    unanswered_syns_->pop_older(
+        now - options_.syn_answer_limit,
+        [&](const sent_packet_queue::sent_packet& sent)
+        {
+            auto* flow = flows_->find(sent.flow);
+            auto* upstream = registry_.find(sent.token);
+            if (flow == nullptr || upstream == nullptr || flow->established || flow->token != sent.token)
+            {
+                return;
+            }
+            stop_counting(*flow, *upstream);
+            if (upstream->last_progress > sent.sent_at)
+            {
+                return;
+            }
+            silence_count_ += record_unanswered_syn(*upstream, now, options_.avoid_time) ? 1 : 0;
+            links_.on_sign(upstream->entry.data_centre, sent.token, data_centre_evidence::sign::unanswered_syn,
+                           sent.sent_at, now);
+            request_probe(*upstream, now);
+        });
 }
 
 void steerer::on_retransmission(upstream_incarnation& upstream, base::time_point sent_at, base::time_point now)
@@ -115,8 +119,8 @@
 {
     auto& probes = upstream.probes;
     const bool is_pending = probes.pending && now - probes.begun_at < options_.probe_lifetime;
-    if (upstream.ended || upstream.flows == 0 || is_pending || now < probes.not_before ||
-        has_unconfirmed_failures(upstream, now))
+    const bool is_unused = upstream.flows == 0 && upstream.unanswered_syns == 0;
+    if (upstream.ended || is_unused || is_pending || now < probes.not_before || has_unconfirmed_failures(upstream, now))
     {
         return;
     }
--- a/src/steer/steerer_load.cpp
+++ b/src/steer/steerer_load.cpp
@@ -6,6 +6,10 @@
 #include "sent_packet_queue.hpp"
 #include "shortage_state.hpp"
 
+#include <galenabay/base/invariant.hpp>
+
+#include <utility>
+
 // What counts as load of the upstreams: requests that callers have abandoned, flows that are no
 // longer used, and how fast the upstreams answer.
 namespace galenabay::steer
@@ -45,6 +49,17 @@
                                     });
 }
 
+void steerer::stop_counting(flow_state& flow, upstream_incarnation& upstream)
+{
+    // An upstream without room refuses a SYN, which this host does not see. Such flows counted until the idle timeout:
+    // after a burst, upstreams without a flow seemed to hold their limit of flows for 15 s.
+    if (!flow.closing && !std::exchange(flow.unanswered, true))
+    {
+        GALENABAY_INVARIANT(upstream.flows > 0);
+        --upstream.flows;
+    }
+}
+
 void steerer::expire_flows(base::time_point now)
 {
     const auto idle_limit = routes_.idle_timeout();
@@ -52,7 +67,7 @@
         [&](const flow_key&, flow_state& flow)
         {
             const auto unused = now - flow.last_seen;
-            if (unused < (flow.closing ? options_.closed_flow_retention : idle_limit))
+            if (unused < (flow.closing || flow.unanswered ? options_.closed_flow_retention : idle_limit))
             {
                 return false;
             }
--- a/tests/steer/failure_detection_test.cpp
+++ b/tests/steer/failure_detection_test.cpp
@@ -257,3 +257,22 @@
     // The answer is too old to speak against the votes.
     LONGS_EQUAL(1, view(3'200ms, 1'700ms));
 }
+
+// Failure: SYNs that an upstream without room had refused counted as its flows for 15 s; with `max-conns` stated, it
+// looked full although it had none.
+TEST(failure_detection, a_syn_without_an_answer_is_no_load_until_the_answer_comes)
+{
+    test_host host{{make_upstream("i-1", 1)}};
+    const auto token = host.core.on_packet(syn(1), at(0ms)).token;
+    const auto& upstream = *host.core.registry().find(token);
+    LONGS_EQUAL(1, upstream.flows);
+    host.run_until(300ms);
+    LONGS_EQUAL(0, upstream.flows);
+    host.core.on_packet(data(1, token, 1, 1), at(300ms));
+    LONGS_EQUAL(1, upstream.flows);
+    host.core.on_packet(fin(1, token, 101, 500), at(320ms));
+    LONGS_EQUAL(0, upstream.flows);
+    host.core.on_packet(syn(2), at(320ms));
+    host.run_until(4s);
+    LONGS_EQUAL(0, host.core.flow_count());
+}
