--- a/tests/steer/failure_detection_test.cpp
+++ b/tests/steer/failure_detection_test.cpp
@@ -331,6 +331,8 @@
     const auto& upstream = *host.core.registry().find(token);
     CHECK(host.core.is_avoided_locally(upstream, at(2s)));
     host.core.on_probe(token, probe_result::reachable, at(310ms));
+    host.core.on_packet(syn(3), at(400ms));
+    host.run_until(700ms);
     CHECK(host.core.is_avoided_locally(upstream, at(1'300ms)));
     CHECK_FALSE(host.core.is_avoided_locally(upstream, at(1'310ms)));
 }
