Require answers to be absent elsewhere before one unanswered SYN and votes suffice

An upstream that answers other hosts was still avoided after one unanswered SYN when a host voted against it. The vote does not count then, under the same condition about the link as for votes alone.

--- a/src/steer/steerer_failure_detection.cpp
+++ b/src/steer/steerer_failure_detection.cpp
@@ -95,7 +95,8 @@
             {
                 return;
             }
-            silence_count_ += record_unanswered_syn(*upstream, now, options_.avoid_time) ? 1 : 0;
+            const bool has_votes = upstream->silence_votes > 0 && !does_answer_others(*upstream, now);
+            silence_count_ += record_unanswered_syn(*upstream, has_votes, now, options_.avoid_time) ? 1 : 0;
             links_.on_sign(upstream->entry.data_centre, sent.token, data_centre_evidence::sign::unanswered_syn,
                            sent.sent_at, now);
             request_probe(*upstream, now);
--- a/src/steer/upstream_evidence.hpp
+++ b/src/steer/upstream_evidence.hpp
@@ -71,14 +71,15 @@
 
 /// Records that a SYN got no answer although the upstream had time for it. A stopped
 /// upstream refuses new flows at once, which the caller sees but this host does not.
-/// Returns true when new flows begin to avoid the upstream.
+/// Returns true when new flows begin to avoid the upstream. `has_votes`: other hosts find it silent, too.
 ///
 /// An upstream that was reached within `probe_pause` runs, and may have had no room: it is avoided no longer than until
 /// the next attempt to connect.
-inline bool record_unanswered_syn(upstream_incarnation& upstream, base::time_point now, base::duration avoid_time)
+inline bool record_unanswered_syn(upstream_incarnation& upstream, bool has_votes, base::time_point now,
+                                  base::duration avoid_time)
 {
     ++upstream.unanswered_syns;
-    const bool is_enough = upstream.unanswered_syns >= required_unanswered_syns || upstream.silence_votes > 0;
+    const bool is_enough = upstream.unanswered_syns >= required_unanswered_syns || has_votes;
     const bool was_doubted = is_doubted(upstream, now);
     if (is_enough)
     {
--- a/tests/steer/failure_detection_test.cpp
+++ b/tests/steer/failure_detection_test.cpp
@@ -255,6 +255,13 @@
     // The link from this host may be cut, until an upstream of the data centre has answered here.
     LONGS_EQUAL(1, view(1'600ms, 100ms));
     LONGS_EQUAL(2, view(1'800ms, 300ms));
+    // Nor do votes and one unanswered SYN then lead to avoidance.
+    std::uint16_t port = 50'000;
+    while (host.core.on_packet(syn(++port), at(1'800ms)).upstream_number != 1)
+    {
+    }
+    host.run_until(2'100ms);
+    CHECK(host.core.registry().find(token_of(upstream))->avoid_until < at(2'100ms));
     // The answer is too old to speak against the votes.
     LONGS_EQUAL(1, view(3'200ms, 1'700ms));
 }
