--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -4,6 +4,7 @@
 #include <galenabay/base/time.hpp>
 #include <galenabay/steer/admission.hpp>
 #include <galenabay/steer/answer_time_report.hpp>
+#include <galenabay/steer/avoidance.hpp>
 #include <galenabay/steer/configuration.hpp>
 #include <galenabay/steer/data_centre_evidence.hpp>
 #include <galenabay/steer/evacuations.hpp>
@@ -17,6 +18,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -80,7 +82,8 @@
     /// Times of the history of restarts and of the ownership of starting upstreams.
     restart_history::options restarts{};
     warm_up_claims::options warm_ups{};
-    /// Time for which a closed flow is kept, for retransmissions of its last packets.
+    /// Time for which a closed flow is kept, for retransmissions of its last packets, and one whose
+    /// SYN was not answered.
     base::duration closed_flow_retention = std::chrono::seconds{2};
     /// The load of an upstream is corrected by its answer time relative to the other upstreams of
     /// its service.
@@ -216,6 +219,10 @@
     /// Returns true when this host's own evidence, not only that of other hosts, keeps new
     /// flows away from the upstream.
     bool is_avoided_locally(const upstream_incarnation& upstream, base::time_point now) const;
+    /// Returns the services for which weak evidence began or ceased to be ignored since the last call.
+    std::vector<avoidance_change> take_avoidance_changes() { return std::exchange(avoidance_changes_, {}); }
+    /// Number of upstreams that get new flows although weak evidence speaks against them.
+    std::size_t ignored_doubt_count() const noexcept { return ignored_doubt_count_; }
     const route_table& routes() const noexcept { return routes_; }
     const evacuation_table& evacuations() const noexcept { return evacuations_; }
     /// Number of new flows for which upstreams of this host's data centre were left out because
@@ -303,13 +310,13 @@
     /// Counts a new flow, or decides about a SYN that the upstream `tried` did not answer. Returns
     /// true when that is to go to `tried` again, because it would exceed the retry budget.
     bool stays_on(const upstream_incarnation* tried, const std::string& service, bool short_of_room);
-    /// Stops counting flows and requests that their callers have neither repeated nor got an answer to, and takes
-    /// such requests for rejected.
-    void check_abandoned_flows(base::time_point now);
+    /// Stops counting requests that their callers have neither repeated nor got an answer to, and takes those of one
+    /// packet for rejected.
+    void check_abandoned_requests(base::time_point now);
     /// Stops counting the flow's request as open.
     static void stop_waiting(flow_state& flow, upstream_incarnation& upstream);
-    /// Counts a flow as load again whose SYN was answered after it was taken for refused.
-    static void count_again(flow_state& flow, upstream_incarnation& upstream);
+    /// Returns true when another host has got an answer from the upstream since hosts vote against it.
+    bool does_answer_others(const upstream_incarnation& upstream, base::time_point now) const;
     /// Records the SYNs that were not answered within `syn_answer_limit`.
     void check_unanswered_syns(base::time_point now);
     /// Records a packet that a caller sent again, and for the first time at `sent_at`.
@@ -349,8 +356,15 @@
     void record_restart(const upstream_registry::change& change, outcome& effects, base::time_point now);
     /// Brings the load that selection assumes for each upstream up to date.
     void update_assumed_loads(base::time_point now);
+    /// Stops counting a flow as load whose SYN the upstream has not answered in time.
+    static void stop_counting(flow_state& flow, upstream_incarnation& upstream);
     /// Stops counting the flow as load of its upstream.
     void release(flow_state& flow);
+    /// Returns true when more than unanswered SYNs and votes speaks against the upstream.
+    bool has_strong_evidence(const upstream_incarnation& upstream, base::time_point now) const;
+    avoidance_counts count_avoided(const std::vector<upstream_incarnation*>& upstreams, base::time_point now) const;
+    /// Decides for each service whether weak evidence excludes upstreams.
+    void update_avoidance(base::time_point now);
     /// Brings the upstreams' relative answer times up to date, when that is due.
     void update_answer_times(base::time_point now);
     /// Removes idle flows, and closed ones after `closed_flow_retention`.
@@ -385,6 +399,10 @@
     /// When an attempt to connect last timed out.
     base::time_point probe_failed_at_{};
     std::uint64_t silence_count_ = 0;
+    /// Services for which weak evidence is ignored, and since when.
+    std::map<std::string, base::time_point> ignored_since_;
+    std::vector<avoidance_change> avoidance_changes_;
+    std::size_t ignored_doubt_count_ = 0;
     base::time_point last_tick_{};
     base::time_point last_sweep_{};
 };
--- a/src/steer/sent_packet_queue.hpp
+++ b/src/steer/sent_packet_queue.hpp
@@ -30,7 +30,14 @@
         waiting_.push_back(sent);
     }
 
-    void clear() { waiting_.clear(); }
+    /// Takes all packets as sent at `now`.
+    void renew(base::time_point now)
+    {
+        for (auto& sent : waiting_)
+        {
+            sent.sent_at = now;
+        }
+    }
 
     /// Removes the packets sent at or before `limit` and passes each to `visit`.
     template <typename Visitor> void pop_older(base::time_point limit, Visitor visit)
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -138,6 +138,11 @@
     {
         return;
     }
+    flow.closing = true;
+    if (flow.unanswered)
+    {
+        return;
+    }
     GALENABAY_INVARIANT(upstream->flows > 0);
     --upstream->flows;
     if (flow.waiting)
@@ -146,7 +151,6 @@
         --upstream->open_requests;
     }
     flow.waiting = false;
-    flow.closing = true;
 }
 
 steering_decision steerer::on_packet(const packet_header& header, base::time_point now)
@@ -196,7 +200,6 @@
     }
     if (flow != nullptr)
     {
-        count_again(*flow, *upstream);
         observe(*flow, *upstream, header, now);
     }
     return forward(*upstream, steering_reason::token);
@@ -209,6 +212,7 @@
     {
         // The first SYN may have been lost, and a copy of it gone through another host.
         flow.opened_at = now;
+        upstream.flows += std::exchange(flow.unanswered, false) && !flow.closing ? 1 : 0;
         answer_time_sampler::on_handshake(flow, now);
     }
     flow.last_seen = now;
@@ -363,7 +367,6 @@
     *flow = {.token = chosen.token, .last_seen = now, .opened_at = now};
     ++chosen.flows;
     unanswered_syns_->push({.flow = header.flow, .token = chosen.token, .sent_at = now});
-    unanswered_requests_->push({.flow = header.flow, .token = chosen.token, .sent_at = now});
 }
 
 void steerer::on_pause(base::time_point now)
@@ -371,7 +374,8 @@
     answer_times_->on_pause(now);
     registry_.for_each([&](upstream_incarnation& upstream) { record_progress(upstream, now); });
     links_.on_pause();
-    unanswered_requests_->clear();
+    // None of them is evidence of a rejection, but those that stay without an answer must not count as open for long.
+    unanswered_requests_->renew(now);
     warm_ups_.on_pause();
 }
 
@@ -385,8 +389,9 @@
     evacuations_.tick(now);
     mark_returned(now);
     check_unanswered_syns(now);
-    check_abandoned_flows(now);
+    check_abandoned_requests(now);
     check_links(now);
+    update_avoidance(now);
     update_answer_times(now);
     update_totals(now);
     if (now - last_sweep_ >= sweep_interval)
--- a/src/steer/steerer_failure_detection.cpp
+++ b/src/steer/steerer_failure_detection.cpp
@@ -10,6 +10,15 @@
 namespace galenabay::steer
 {
 
+namespace
+{
+
+/// Age of the latest answer to another host up to which it shows that the upstream answers: sums are up to a second
+/// late.
+constexpr base::duration longest_answer_age = std::chrono::milliseconds{1'500};
+
+} // namespace
+
 bool steerer::is_silent(const upstream_incarnation& upstream, base::time_point now) const
 {
     return now < upstream.silent_until;
@@ -35,10 +44,11 @@
     {
         upstream->remote_progress = std::max(upstream->remote_progress, now - *seen.answered_ago);
     }
+    upstream->voted_since = seen.silence_votes > 0 ? std::optional{upstream->voted_since.value_or(now)} : std::nullopt;
     // This host's own evidence takes precedence over that of other hosts.
     if (seen.silence_votes > 0 && now - upstream->last_progress >= options_.silence_limit)
     {
-        upstream->avoid_until = std::max(upstream->avoid_until, now + options_.vote_time);
+        upstream->voted_until = does_answer_others(*upstream, now) ? base::time_point{} : now + options_.vote_time;
         links_.on_sign(upstream->entry.data_centre, token, data_centre_evidence::sign::vote, now, now);
         if (seen.unreachable_votes > 0)
         {
@@ -47,31 +57,50 @@
     }
 }
 
+bool steerer::does_answer_others(const upstream_incarnation& upstream, base::time_point now) const
+{
+    const auto voted_since = upstream.voted_since.value_or(now);
+    // The age of an answer does not contain the time that reports are under way; a process with a CPU quota may not run
+    // for a tenth of a second.
+    constexpr auto margin = std::chrono::milliseconds{100};
+    // Hosts near the upstream get answers also while the link from here is cut.
+    const bool is_linked = upstream.entry.data_centre == options_.data_centre ||
+                           links_.last_answer(upstream.entry.data_centre) > voted_since;
+    return is_linked && upstream.remote_progress > voted_since + margin &&
+           now - upstream.remote_progress < longest_answer_age;
+}
+
 bool steerer::is_avoided_locally(const upstream_incarnation& upstream, base::time_point now) const
 {
-    return is_silent(upstream, now) || is_unreachable(upstream, now) ||
-           (upstream.unanswered_syns > 0 &&
-            (is_avoided(upstream, now) || links_.is_silent(upstream.entry.data_centre)));
+    // Not `is_avoided`: votes that other hosts' votes lead to would keep each other alive.
+    const bool is_enough = upstream.unanswered_syns >= required_unanswered_syns && now < upstream.avoid_until;
+    return is_silent(upstream, now) || is_unreachable(upstream, now) || is_enough ||
+           (upstream.unanswered_syns > 0 && links_.is_silent(upstream.entry.data_centre));
 }
 
 void steerer::check_unanswered_syns(base::time_point now)
 {
-    unanswered_syns_->pop_older(now - options_.syn_answer_limit,
-                                [&](const sent_packet_queue::sent_packet& sent)
-                                {
-                                    const auto* flow = flows_->find(sent.flow);
-                                    auto* upstream = registry_.find(sent.token);
-                                    if (flow == nullptr || upstream == nullptr || flow->established ||
-                                        flow->token != sent.token || upstream->last_progress > sent.sent_at)
-                                    {
-                                        return;
-                                    }
-                                    silence_count_ +=
-                                        record_unanswered_syn(*upstream, now, options_.avoid_time) ? 1 : 0;
-                                    links_.on_sign(upstream->entry.data_centre, sent.token,
-                                                   data_centre_evidence::sign::unanswered_syn, sent.sent_at, now);
-                                    request_probe(*upstream, now);
-                                });
+    unanswered_syns_->pop_older(
+        now - options_.syn_answer_limit,
+        [&](const sent_packet_queue::sent_packet& sent)
+        {
+            auto* flow = flows_->find(sent.flow);
+            auto* upstream = registry_.find(sent.token);
+            if (flow == nullptr || upstream == nullptr || flow->established || flow->token != sent.token)
+            {
+                return;
+            }
+            stop_counting(*flow, *upstream);
+            if (upstream->last_progress > sent.sent_at)
+            {
+                return;
+            }
+            const bool has_votes = upstream->silence_votes > 0 && !does_answer_others(*upstream, now);
+            silence_count_ += record_unanswered_syn(*upstream, has_votes, now, options_.avoid_time) ? 1 : 0;
+            links_.on_sign(upstream->entry.data_centre, sent.token, data_centre_evidence::sign::unanswered_syn,
+                           sent.sent_at, now);
+            request_probe(*upstream, now);
+        });
 }
 
 void steerer::on_retransmission(upstream_incarnation& upstream, base::time_point sent_at, base::time_point now)
@@ -91,8 +120,8 @@
 {
     auto& probes = upstream.probes;
     const bool is_pending = probes.pending && now - probes.begun_at < options_.probe_lifetime;
-    if (upstream.ended || upstream.flows == 0 || is_pending || now < probes.not_before ||
-        has_unconfirmed_failures(upstream, now))
+    const bool is_unused = upstream.flows == 0 && upstream.unanswered_syns == 0;
+    if (upstream.ended || is_unused || is_pending || now < probes.not_before || has_unconfirmed_failures(upstream, now))
     {
         return;
     }
@@ -117,6 +146,7 @@
         probes.reached_at = now;
         probes.failed_at = {};
         probes.unreachable_count = 0;
+        upstream->avoid_until = std::max(upstream->silent_until, std::min(upstream->avoid_until, probes.not_before));
         return {};
     }
     probes.failed_at = now;
@@ -209,8 +239,8 @@
     registry_.for_each(
         [&](const upstream_incarnation& other)
         {
-            silent += !other.ended && is_avoided(other, now) ? 1 : 0;
-            answering += !other.ended && !is_avoided(other, now) && other.last_progress > since ? 1 : 0;
+            silent += !other.ended && is_doubted(other, now) ? 1 : 0;
+            answering += !other.ended && !is_doubted(other, now) && other.last_progress > since ? 1 : 0;
         });
     return answering >= silent;
 }
--- a/src/steer/steerer_load.cpp
+++ b/src/steer/steerer_load.cpp
@@ -7,6 +7,9 @@
 #include "sent_packet_queue.hpp"
 #include "shortage_state.hpp"
 
+#include <galenabay/base/invariant.hpp>
+
+#include <utility>
 #include <vector>
 
 // What counts as load of the upstreams: requests that callers have abandoned, flows that are no
@@ -17,7 +20,7 @@
 namespace
 {
 
-/// Time after which a caller whose packet has not been acknowledged has sent it again: the first
+/// Time after which a caller whose request has not been acknowledged has sent it again: the first
 /// retransmission timeout of 200 ms, and the tenth of a second for which a process with a CPU quota
 /// may not run.
 constexpr base::duration abandonment_limit = std::chrono::milliseconds{350};
@@ -28,56 +31,43 @@
 
 } // namespace
 
-void steerer::check_abandoned_flows(base::time_point now)
+void steerer::check_abandoned_requests(base::time_point now)
 {
     std::vector<sent_packet_queue::sent_packet> still_waiting;
-    unanswered_requests_->pop_older(
-        now - abandonment_limit,
-        [&](const sent_packet_queue::sent_packet& sent)
-        {
-            auto* flow = flows_->find(sent.flow);
-            auto* upstream = registry_.find(sent.token);
-            if (flow == nullptr || upstream == nullptr || upstream->ended || flow->token != sent.token)
-            {
-                return;
-            }
-            if (!flow->established)
-            {
-                // The upstream refused the SYN by a reset, which this host does not see. Such flows counted as
-                // load until the idle timeout: 300 for each upstream after a burst, so that the few upstreams
-                // with less of them got most of the new flows.
-                if (flow->last_seen == sent.sent_at)
-                {
-                    release(*flow);
-                }
-                return;
-            }
-            if (!flow->waiting)
-            {
-                return;
-            }
-            // An upstream acknowledges every second packet, so a caller repeats a request of one packet unless it is
-            // answered. One that did neither got a reset from the upstream, which this host does not see: the
-            // upstream had no room. Such requests counted as open until the flow's idle timeout, so that a service
-            // looked full for 15 s after a burst.
-            if (flow->sent_at == sent.sent_at && flow->retransmissions == 0)
-            {
-                stop_waiting(*flow, *upstream);
-                record_rejection(*upstream, now);
-                ++shortage_->rejected_flows;
-            }
-            else if (answer_times_->has_short_flows(upstream->entry.service))
-            {
-                if (now - flow->last_seen >= long_request_limit)
-                {
-                    stop_waiting(*flow, *upstream);
-                }
-                else
-                {
-                    still_waiting.push_back({.flow = sent.flow, .token = sent.token, .sent_at = now});
-                }
-            }
-        });
+    unanswered_requests_->pop_older(now - abandonment_limit,
+                                    [&](const sent_packet_queue::sent_packet& sent)
+                                    {
+                                        auto* flow = flows_->find(sent.flow);
+                                        auto* upstream = registry_.find(sent.token);
+                                        if (flow == nullptr || upstream == nullptr || upstream->ended ||
+                                            flow->token != sent.token || !flow->waiting)
+                                        {
+                                            return;
+                                        }
+                                        // An upstream acknowledges every second packet, so a caller repeats a request
+                                        // of one packet unless it is answered. One that did neither got a reset from
+                                        // the upstream, which this host does not see: the upstream had no room. Such
+                                        // requests counted as open until the flow's idle timeout, so that a service
+                                        // looked full for 15 s after a burst.
+                                        if (flow->sent_at == sent.sent_at && flow->retransmissions == 0)
+                                        {
+                                            stop_waiting(*flow, *upstream);
+                                            record_rejection(*upstream, now);
+                                            ++shortage_->rejected_flows;
+                                        }
+                                        else if (answer_times_->has_short_flows(upstream->entry.service))
+                                        {
+                                            if (now - flow->last_seen >= long_request_limit)
+                                            {
+                                                stop_waiting(*flow, *upstream);
+                                            }
+                                            else
+                                            {
+                                                still_waiting.push_back(
+                                                    {.flow = sent.flow, .token = sent.token, .sent_at = now});
+                                            }
+                                        }
+                                    });
     for (const auto& sent : still_waiting)
     {
         unanswered_requests_->push(sent);
@@ -90,12 +80,14 @@
     --upstream.open_requests;
 }
 
-void steerer::count_again(flow_state& flow, upstream_incarnation& upstream)
+void steerer::stop_counting(flow_state& flow, upstream_incarnation& upstream)
 {
-    if (flow.closing && !flow.established)
+    // An upstream without room refuses a SYN, which this host does not see. Such flows counted until the idle timeout:
+    // after a burst, upstreams without a flow seemed to hold their limit of flows for 15 s.
+    if (!flow.closing && !std::exchange(flow.unanswered, true))
     {
-        flow.closing = false;
-        ++upstream.flows;
+        GALENABAY_INVARIANT(upstream.flows > 0);
+        --upstream.flows;
     }
 }
 
@@ -106,7 +98,7 @@
         [&](const flow_key&, flow_state& flow)
         {
             const auto unused = now - flow.last_seen;
-            if (unused < (flow.closing ? options_.closed_flow_retention : idle_limit))
+            if (unused < (flow.closing || flow.unanswered ? options_.closed_flow_retention : idle_limit))
             {
                 return false;
             }
--- a/tests/steer/failure_detection_test.cpp
+++ b/tests/steer/failure_detection_test.cpp
@@ -2,6 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <set>
+
+using namespace galenabay;
 using namespace galenabay::steer;
 using namespace galenabay::steer::test;
 
@@ -223,3 +226,120 @@
     }
     LONGS_EQUAL(0, host.run_until(3500ms).resets.size());
 }
+
+// Failure: votes that other hosts' votes led to kept each other alive; after a burst, hosts avoided upstreams with room
+// for more than 5 s.
+TEST(failure_detection, votes_of_others_lead_to_no_vote_and_end_when_the_upstream_answers_others)
+{
+    const auto upstream = make_upstream("i-1", 1);
+    test_host host{{upstream, make_upstream("i-2", 2)}};
+    const auto view = [&](base::duration now, base::duration answered_ago)
+    {
+        host.run_until(now);
+        host.core.on_remote_view(token_of(upstream), {.flows = 9, .silence_votes = 1, .answered_ago = answered_ago},
+                                 at(now));
+        std::set<std::uint64_t> used;
+        for (std::uint16_t flow = 0; flow < 30; ++flow)
+        {
+            const auto port = static_cast<std::uint16_t>(now / 1ms + flow);
+            const auto opened = host.core.on_packet(syn(port), at(now));
+            used.insert(opened.upstream_number);
+            host.core.on_packet(fin(port, opened.token, 1, 1), at(now));
+            host.core.registry().find(token_of(upstream))->last_progress = at(0s);
+        }
+        return used.size();
+    };
+    host.core.registry().find(token_of(upstream))->unanswered_syns = 1;
+    LONGS_EQUAL(1, view(1s, 1s));
+    CHECK_FALSE(host.core.is_avoided_locally(*host.core.registry().find(token_of(upstream)), at(1s)));
+    // The link from this host may be cut, until an upstream of the data centre has answered here.
+    LONGS_EQUAL(1, view(1'600ms, 100ms));
+    LONGS_EQUAL(2, view(1'800ms, 300ms));
+    // Nor do votes and one unanswered SYN then lead to avoidance.
+    std::uint16_t port = 50'000;
+    while (host.core.on_packet(syn(++port), at(1'800ms)).upstream_number != 1)
+    {
+    }
+    host.run_until(2'100ms);
+    CHECK(host.core.registry().find(token_of(upstream))->avoid_until < at(2'100ms));
+    // The answer is too old to speak against the votes.
+    LONGS_EQUAL(1, view(3'200ms, 1'700ms));
+}
+
+// Failure: SYNs that an upstream without room had refused counted as its flows for 15 s; with `max-conns` stated, it
+// looked full although it had none.
+TEST(failure_detection, a_syn_without_an_answer_is_no_load_until_the_answer_comes)
+{
+    test_host host{{make_upstream("i-1", 1)}};
+    const auto token = host.core.on_packet(syn(1), at(0ms)).token;
+    const auto& upstream = *host.core.registry().find(token);
+    LONGS_EQUAL(1, upstream.flows);
+    host.run_until(300ms);
+    LONGS_EQUAL(0, upstream.flows);
+    host.core.on_packet(data(1, token, 1, 1), at(300ms));
+    LONGS_EQUAL(1, upstream.flows);
+    host.core.on_packet(fin(1, token, 101, 500), at(320ms));
+    LONGS_EQUAL(0, upstream.flows);
+    host.core.on_packet(syn(2), at(320ms));
+    host.run_until(4s);
+    LONGS_EQUAL(0, host.core.flow_count());
+}
+
+// Failure: upstreams without room were avoided until few were left, which then had no room either.
+TEST(failure_detection, weak_evidence_excludes_none_when_it_would_exclude_most_upstreams_of_a_service)
+{
+    test_host host{
+        {make_upstream("i-1", 1), make_upstream("i-2", 2), make_upstream("i-3", 3), make_upstream("i-4", 4)}};
+    const auto upstream = [&](std::uint64_t number) -> auto&
+    {
+        return *host.core.registry().find(token_of(make_upstream("i-" + std::to_string(number), number)));
+    };
+    std::uint16_t port = 0;
+    const auto count_used = [&](base::duration now)
+    {
+        host.run_until(now);
+        std::set<std::uint64_t> used;
+        for (int flow = 0; flow < 50; ++flow)
+        {
+            used.insert(host.core.on_packet(syn(++port), at(now)).upstream_number);
+        }
+        // Their SYNs are no evidence.
+        host.core.registry().for_each([&](auto& one) { one.last_progress = at(now + 1ms); });
+        return used.size();
+    };
+    upstream(1).avoid_until = at(10s);
+    upstream(2).voted_until = at(10s);
+    LONGS_EQUAL(2, count_used(200ms));
+    upstream(3).avoid_until = at(10s);
+    LONGS_EQUAL(4, count_used(400ms));
+    LONGS_EQUAL(3, host.core.ignored_doubt_count());
+    // One that refused a connection and one that several hosts cannot connect to leave two.
+    upstream(1).probes.failed_at = at(500ms);
+    upstream(2).unreachable_votes = 2;
+    LONGS_EQUAL(1, count_used(600ms));
+    const auto changes = host.core.take_avoidance_changes();
+    LONGS_EQUAL(2, changes.size());
+    CHECK(changes.front() == (avoidance_change{.service = "feed", .ignored = true, .counts = {4, 0, 3}}));
+    CHECK(changes.back().lasted > 0s && changes.back().counts == (avoidance_counts{4, 2, 1}));
+    // An upstream that does not answer callers for `silence_limit` is excluded in any case.
+    upstream(1).probes.failed_at = {};
+    upstream(2).unreachable_votes = 0;
+    upstream(3).silent_until = at(10s);
+    LONGS_EQUAL(3, count_used(800ms));
+}
+
+// Failure: after a burst, upstreams that ran and had room again were avoided for another 2.5 s.
+TEST(failure_detection, an_upstream_that_accepts_a_connection_is_avoided_until_the_next_attempt_only)
+{
+    test_host host{{make_upstream("i-1", 1)}};
+    const auto token = host.core.on_packet(syn(1), at(0ms)).token;
+    host.core.on_packet(syn(2), at(0ms));
+    host.run_until(300ms);
+    const auto& upstream = *host.core.registry().find(token);
+    CHECK(host.core.is_avoided_locally(upstream, at(2s)));
+    host.core.on_probe(token, probe_result::reachable, at(310ms));
+    host.core.on_packet(syn(3), at(400ms));
+    host.run_until(700ms);
+    CHECK(host.core.is_avoided_locally(upstream, at(1'300ms)));
+    CHECK_FALSE(host.core.is_avoided_locally(upstream, at(1'310ms)));
+}
