--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -313,6 +313,9 @@
     /// Stops counting requests that their callers have neither repeated nor got an answer to, and takes those of one
     /// packet for rejected.
     void check_abandoned_requests(base::time_point now);
+    /// Returns the time for which a request of several packets of the service may wait for its answer; empty where
+    /// flows carry many requests or no answer was seen.
+    std::optional<base::duration> answer_wait(const std::string& service) const;
     /// Stops counting the flow's request as open.
     static void stop_waiting(flow_state& flow, upstream_incarnation& upstream);
     /// Returns true when another host has got an answer from the upstream since hosts vote against it.
--- a/src/steer/answer_time_sampler.cpp
+++ b/src/steer/answer_time_sampler.cpp
@@ -58,8 +58,18 @@
            known->second.later * flows_per_later_request < known->second.first;
 }
 
-void answer_time_sampler::on_answer(const flow_state& flow, upstream_incarnation& upstream, base::time_point now) const
+base::duration answer_time_sampler::longest_answer(const std::string& service) const
 {
+    const auto known = services_.find(service);
+    return known != services_.end() ? known->second.longest_answer : base::duration{0};
+}
+
+void answer_time_sampler::on_answer(const flow_state& flow, upstream_incarnation& upstream, base::time_point now)
+{
+    // Half of it is left after 44 answers, so that it follows the end of a burst within seconds.
+    constexpr int fading = 64;
+    auto& longest = services_[upstream.entry.service].longest_answer;
+    longest = std::max<base::duration>(now - flow.sent_at, longest - longest / fading);
     const bool is_local = data_centre_.empty() || upstream.entry.data_centre == data_centre_;
     const base::duration round_trip{flow.round_trip_us};
     const auto worked = now - flow.sent_at - round_trip;
--- a/src/steer/answer_time_sampler.hpp
+++ b/src/steer/answer_time_sampler.hpp
@@ -28,7 +28,7 @@
     /// Records the first acknowledgement of the answer to the flow's last request, and adds a
     /// sample to the upstream unless the time says nothing of it. Call it before the flow's
     /// retransmissions are cleared.
-    void on_answer(const flow_state& flow, upstream_incarnation& upstream, base::time_point now) const;
+    void on_answer(const flow_state& flow, upstream_incarnation& upstream, base::time_point now);
     /// Records that the process did not run: answers to earlier requests give no samples.
     void on_pause(base::time_point now) { resumed_at_ = now; }
 
@@ -38,13 +38,16 @@
     /// Returns true when most flows of the service carry one request, by enough of them: a host
     /// that has just started has seen the first requests of long flows only.
     bool has_short_flows(const std::string& service) const;
+    /// Returns about the longest time that one of the last answers of the service took; 0 when none was seen.
+    base::duration longest_answer(const std::string& service) const;
 
 private:
-    /// Requests of recent flows of one service.
+    /// Requests of recent flows of one service, and the longest of their answer times, which fades.
     struct request_counts
     {
         std::uint32_t first = 0;
         std::uint32_t later = 0;
+        base::duration longest_answer{0};
     };
 
     std::string data_centre_;
--- a/src/steer/steerer_load.cpp
+++ b/src/steer/steerer_load.cpp
@@ -9,6 +9,7 @@
 
 #include <galenabay/base/invariant.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -24,10 +25,12 @@
 /// retransmission timeout of 200 ms, and the tenth of a second for which a process with a CPU quota
 /// may not run.
 constexpr base::duration abandonment_limit = std::chrono::milliseconds{350};
-/// Time for which a request of several packets counts as open without an answer, where flows carry one request. An
-/// upstream acknowledges every second packet, so that a caller may wait for the answer without sending anything: the
-/// limit is several times what a full queue and a slow request take.
-constexpr base::duration long_request_limit = std::chrono::milliseconds{1'000};
+/// Shortest time for which a request of several packets counts as open without an answer, where flows carry one
+/// request. An upstream acknowledges every second packet, so that a caller may wait for the answer without sending
+/// anything: the limit is several times what a full queue takes.
+constexpr base::duration shortest_wait = std::chrono::milliseconds{1'000};
+/// The same in multiples of the longest recent answer.
+constexpr int waited_answers = 2;
 
 } // namespace
 
@@ -55,17 +58,18 @@
                                             record_rejection(*upstream, now);
                                             ++shortage_->rejected_flows;
                                         }
-                                        else if (answer_times_->has_short_flows(upstream->entry.service))
+                                        else if (const auto limit = answer_wait(upstream->entry.service); !limit)
                                         {
-                                            if (now - flow->last_seen >= long_request_limit)
-                                            {
-                                                stop_waiting(*flow, *upstream);
-                                            }
-                                            else
-                                            {
-                                                still_waiting.push_back(
-                                                    {.flow = sent.flow, .token = sent.token, .sent_at = now});
-                                            }
+                                            return;
+                                        }
+                                        else if (now - flow->last_seen >= *limit)
+                                        {
+                                            stop_waiting(*flow, *upstream);
+                                        }
+                                        else
+                                        {
+                                            still_waiting.push_back(
+                                                {.flow = sent.flow, .token = sent.token, .sent_at = now});
                                         }
                                     });
     for (const auto& sent : still_waiting)
@@ -74,6 +78,16 @@
     }
 }
 
+std::optional<base::duration> steerer::answer_wait(const std::string& service) const
+{
+    const auto longest = answer_times_->longest_answer(service);
+    if (!answer_times_->has_short_flows(service) || longest == base::duration{0})
+    {
+        return std::nullopt;
+    }
+    return std::max(shortest_wait, waited_answers * longest);
+}
+
 void steerer::stop_waiting(flow_state& flow, upstream_incarnation& upstream)
 {
     flow.waiting = false;
