Reset no flow that may be open on an upstream that restarted while nobody watched the store

Cause: a flow counted as certainly opened on the earlier incarnation when this host saw it 6 s before it learnt of the restart, or before its own reads of the store failed. A host that does not read the store itself did not know of an outage, a failure that had ended 2.5 s before no longer counted, and a restart with the clock set back takes effect 2.5 s after it is known. Live flows on the new incarnation were reset.

Change: a host records since when neither it nor a live host of its data centre reads the store successfully; that counts until 6 s after its end. An incarnation that is replaced by one with an earlier start time keeps the time at which that start was known. A registration of an earlier start no longer ends a later incarnation that followed it. The metric galenabay_store_unwatched and a log line show the state.

Result: test_steer -g restarted_upstream and -g upstream_registry: three new tests fail before the change and pass with it.

--- a/include/galenabay/peers/fleet_exchange.hpp
+++ b/include/galenabay/peers/fleet_exchange.hpp
@@ -151,6 +151,9 @@
     bool update_following(base::time_point now) { return peers_.update_following(now); }
     std::vector<std::string> expire(base::time_point now) { return peers_.expire(now); }
 
+    /// As in `peer_view`.
+    bool has_follower(base::time_point now) const { return peers_.has_follower(now); }
+
     /// Returns true when this host collects the loads of its data centre.
     bool collects() const noexcept { return collects_; }
     /// Returns true when this host has collected for `registration_delay`, so that the store
--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -128,6 +128,9 @@
     /// Records that the store could not be read: for `missing_grace` from `now` no missing
     /// upstream is ended.
     void on_store_failure(base::time_point now) { registry_.store_failed(now); }
+    /// Records that no host is known to watch the store for this one, so that restarts may become known late. Missing
+    /// upstreams still end. Call it every `tick_interval` while that is so.
+    void on_store_unwatched(base::time_point now) { registry_.store_unwatched(now); }
     /// Totals of the other hosts' reports about one upstream.
     struct remote_view
     {
@@ -330,6 +333,8 @@
     /// this host learnt of the restart late, continue there: the successor resets those that it does
     /// not have.
     void end_flows(const upstream_incarnation& ended, std::vector<lost_flow>& resets, base::time_point now);
+    /// Returns true when this host knows no other hosts and has watched the store itself for some time.
+    bool is_alone(base::time_point now) const;
     /// Returns the latest time at which a flow was certainly opened on the ended incarnation, not on
     /// its successor.
     base::time_point find_last_opened(const upstream_incarnation& ended, base::time_point now);
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -48,6 +48,8 @@
     /// No flow of this incarnation can continue.
     bool ended = false;
     base::time_point ended_at{};
+    /// Since when this host may not have learnt in time that the incarnation ended; at most `ended_at`.
+    base::time_point end_unknown_since{};
     /// The next incarnation of the same id, service, number and address; 0 when there is none.
     upstream_token successor = 0;
 
@@ -137,6 +139,9 @@
         base::duration missing_grace = std::chrono::milliseconds{2'500};
         /// Time for which an ended incarnation is kept: the age limit of flows.
         base::duration retention = std::chrono::seconds{60};
+        /// Longest time after the restart of an upstream within which hosts learn of it while some host can read the
+        /// store: in the fault soak it was unavailable for up to 4.5 s, and a first list was up to 6 s old.
+        base::duration restart_delay = std::chrono::seconds{6};
     };
 
     /// Change of one incarnation, which is null only for the kind `none`.
@@ -163,6 +168,9 @@
     /// Records that the store could not be read: registrations may expire although their
     /// upstreams are alive.
     void store_failed(base::time_point now);
+    /// Records that no host is known to watch the store for this one: restarts may become known late. Unlike after
+    /// `store_failed`, missing upstreams end.
+    void store_unwatched(base::time_point now);
 
     /// Ends incarnations that were missing for `missing_grace` and removes ended ones
     /// after `retention`. Returns those that it ended and those that took their place.
@@ -178,9 +186,12 @@
 
     /// Returns true when no read of the store failed for `missing_grace`.
     bool is_store_settled(base::time_point now) const;
-    /// Returns since when changes of the store may have been missed because it could not be read;
-    /// `now` when it is settled.
-    base::time_point unsettled_since(base::time_point now) const;
+    /// Returns true when a read of the store failed, or no host was known to watch it, within `restart_delay`.
+    bool was_unwatched(base::time_point now) const;
+    /// Returns since when restarts may have become known later than `restart_delay`: the first of the times of
+    /// `was_unwatched` that follow one another within that delay; `now` when the last one is longer ago.
+    base::time_point unwatched_since(base::time_point now) const;
+    const limits& bounds() const noexcept { return limits_; }
     /// Returns true when the registration went missing shortly after the store failed, so
     /// that it may have expired although the upstream is alive.
     bool may_have_expired(const upstream_incarnation& incarnation) const;
@@ -230,6 +241,8 @@
     {
         upstream_entry entry;
         base::time_point known_since{};
+        /// `unwatched_since` at that time.
+        base::time_point unwatched_since{};
     };
 
     /// Returns true when a registration is newer than what is known of the upstream. Within
@@ -266,8 +279,9 @@
     /// Revision of the latest complete list: what it does not contain was gone by then.
     store_revision listed_at_;
     std::optional<base::time_point> store_failed_at_;
-    /// The first of the failures that ended with the latest one.
-    base::time_point store_failing_since_{};
+    /// Latest failure or time without a watching host, and the first one of those that it ended.
+    std::optional<base::time_point> unwatched_at_;
+    base::time_point unwatched_since_{};
     std::uint64_t outdated_count_ = 0;
     /// Sum of `digest_part` of all incarnations.
     std::uint64_t digest_sum_ = 0;
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -48,6 +48,8 @@
       peers{gauge(registry_, "galenabay_peers", "Other hosts that are live")},
       follows_store{
           gauge(registry_, "galenabay_follows_store", "1 while this host watches the store for its data centre")},
+      store_unwatched{gauge(registry_, "galenabay_store_unwatched",
+                            "1 while no host is known that watches the store for this one's data centre")},
       configuration_behind{gauge(registry_, "galenabay_configuration_behind_seconds",
                                  "Time for which another host is known to have a newer configuration")},
       store_epoch{gauge(registry_, "galenabay_store_epoch",
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -262,6 +262,7 @@
 void packet_worker::tick(base::time_point now)
 {
     next_tick_ = now + steer::steerer::tick_interval;
+    check_watch(now);
     process_outcome(steerer_.on_tick(now), {}, now);
     request_warm_ups(now);
     report_evacuations("hold_ended");
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -100,6 +100,8 @@
     /// Sends the changes that a watch returned to the other hosts.
     void send_changes(const store_update& update, const steer::store_revision& previous_revision);
     void exchange_with_peers(base::time_point now);
+    /// Tells the `steerer` when neither this host nor another one of its data centre watches the store successfully.
+    void check_watch(base::time_point now);
     /// Decides whether this host watches the store and collects loads, and logs a change.
     void update_roles(base::time_point now);
     /// Passes requested probes to the probe thread and applies the results.
@@ -163,6 +165,8 @@
     int apply_attempts_ = 0;
     peer_link peers_;
     bool collects_ = false;
+    /// Result of the last `check_watch`.
+    bool is_unwatched_ = false;
     /// Data centres are evacuated on this deployment.
     bool has_evacuations_ = false;
     /// `evacuation_table::change_count` when the evacuations in force were last logged.
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -93,6 +93,22 @@
     }
 }
 
+void packet_worker::check_watch(base::time_point now)
+{
+    // A host that knows no others has listed the store before it is ready, and watches it about a second later.
+    const bool watches = (state_.follows.load() || state_.alone.load()) && state_.store_reachable();
+    const bool is_unwatched = steerer_.is_ready() && !watches && !peers_.exchange().has_follower(now);
+    if (is_unwatched)
+    {
+        steerer_.on_store_unwatched(now);
+    }
+    if (is_unwatched != std::exchange(is_unwatched_, is_unwatched))
+    {
+        log_event{log_level::info, is_unwatched ? "store_unwatched" : "store_watched"};
+        metrics_.store_unwatched.Set(is_unwatched ? 1 : 0);
+    }
+}
+
 void packet_worker::exchange_probes(base::time_point now)
 {
     for (const auto& request : steerer_.take_probe_requests())
--- a/src/steer/steerer_ended_flows.cpp
+++ b/src/steer/steerer_ended_flows.cpp
@@ -13,11 +13,8 @@
 namespace
 {
 
-/// Longest time after the restart of an upstream within which hosts learn of it while the store can be read by some
-/// host: in the fault soak it was unavailable for up to 4.5 s, and a first list was up to 6 s old.
-constexpr base::duration restart_delay = std::chrono::seconds{6};
-/// The same for a host that knows no other hosts: it watches the store itself, which answers at once. A host that has
-/// just started gets the first statuses of the others in this time.
+/// `upstream_registry::limits::restart_delay` for a host that knows no other hosts: it watches the store itself, which
+/// answers at once. A host that has just started gets the first statuses of the others in this time.
 constexpr base::duration lone_restart_delay = std::chrono::milliseconds{900};
 
 lost_flow make_lost(const flow_key& key, const flow_state& flow, steering_reason reason, base::time_point now)
@@ -121,6 +118,11 @@
         });
 }
 
+bool steerer::is_alone(base::time_point now) const
+{
+    return peer_count_ == 0 && !registry_.was_unwatched(now);
+}
+
 base::time_point steerer::find_last_opened(const upstream_incarnation& ended, base::time_point now)
 {
     std::vector<std::pair<base::time_point, base::time_point>> flows;
@@ -133,8 +135,8 @@
             }
         });
     std::sort(flows.begin(), flows.end());
-    const auto is_alone = peer_count_ == 0 && registry_.is_store_settled(now);
-    auto opened_until = registry_.unsettled_since(now) - (is_alone ? lone_restart_delay : restart_delay);
+    auto opened_until =
+        ended.end_unknown_since - (is_alone(now) ? lone_restart_delay : registry_.bounds().restart_delay);
     for (const auto& [opened_at, answered_request_at] : flows)
     {
         if (opened_at > opened_until)
@@ -155,9 +157,8 @@
         return nullptr;
     }
     // Without other hosts, nobody opens flows by the earlier token once this host knows of the restart.
-    const bool is_alone = peer_count_ == 0 && registry_.is_store_settled(now);
     const bool is_known = flow != nullptr && flow->token == successor->token;
-    return is_known || !is_alone || now - ended.ended_at < lone_restart_delay ? successor : nullptr;
+    return is_known || !is_alone(now) || now - ended.ended_at < lone_restart_delay ? successor : nullptr;
 }
 
 } // namespace galenabay::steer
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -117,11 +117,14 @@
 
 void upstream_registry::store_failed(base::time_point now)
 {
-    if (is_store_settled(now))
-    {
-        store_failing_since_ = now;
-    }
     store_failed_at_ = now;
+    store_unwatched(now);
+}
+
+void upstream_registry::store_unwatched(base::time_point now)
+{
+    unwatched_since_ = unwatched_since(now);
+    unwatched_at_ = now;
 }
 
 void upstream_registry::observe_epoch(std::uint64_t epoch, base::time_point now)
@@ -171,11 +174,13 @@
         }
         if (current.entry.started_ms > entry.started_ms && !current.ended)
         {
-            const auto [row, is_new] = earlier_starts_.try_emplace(entry.id, earlier_start{{}, now});
+            const auto [row, is_new] =
+                earlier_starts_.try_emplace(entry.id, earlier_start{{}, now, unwatched_since(now)});
             row->second.entry = entry;
             return {upstream_change::none, &current};
         }
         end(current, now);
+        earlier_starts_.erase(entry.id);
         replaced = &current;
         kind = upstream_change::restarted;
     }
@@ -281,6 +286,11 @@
 {
     incarnation.ended = true;
     incarnation.ended_at = now;
+    incarnation.end_unknown_since = unwatched_since(now);
+    if (const auto earlier = earlier_starts_.find(incarnation.entry.id); earlier != earlier_starts_.end())
+    {
+        incarnation.end_unknown_since = std::min(incarnation.end_unknown_since, earlier->second.unwatched_since);
+    }
     update_digest(incarnation);
     std::erase(by_service_[incarnation.entry.service], &incarnation);
     by_id_.erase(incarnation.entry.id);
@@ -325,15 +335,16 @@
 
 void upstream_registry::replace_with_earlier_starts(std::vector<change>& changes, base::time_point now)
 {
-    for (auto row = earlier_starts_.begin(); row != earlier_starts_.end();)
+    std::vector<upstream_entry> due;
+    for (const auto& [id, earlier] : earlier_starts_)
     {
-        if (now - row->second.known_since < limits_.missing_grace)
+        if (now - earlier.known_since >= limits_.missing_grace)
         {
-            ++row;
-            continue;
+            due.push_back(earlier.entry);
         }
-        const auto entry = std::move(row->second.entry);
-        row = earlier_starts_.erase(row);
+    }
+    for (const auto& entry : due)
+    {
         upstream_incarnation* replaced = nullptr;
         if (const auto known = by_id_.find(entry.id); known != by_id_.end())
         {
@@ -341,6 +352,7 @@
             changes.push_back({upstream_change::ended, replaced});
             end(*replaced, now);
         }
+        earlier_starts_.erase(entry.id);
         const auto added = put(entry, now);
         if (replaced != nullptr && added.incarnation != nullptr)
         {
@@ -393,9 +405,14 @@
     return !store_failed_at_ || now - *store_failed_at_ >= limits_.missing_grace;
 }
 
-base::time_point upstream_registry::unsettled_since(base::time_point now) const
+bool upstream_registry::was_unwatched(base::time_point now) const
+{
+    return unwatched_at_ && now - *unwatched_at_ < limits_.restart_delay;
+}
+
+base::time_point upstream_registry::unwatched_since(base::time_point now) const
 {
-    return is_store_settled(now) ? now : store_failing_since_;
+    return was_unwatched(now) ? unwatched_since_ : now;
 }
 
 bool upstream_registry::may_have_expired(const upstream_incarnation& incarnation) const
--- a/tests/steer/restarted_upstream_test.cpp
+++ b/tests/steer/restarted_upstream_test.cpp
@@ -108,6 +108,49 @@
     check_action(steering_action::forward, late.core.on_packet(data(1, token_of(before), 101, 600), at(12s)));
 }
 
+// Failure: the host that watches the store could not read it for longer than a restart takes to become known otherwise,
+// and this host, which had read nothing itself, reset a live flow. The restart may also be registered some seconds
+// after the store has returned.
+TEST(restarted_upstream, a_flow_that_was_opened_while_nobody_watched_the_store_continues)
+{
+    for (const auto registered : {12s, 16s})
+    {
+        test_host unaware{{before}, 2};
+        unaware.core.set_peer_count(8);
+        unaware.run_until(1s);
+        unaware.core.on_packet(syn(1), at(1s));
+        unaware.core.on_packet(data(1, token_of(before), 1, 500), at(1'100ms));
+        for (auto now = 2s; now < 12s; now += 1s)
+        {
+            unaware.run_until(now);
+            unaware.core.on_store_unwatched(at(now));
+        }
+        unaware.run_until(registered);
+        LONGS_EQUAL(0, unaware.core.on_upstream(after, at(registered)).resets.size());
+    }
+    // Without the interruption the flow was certainly opened on the earlier incarnation, as it was when the
+    // interruption is long over.
+    late.core.on_store_unwatched(at(0s));
+    late.core.on_packet(syn(1), at(0s));
+    late.core.on_packet(data(1, token_of(before), 1, 500), at(100ms));
+    late.run_until(7s);
+    LONGS_EQUAL(1, late.core.on_upstream(after, at(7s)).resets.size());
+}
+
+// Failure: with the upstream's clock set back, a restart takes effect 2.5 s after it is known, or later while the store
+// is unavailable. Flows that were opened on the new incarnation before it was known were reset then.
+TEST(restarted_upstream, a_flow_that_was_opened_before_a_restart_with_the_clock_set_back_was_known_continues)
+{
+    late.run_until(1s);
+    late.core.on_packet(syn(1), at(1s));
+    late.core.on_packet(data(1, token_of(before), 1, 500), at(1'100ms));
+    late.run_until(5s);
+    const auto set_back = make_upstream("i-1", 1, 500);
+    LONGS_EQUAL(0, late.core.on_upstream(set_back, at(5s)).resets.size());
+    LONGS_EQUAL(0, late.run_until(9s).resets.size());
+    LONGS_EQUAL(token_of(set_back), late.core.on_packet(data(1, token_of(before), 101, 600), at(9s)).token);
+}
+
 // A packet by the earlier token must not reach what took the address over.
 TEST(restarted_upstream, a_flow_does_not_continue_on_another_service_or_address)
 {
--- a/tests/steer/upstream_registry_test.cpp
+++ b/tests/steer/upstream_registry_test.cpp
@@ -244,6 +244,20 @@
     CHECK_FALSE(registry.find(token_of(started_at(5'000, 10)))->missing_since.has_value());
 }
 
+// Failure: the earlier start took the place of the next incarnation, too, whose flows were reset.
+TEST(upstream_registry, an_earlier_start_does_not_take_the_place_of_a_later_incarnation)
+{
+    registry.put(sent_as(5, {1, 5}), at(0s));
+    auto earlier = sent_as(1, {1, 6});
+    earlier.started_ms -= 1;
+    registry.put(earlier, at(1s));
+    auto later = sent_as(1, {1, 7});
+    later.started_ms += 1;
+    CHECK(registry.put(later, at(2s)).kind == upstream_change::restarted);
+    LONGS_EQUAL(0, registry.expire(at(4s)).size());
+    CHECK_FALSE(registry.find(token_of(later))->ended);
+}
+
 TEST(upstream_registry, an_earlier_start_that_is_removed_does_not_take_the_place_of_the_known_one)
 {
     registry.put(started_at(5'000, 10), at(0s));
