Answer a claim of a starting upstream whose call ended with an exception

Cause: warm_up_worker removed a call from its queue before it made it. After an exception, as for memory that is exhausted, the claim was never answered, and the upstream had no owner until it was warm.

Change: the call stays in the queue until it is made or answered as failed; a claim is then repeated as after a call without an answer. A call that ended with an exception is not made again by itself.

Result: test_edge -g call_queue fails with the earlier order (a lost call) and passes with the change.

--- a/src/edge/warm_up_worker.cpp
+++ b/src/edge/warm_up_worker.cpp
@@ -46,7 +46,7 @@
 
 bool warm_up_worker::request(warm_up_call call)
 {
-    const bool taken = calls_.push(std::make_shared<const warm_up_call>(std::move(call)));
+    const bool taken = calls_.push(std::move(call));
     wakeup_.notify();
     return taken;
 }
@@ -67,10 +67,10 @@
 
 void warm_up_worker::run_step()
 {
-    std::shared_ptr<const warm_up_call> call;
-    while (!state_.stopping() && calls_.pop(call))
+    const auto make = [this](const warm_up_call& call) { make_call(call); };
+    const auto fail = [this](const warm_up_call& call) { answer_failed(call); };
+    while (!state_.stopping() && calls_.use_first(make, fail))
     {
-        make_call(*call);
     }
     wakeup_.prepare();
     pollfd entry{wakeup_.descriptor(), POLLIN, 0};
@@ -97,6 +97,14 @@
     }
 }
 
+void warm_up_worker::answer_failed(const warm_up_call& call)
+{
+    if (call.what == warm_up_call::kind::claim)
+    {
+        push({.what = call.what, .claim = {.token = call.token, .result = steer::claim_result::failed, .epoch = 0}});
+    }
+}
+
 steer::claim_answer warm_up_worker::claim(const warm_up_call& call)
 {
     auto client = adapter::store_client::make(state_.store(), object_kind::warm_ups, store_answer_timeout);
--- a/src/edge/warm_up_worker.hpp
+++ b/src/edge/warm_up_worker.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "call_queue.hpp"
 #include "edge_metrics.hpp"
 #include "shared_state.hpp"
 
@@ -74,6 +75,8 @@
     /// Makes the calls that wait, and sleeps until there are others.
     void run_step();
     void make_call(const warm_up_call& call);
+    /// Answers a claim whose call ended with an exception, so that it is repeated as after a call without an answer.
+    void answer_failed(const warm_up_call& call);
     steer::claim_answer claim(const warm_up_call& call);
     void remove(const std::string& name);
     void list();
@@ -86,7 +89,7 @@
     edge_metrics& metrics_;
     net::wakeup_event& consumer_;
     net::wakeup_event wakeup_;
-    base::ring<std::shared_ptr<const warm_up_call>> calls_{ring_capacity};
+    call_queue<warm_up_call> calls_{ring_capacity};
     base::ring<std::shared_ptr<const warm_up_report>> reports_{ring_capacity};
     std::thread thread_;
 };
