Adopt a configuration completely or not at all

Cause: when memory ran out while the admission of a new configuration was built, its routes were in force and its version with them, so that the next attempt ignored it and its admission was never adopted. The state for other hosts was made after the adoption, too.

Change: routes, admission and totals are built as copies and then moved into place, which does not throw. The state for other hosts is made before.

Result: test_steer -g odd_input with every number of allocations that is too small: fails before (two routes of a refused configuration), passes with the change.

--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -112,7 +112,7 @@
     };
 
     /// Adopts a configuration. Returns false, and changes nothing, when `next` is not newer
-    /// than the version in force.
+    /// than the version in force. An exception for memory that is exhausted changes nothing, either.
     bool on_configuration(const configuration& next);
     /// Adopts a set of evacuations: new flows avoid the upstreams of these data centres at once,
     /// open flows stay. Returns false, and changes nothing, when the set is not newer than the
@@ -270,8 +270,7 @@
     };
     /// Adds up the loads of a service's upstreams.
     service_totals add_up(const std::string& service) const;
-    /// Puts the services of a new configuration in force.
-    void adopt_admission();
+    std::vector<service_totals> add_up(const std::vector<admitted_service>& services) const;
     /// Brings `totals_` up to date and counts the flows that were rejected since the last call.
     void update_totals(base::time_point now);
     /// Takes the upstreams of data centres that return from an evacuation for starting ones.
--- a/src/edge/packet_worker_updates.cpp
+++ b/src/edge/packet_worker_updates.cpp
@@ -127,11 +127,13 @@
 void packet_worker::adopt(const steer::configuration& next, const steer::store_revision& revision)
 {
     const auto before = steerer_.routes().version();
+    // Made first: after an exception, which it may end with, the update is applied again, and would find the version in
+    // force.
+    auto served = std::make_shared<const peers::edge_state>(peers::edge_state{.configuration = next, .upstreams = {}});
     const bool adopted = steerer_.on_configuration(next);
     if (adopted)
     {
-        configuration_ =
-            std::make_shared<const peers::edge_state>(peers::edge_state{.configuration = next, .upstreams = {}});
+        configuration_ = std::move(served);
         if (steerer_.is_ready())
         {
             // Others ask for it as soon as the urgent status tells them of the version.
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -11,7 +11,7 @@
 #include <galenabay/base/invariant.hpp>
 
 #include <algorithm>
-
+#include <type_traits>
 #include <utility>
 
 namespace galenabay::steer
@@ -79,14 +79,21 @@
 
 bool steerer::on_configuration(const configuration& next)
 {
-    const auto before = routes_.version();
-    const bool adopted = routes_.adopt(next);
-    GALENABAY_INVARIANT(routes_.version() >= before);
-    if (adopted)
+    // When memory runs out, all that is in force stays so, and the caller tries again.
+    auto routes = routes_;
+    if (!routes.adopt(next))
     {
-        adopt_admission();
+        return false;
     }
-    return adopted;
+    auto admissions = admission_;
+    admissions.adopt(routes.admitted());
+    auto totals = add_up(admissions.services());
+    GALENABAY_INVARIANT(routes.version() > routes_.version());
+    static_assert(std::is_nothrow_move_assignable_v<route_table> && std::is_nothrow_move_assignable_v<admission>);
+    routes_ = std::move(routes);
+    admission_ = std::move(admissions);
+    totals_ = std::move(totals);
+    return true;
 }
 
 bool steerer::on_evacuations(const evacuation_set& next, base::time_point now)
--- a/src/steer/steerer_admission.cpp
+++ b/src/steer/steerer_admission.cpp
@@ -32,14 +32,14 @@
     return totals;
 }
 
-void steerer::adopt_admission()
+std::vector<steerer::service_totals> steerer::add_up(const std::vector<admitted_service>& services) const
 {
-    admission_.adopt(routes_.admitted());
-    totals_.clear();
-    for (const auto& service : admission_.services())
+    std::vector<service_totals> totals;
+    for (const auto& service : services)
     {
-        totals_.push_back(add_up(service.name));
+        totals.push_back(add_up(service.name));
     }
+    return totals;
 }
 
 void steerer::update_totals(base::time_point now)
--- a/tests/steer/odd_input_test.cpp
+++ b/tests/steer/odd_input_test.cpp
@@ -2,12 +2,57 @@
 
 #include <galenabay/base/random.hpp>
 
+#include <CppUTest/TestMemoryAllocator.h>
+
+#include <new>
 #include <vector>
 
 using namespace galenabay;
 using namespace galenabay::steer;
 using namespace galenabay::steer::test;
 
+namespace
+{
+
+/// Fails when it has been used `left` times since that was set.
+struct limited_allocator : TestMemoryAllocator
+{
+    limited_allocator()
+        : TestMemoryAllocator{defaultNewAllocator()->name(), defaultNewAllocator()->alloc_name(),
+                              defaultNewAllocator()->free_name()}
+    {
+    }
+
+    char* alloc_memory(std::size_t size, const char* file, std::size_t line) override
+    {
+        return left-- > 0 ? TestMemoryAllocator::alloc_memory(size, file, line) : nullptr;
+    }
+
+    int left = 0;
+};
+
+/// Returns true when `host` adopted `next` with at most so many allocations.
+bool adopts_with(int allocations, steerer& host, const configuration& next)
+{
+    // The leak check keeps a reference to it.
+    static limited_allocator memory;
+    memory.left = allocations;
+    setCurrentNewAllocator(&memory);
+    bool adopted = false;
+    try
+    {
+        adopted = host.on_configuration(next);
+    }
+    catch (const std::bad_alloc&)
+    {
+        // What is in force then is checked by the caller.
+    }
+    setCurrentNewAllocatorToDefault();
+    return adopted;
+}
+
+} // namespace
+
 TEST_GROUP(odd_input)
 {
     static constexpr std::uint64_t upstreams = 6;
@@ -129,3 +174,32 @@
     CHECK(forwarded > 0);
     CHECK(lost_flows > 0);
 }
+
+// Failure: memory ran out while the admission of a new configuration was built. Its routes were adopted, and its
+// admission never, because the version was in force by then.
+TEST(odd_input, a_configuration_is_adopted_completely_or_not_at_all)
+{
+    test_host host{{make_upstream("i-1", 1)}};
+    auto next = make_configuration(2, {{"feed", 1}, {"other", 1}});
+    next.routes.push_back(next.routes.front());
+    next.routes.back().port += 1;
+    next.routes.back().urgency = 7;
+    next.limits = {{.service = "feed", .max_flows = 5}, {.service = "other", .warm_up_rate = 2}};
+    int allocations = 0;
+    while (!adopts_with(allocations, host.core, next))
+    {
+        LONGS_EQUAL(1, host.core.routes().version());
+        LONGS_EQUAL(1, host.core.routes().size());
+        LONGS_EQUAL(0, host.core.admissions().services().size());
+        LONGS_EQUAL(0, host.core.routes().limits_of("feed").max_flows);
+        ++allocations;
+        CHECK(allocations < 1'000);
+    }
+    CHECK(allocations > 10);
+    LONGS_EQUAL(2, host.core.routes().version());
+    LONGS_EQUAL(2, host.core.routes().size());
+    LONGS_EQUAL(2, host.core.admissions().services().size());
+    LONGS_EQUAL(5, host.core.routes().limits_of("feed").max_flows);
+    CHECK(host.core.routes().has_warm_up_rates());
+    host.run_until(1s);
+}
