Limit late rejections and the wider dead band to services with one request per flow

Cause: flows that ended up to 400 ms after a request with a short answer counted as rejected, and a busy service had a dead band of answer times that is wider by a factor of 4, also where flows carry many requests. A confirmation at the end of a long flow cost its upstream load, and slow upstreams of a busy service with long flows were not found.

Change: other services have the limit of 10 ms and the band that they had before. The band goes by what a host has seen so far, because a host that has just started needs it in a burst.

Tests: the test of the wider band calls update_relative_answer_times with the kind of flows and checks long flows as well; its checks for short flows are the same.

--- a/src/steer/answer_time_sampler.cpp
+++ b/src/steer/answer_time_sampler.cpp
@@ -52,10 +52,15 @@
 {
     // Some seconds of new flows of a small host, in which long flows have sent several requests each.
     constexpr std::uint32_t required_flows = 64;
+    const auto known = services_.find(service);
+    return known != services_.end() && known->second.first >= required_flows && may_have_short_flows(service);
+}
+
+bool answer_time_sampler::may_have_short_flows(const std::string& service) const
+{
     constexpr std::uint32_t flows_per_later_request = 4;
     const auto known = services_.find(service);
-    return known != services_.end() && known->second.first >= required_flows &&
-           known->second.later * flows_per_later_request < known->second.first;
+    return known != services_.end() && known->second.later * flows_per_later_request < known->second.first;
 }
 
 void answer_time_sampler::on_answer(const flow_state& flow, upstream_incarnation& upstream, base::time_point now) const
--- a/src/steer/answer_time_sampler.hpp
+++ b/src/steer/answer_time_sampler.hpp
@@ -38,6 +38,9 @@
     /// Returns true when most flows of the service carry one request, by enough of them: a host
     /// that has just started has seen the first requests of long flows only.
     bool has_short_flows(const std::string& service) const;
+    /// Returns true when most flows of the service carry one request as far as this host has seen. Some seconds after a
+    /// start this is the same as `has_short_flows`; before, first requests of long flows may seem to be the only ones.
+    bool may_have_short_flows(const std::string& service) const;
 
 private:
     /// Requests of recent flows of one service.
--- a/src/steer/rejected_flows.hpp
+++ b/src/steer/rejected_flows.hpp
@@ -12,21 +12,25 @@
 
 /// Recognises flows that an upstream rejects by a short answer. The host does not see answers, only
 /// how far the caller has acknowledged them, so a rejection is an answer that is far shorter than
-/// those of the service usually are. The time to it does not tell: it contains the wait in a queue.
+/// those of the service usually are. Where flows carry one request, the time to it does not tell: it
+/// contains the wait in a queue.
 ///
 /// Keeps the mean and the mean deviation of the logarithm of the answers' sizes. A service whose
 /// answers differ widely has a large deviation, and none of its flows counts as rejected.
 class answer_sizes
 {
 public:
-    /// Time from a request to the end of a rejected flow. An upstream whose queue is full may reject only when it gets
-    /// to the request: 20 to 90 ms later in a burst. An answer after the callers' answer target (400 ms) has another
-    /// cause.
-    static constexpr base::duration rejection_limit = std::chrono::milliseconds{400};
+    /// Time from a request to the end of a rejected flow where flows carry one request. An upstream whose queue is full
+    /// may reject only when it gets to the request: 20 to 90 ms later in a burst. An answer after the callers' answer
+    /// target (400 ms) has another cause.
+    static constexpr base::duration short_flow_limit = std::chrono::milliseconds{400};
+    /// The same for other services, whose requests differ within a flow, so that its last answer may be short for
+    /// another reason: less than a request takes to process (15 ms).
+    static constexpr base::duration long_flow_limit = std::chrono::milliseconds{10};
 
     /// Records a flow that ended `elapsed` after its last request, of whose answer the caller
-    /// acknowledged `size` bytes. Returns true when the upstream rejected it.
-    bool on_end(std::uint32_t size, base::duration elapsed)
+    /// acknowledged `size` bytes. Returns true when the upstream rejected it, within `limit`.
+    bool on_end(std::uint32_t size, base::duration elapsed, base::duration limit)
     {
         if (size == 0)
         {
@@ -34,7 +38,7 @@
             return false;
         }
         const double difference = std::log2(static_cast<double>(size)) - mean_;
-        const bool rejected = samples_ >= required_samples && elapsed <= rejection_limit &&
+        const bool rejected = samples_ >= required_samples && elapsed <= limit &&
                               difference < -std::max(least_difference, deviations * deviation_);
         if (samples_ < required_samples)
         {
--- a/src/steer/relative_answer_times.cpp
+++ b/src/steer/relative_answer_times.cpp
@@ -18,8 +18,9 @@
 /// What is added to it, divided by the square root of the samples: the standard deviation of a
 /// sample's logarithm is 0.33 when 3 of 100 requests take seven times as long.
 constexpr double sample_deviation = 0.5;
-/// What is added to it while a service is busy: a factor of 4. The answer times of equal upstreams then differ by the
-/// lengths of their queues, and hosts that take that for speed all move their flows to the same upstreams.
+/// What is added to it while a service whose flows carry one request is busy: a factor of 4. The answer times of equal
+/// upstreams then differ by the lengths of their queues, and hosts that take that for speed all move their flows to the
+/// same upstreams. New flows are a small part of the load where flows are long, and the sums are in time.
 constexpr double queue_band = 1.4;
 /// Open requests for each slot from which on a service counts as busy in part, and fully.
 constexpr double busy_from = 1;
@@ -95,7 +96,9 @@
     return std::clamp(std::exp(deviation * trust), min_relative_answer_time, max_relative_answer_time);
 }
 
-answer_time_changes update_relative_answer_times(upstream_registry& registry, base::time_point now)
+answer_time_changes update_relative_answer_times(upstream_registry& registry,
+                                                 const std::function<bool(const std::string&)>& has_short_flows,
+                                                 base::time_point now)
 {
     answer_time_changes changes;
     std::vector<answer_time_sum> known;
@@ -118,7 +121,8 @@
                 }
             }
             const double reference = logs.empty() ? 0 : median_of(logs);
-            const double busy = busy_part(requests_per_slot);
+            const bool may_be_busy = !upstreams.empty() && has_short_flows(upstreams.front()->entry.service);
+            const double busy = may_be_busy ? busy_part(requests_per_slot) : 0;
             for (std::size_t i = 0; i < upstreams.size(); ++i)
             {
                 auto& upstream = *upstreams[i];
--- a/src/steer/relative_answer_times.hpp
+++ b/src/steer/relative_answer_times.hpp
@@ -4,7 +4,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace galenabay::steer
@@ -41,7 +43,10 @@
 constexpr base::duration answer_time_interval = std::chrono::milliseconds{200};
 
 /// Brings `relative_answer_time` of all upstreams up to date by the fleet's sums and this host's own
-/// samples; without samples it moves to 1. Call it every `answer_time_interval`.
-answer_time_changes update_relative_answer_times(upstream_registry& registry, base::time_point now);
+/// samples; without samples it moves to 1. Call it every `answer_time_interval`. `has_short_flows`: whether most
+/// flows of a service carry one request; only such a service counts as busy.
+answer_time_changes update_relative_answer_times(upstream_registry& registry,
+                                                 const std::function<bool(const std::string&)>& has_short_flows,
+                                                 base::time_point now);
 
 } // namespace galenabay::steer
--- a/src/steer/steerer_load.cpp
+++ b/src/steer/steerer_load.cpp
@@ -1,5 +1,6 @@
 #include <galenabay/steer/steerer.hpp>
 
+#include "answer_time_sampler.hpp"
 #include "flow_table.hpp"
 #include "rejected_flows.hpp"
 #include "relative_answer_times.hpp"
@@ -68,7 +69,8 @@
         return;
     }
     last_answer_time_update_ = now;
-    const auto changes = update_relative_answer_times(registry_, now);
+    const auto changes = update_relative_answer_times(
+        registry_, [this](const std::string& service) { return answer_times_->may_have_short_flows(service); }, now);
     slow_count_ = changes.slow;
     slowed_.insert(slowed_.end(), changes.slowed.begin(), changes.slowed.end());
 }
--- a/src/steer/steerer_shortage.cpp
+++ b/src/steer/steerer_shortage.cpp
@@ -1,5 +1,6 @@
 #include <galenabay/steer/steerer.hpp>
 
+#include "answer_time_sampler.hpp"
 #include "flow_table.hpp"
 #include "shortage_state.hpp"
 #include "upstream_evidence.hpp"
@@ -55,8 +56,11 @@
         return;
     }
     const auto size = static_cast<std::int32_t>(header.acknowledged - flow.answer_start);
-    auto& sizes = shortage_->services[upstream.entry.service].sizes;
-    if (size > 0 && sizes.on_end(static_cast<std::uint32_t>(size), now - flow.sent_at))
+    const auto& service = upstream.entry.service;
+    auto& sizes = shortage_->services[service].sizes;
+    const auto limit =
+        answer_times_->has_short_flows(service) ? answer_sizes::short_flow_limit : answer_sizes::long_flow_limit;
+    if (size > 0 && sizes.on_end(static_cast<std::uint32_t>(size), now - flow.sent_at, limit))
     {
         record_rejection(upstream, now);
         ++shortage_->rejected_flows;
--- a/tests/steer/answer_time_test.cpp
+++ b/tests/steer/answer_time_test.cpp
@@ -184,7 +184,13 @@
 // their worth instead of 0.978.
 TEST(answer_time, queues_of_a_busy_service_are_no_difference_in_speed)
 {
-    for (const bool is_busy : {false, true})
+    struct service_state
+    {
+        bool is_busy;
+        bool has_short_flows;
+    };
+    for (const auto& [is_busy, has_short_flows] :
+         {service_state{false, true}, service_state{true, true}, service_state{true, false}})
     {
         upstream_registry registry{upstream_registry::limits{}};
         for (std::uint64_t number = 1; number <= 8; ++number)
@@ -199,10 +205,12 @@
         }
         for (int i = 0; i < 10; ++i)
         {
-            update_relative_answer_times(registry, at(1s));
+            update_relative_answer_times(
+                registry, [is_short = has_short_flows](const std::string&) { return is_short; }, at(1s));
         }
         const auto slow = registry.find(token_of(make_upstream("i-1", 1)))->relative_answer_time;
-        CHECK(is_busy ? slow == 1 : slow > 2);
+        // Where flows are long, the queues change slowly, and a slow upstream must not be missed.
+        CHECK(is_busy && has_short_flows ? slow == 1 : slow > 2);
     }
 }
 
--- a/tests/steer/routing_under_shortage_test.cpp
+++ b/tests/steer/routing_under_shortage_test.cpp
@@ -277,6 +277,32 @@
     }
 }
 
+// Failure: callers that close a long flow some 100 ms after a request with a short answer, such as the confirmation of
+// an upload, counted as rejected, and their upstream got less load.
+TEST(room, a_long_flow_that_ends_with_a_short_answer_is_not_rejected)
+{
+    constexpr std::uint32_t requests = 4;
+    const auto end_flow = [&](std::uint32_t last_size, base::duration elapsed)
+    {
+        const auto token = host.core.on_packet(syn(++last_port), at(now)).token;
+        for (std::uint32_t i = 0; i < requests; ++i)
+        {
+            host.core.on_packet(data(last_port, token, 1 + 100 * i, 1 + 2'000 * i), at(now));
+            now += 20ms;
+        }
+        const auto acknowledged = 1 + 2'000 * (requests - 1) + last_size;
+        host.core.on_packet(fin(last_port, token, 1 + 100 * requests, acknowledged), at(now - 20ms + elapsed));
+    };
+    for (std::uint32_t i = 0; i < 100; ++i)
+    {
+        end_flow(2'000 + 10 * i, 18ms);
+    }
+    end_flow(40, 90ms);
+    LONGS_EQUAL(0, host.core.rejected_flow_count());
+    end_flow(40, 2ms);
+    LONGS_EQUAL(1, host.core.rejected_flow_count());
+}
+
 // Upstreams without room answer late, so each retransmitted SYN would otherwise load a second one.
 TEST(room, retransmitted_syns_are_limited_only_while_the_service_is_short_of_room)
 {
