Wait for a current list of the upstreams where a service states a rate

Cause: the first list of a host may be stale.

Change: where a service states a rate, a host whose list is of unknown epoch reads a current one at once, and is ready when it has it or the state of a host that has one. It waits for 1 s at most, so that services are served while the store is down. This costs one call for each start of a host; nothing changes where no rate is stated.

--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -82,6 +82,9 @@
     warm_up_claims::options warm_ups{};
     /// Time for which a closed flow is kept, for retransmissions of its last packets.
     base::duration closed_flow_retention = std::chrono::seconds{2};
+    /// Longest wait for a current list of the upstreams after the first one: some calls to the store and, without it,
+    /// two statuses of other hosts. A service must not stay without upstreams for longer while the store is down.
+    base::duration current_list_wait = std::chrono::milliseconds{1'000};
     /// The load of an upstream is corrected by its answer time relative to the other upstreams of
     /// its service.
     bool learned_capacity = true;
@@ -121,6 +124,14 @@
     /// Applies a complete list of the upstreams as of a store revision.
     outcome on_upstream_list(const std::vector<upstream_entry>& entries, const store_revision& revision,
                              base::time_point now);
+    /// Records that the known list of upstreams may be out of date. Where a service states a rate of new flows to
+    /// starting upstreams, this host is then not ready until `on_current_list`, since an upstream may have restarted;
+    /// for at most `steering_options::current_list_wait`, since the store may be down. Only the first call has an
+    /// effect.
+    void await_current_list(base::time_point now);
+    /// Records that the list of upstreams is current, or follows a current one.
+    void on_current_list() noexcept { awaits_list_ = false; }
+    bool awaits_current_list() const noexcept { return awaits_list_ && routes_.has_warm_up_rates(); }
     /// Applies one registration, unless a newer change of the upstream was applied.
     outcome on_upstream(const upstream_entry& entry, base::time_point now);
     /// Applies the removal of a registration at a store revision, with the same exception.
@@ -198,11 +209,12 @@
     /// Expires flows, upstreams and unanswered SYNs; call it every `tick_interval`.
     outcome on_tick(base::time_point now);
 
-    /// Returns true when a configuration, a list of upstreams and, where data centres are
-    /// evacuated, a set of evacuations have arrived.
+    /// Returns true when a configuration, a list of upstreams that need not be awaited and, where
+    /// data centres are evacuated, a set of evacuations have arrived.
     bool is_ready() const noexcept
     {
-        return routes_.version() != 0 && has_upstreams_ && (!options_.evacuation_bound || evacuations_.is_known());
+        return routes_.version() != 0 && has_upstreams_ && !awaits_current_list() &&
+               (!options_.evacuation_bound || evacuations_.is_known());
     }
     /// Sets the number of other live hosts. When there are any, a flow is reset only with
     /// their evidence.
@@ -368,6 +380,9 @@
     std::vector<service_totals> totals_;
     std::uint64_t moved_flow_count_ = 0;
     bool has_upstreams_ = false;
+    /// When the first list of upstreams was known to be out of date; empty before.
+    std::optional<base::time_point> outdated_at_;
+    bool awaits_list_ = false;
     std::vector<probe_request> probe_requests_;
     std::unique_ptr<flow_table> flows_;
     std::unique_ptr<sent_packet_queue> unanswered_syns_;
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -264,6 +264,8 @@
     next_tick_ = now + steer::steerer::tick_interval;
     check_watch(now);
     process_outcome(steerer_.on_tick(now), {}, now);
+    update_list_wait(now);
+    mark_ready();
     request_warm_ups(now);
     report_evacuations("hold_ended");
     report_links();
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -138,6 +138,8 @@
     peers::host_status status(base::time_point now);
     /// Replaces the state that this host serves to other hosts.
     void publish_snapshot();
+    /// Requests a current list of the upstreams where the `steerer` waits for one, and ends its wait.
+    void update_list_wait(base::time_point now);
     /// Reports this host as ready once a configuration and a list of upstreams are applied.
     void mark_ready();
     /// Logs and measures the evacuations in force when they have changed because of `source`.
@@ -167,6 +169,8 @@
     bool collects_ = false;
     /// Result of the last `check_watch`.
     bool is_unwatched_ = false;
+    /// The `steerer` waits for a current list of the upstreams.
+    bool awaits_list_ = false;
     /// Data centres are evacuated on this deployment.
     bool has_evacuations_ = false;
     /// `evacuation_table::change_count` when the evacuations in force were last logged.
--- a/src/edge/packet_worker_updates.cpp
+++ b/src/edge/packet_worker_updates.cpp
@@ -78,11 +78,32 @@
         // Their lists are read by the `warm_up_worker`, which has a ring of its own.
         break;
     }
+    update_list_wait(base::steady_now());
     snapshot_due_ = true;
     metrics_.adoption_time.Observe(seconds_between(update.received_at, base::steady_now()));
     mark_ready();
 }
 
+void packet_worker::update_list_wait(base::time_point now)
+{
+    // A list of unknown epoch is stale, or comes from a host that has a stale one only.
+    const bool is_current = upstreams_position_.revision().epoch != 0;
+    is_current ? steerer_.on_current_list() : steerer_.await_current_list(now);
+    const bool awaits = steerer_.awaits_current_list();
+    if (awaits == std::exchange(awaits_list_, awaits))
+    {
+        return;
+    }
+    state_.request_current_list(awaits);
+    if (!awaits)
+    {
+        log_event{is_current ? log_level::info : log_level::warning,
+                  is_current ? "upstreams_current" : "upstreams_maybe_outdated"}
+            .with("revision", upstreams_position_.revision().number)
+            .with("epoch", upstreams_position_.revision().epoch);
+    }
+}
+
 void packet_worker::mark_ready()
 {
     if (steerer_.is_ready() && !state_.ready.exchange(true))
--- a/src/edge/shared_state.hpp
+++ b/src/edge/shared_state.hpp
@@ -86,6 +86,17 @@
     }
     /// Requests a new list of a kind from the store, because an update could not be applied.
     void request_list(adapter::object_kind kind) { list_requested_[index(kind)].store(true); }
+    /// Requests a list of the upstreams that is not stale, although this host does not watch the store; or withdraws
+    /// the request, which stands until it is served.
+    void request_current_list(bool is_wanted)
+    {
+        current_list_wanted_.store(is_wanted);
+        wake();
+    }
+    bool wants_current_list(adapter::object_kind kind) const
+    {
+        return kind == adapter::object_kind::upstreams && current_list_wanted_.load();
+    }
     /// Takes the request for a list, so that each one is served once.
     bool take_list_request(adapter::object_kind kind) { return list_requested_[index(kind)].exchange(false); }
     /// Takes the host of the last read request, so that each request is served once.
@@ -100,7 +111,9 @@
     void wait_for_work(adapter::object_kind kind, std::chrono::milliseconds limit)
     {
         std::unique_lock lock{mutex_};
-        changed_.wait_for(lock, limit, [&] { return stop_.load() || follows.load() || newer_peers_[index(kind)]; });
+        changed_.wait_for(
+            lock, limit,
+            [&] { return stop_.load() || follows.load() || newer_peers_[index(kind)] || wants_current_list(kind); });
     }
     /// Requests the removal of the entries of lost hosts from the store.
     void request_removal(std::vector<std::string> lost)
@@ -165,6 +178,7 @@
     std::atomic<bool> stop_{false};
     std::array<std::atomic<bool>, kind_count> store_reachable_{};
     std::array<std::atomic<bool>, kind_count> list_requested_{};
+    std::atomic<bool> current_list_wanted_{false};
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::array<std::optional<base::endpoint>, kind_count> newer_peers_{};
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -95,6 +95,8 @@
     /// Returns true when a complete list has been read, so that no call is due unless this
     /// host follows the store.
     bool has_list() const noexcept { return listed_; }
+    /// Returns true when the latest complete list was not stale.
+    bool has_current_list() const noexcept { return can_watch_; }
     /// Returns true when the list has had so many pages that it is not to be continued.
     bool is_endless() const noexcept { return pages_ >= max_list_pages; }
     /// Revision of the last complete list or of the last answer to a watch.
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -84,7 +84,13 @@
         watch_.on_incomplete_changes(base::steady_now());
     }
     const auto call = watch_.next();
-    const bool follows = !watch_.has_list() || state_.follows.load();
+    const bool wants_current = state_.wants_current_list(kind_);
+    if (wants_current && watch_.has_current_list())
+    {
+        state_.request_current_list(false);
+        return;
+    }
+    const bool follows = !watch_.has_list() || state_.follows.load() || wants_current;
     // A store that has returned from an older copy lacks an accepted configuration until the
     // operator writes it again. Other hosts may have it; versions are not given out again.
     const bool is_configuration = kind_ == adapter::object_kind::configuration;
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -127,6 +127,15 @@
     return process_changes(registry_.replace_all(entries, revision, now), now);
 }
 
+void steerer::await_current_list(base::time_point now)
+{
+    if (has_upstreams_ && !outdated_at_)
+    {
+        outdated_at_ = now;
+        awaits_list_ = true;
+    }
+}
+
 steerer::outcome steerer::on_upstream(const upstream_entry& entry, base::time_point now)
 {
     return process_changes({registry_.put(entry, now)}, now);
@@ -387,6 +396,7 @@
         on_pause(now);
     }
     last_tick_ = now;
+    awaits_list_ = awaits_list_ && now - *outdated_at_ < options_.current_list_wait;
     evacuations_.tick(now);
     mark_returned(now);
     check_unanswered_syns(now);
--- a/tests/steer/steerer_test.cpp
+++ b/tests/steer/steerer_test.cpp
@@ -239,6 +239,37 @@
     CHECK(fresh.is_ready());
 }
 
+// Failure (edge_soak seed 507): a host that began with a stale list took a restarted upstream for its earlier
+// incarnation, which was warm, and sent flows to it beyond the stated rate. While the store is down it must still
+// serve.
+TEST(steerer, waits_for_a_current_list_for_a_second_where_a_service_states_a_rate)
+{
+    for (const bool is_limited : {false, true})
+    {
+        for (const bool has_current_list : {false, true})
+        {
+            galenabay::steer::steerer fresh{{}, 1};
+            fresh.await_current_list(at(0s));
+            auto next = make_configuration(1);
+            next.limits = {{.service = "feed", .warm_up_time = 10s, .warm_up_rate = is_limited ? 2.0 : 0.0}};
+            fresh.on_upstream_list({make_upstream("i-1", 1)}, {}, at(0s));
+            fresh.await_current_list(at(0s));
+            fresh.on_configuration(next);
+            CHECK_EQUAL(is_limited, fresh.awaits_current_list());
+            CHECK_EQUAL(!is_limited, fresh.is_ready());
+            fresh.on_tick(at(900ms));
+            fresh.await_current_list(at(900ms));
+            CHECK_EQUAL(!is_limited, fresh.is_ready());
+            has_current_list ? fresh.on_current_list() : void(fresh.on_tick(at(1s)));
+            CHECK(fresh.is_ready());
+            check_action(steering_action::forward, fresh.on_packet(syn(1), at(1s)));
+            // Another stale list makes no difference.
+            fresh.await_current_list(at(1s));
+            CHECK(fresh.is_ready());
+        }
+    }
+}
+
 // Failure: late packets of an earlier flow with the same addresses and ports reached the upstream of the later one.
 TEST(steerer, a_later_flow_with_the_same_ends_and_late_packets_of_the_earlier_one_keep_their_upstreams)
 {
