Own no upstream of a stale list after a restore of the store

Cause: registrations of a stale list have no epoch. A process that had only such lists before the store returned from an older copy took its claim for valid in the new epoch and could become a second owner of a starting upstream.

Change: such an incarnation counts as known since the latest epoch that the process knew when it first saw it; stale answers tell the epoch, too.

Result: test_steer -g warm_up_claims -n an_upstream_of_a_stale_list_is_not_owned_after_a_restore fails before and passes with the change.

--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -188,6 +188,8 @@
     /// rate; none where no service does. Call it every `tick_interval`.
     std::vector<warm_up_request> take_warm_up_requests(const warm_up_claims::rank_function& rank_of,
                                                        base::time_point now);
+    /// As `warm_up_claims::on_store_epoch`.
+    void on_store_epoch(std::uint64_t epoch) noexcept { warm_ups_.on_store_epoch(epoch); }
     /// Applies the answer to a claim. Returns true when this host owns the incarnation by it.
     bool on_claim(const claim_answer& answer, base::time_point now) { return warm_ups_.on_answer(answer, now); }
     /// Applies the list of those who share the rate of a starting upstream. Returns true when this
--- a/include/galenabay/steer/warm_up_claims.hpp
+++ b/include/galenabay/steer/warm_up_claims.hpp
@@ -110,6 +110,9 @@
     /// one could claim it and list other holders.
     std::vector<warm_up_request> update(upstream_registry& registry, const limit_function& limit_of,
                                         const rank_function& rank_of, base::time_point now);
+    /// Records the latest epoch of the store that this process knows, also by a stale answer. Incarnations whose
+    /// registration has none are taken for known since the epoch in which they are first seen here.
+    void on_store_epoch(std::uint64_t epoch) noexcept { store_epoch_ = epoch; }
     /// Applies the answer to a claim. Returns true when this host owns the incarnation by it.
     bool on_answer(const claim_answer& answer, base::time_point now);
     /// Applies an owner's message. Returns true when this process has a share by it. The list that
@@ -198,6 +201,7 @@
 
     options options_;
     std::optional<base::time_point> started_at_;
+    std::uint64_t store_epoch_ = 0;
     std::unordered_map<upstream_token, row> rows_;
     /// Time by which the lists sent so far would have been sent at the rate that is allowed.
     base::time_point announced_until_{};
--- a/src/edge/packet_worker_warm_ups.cpp
+++ b/src/edge/packet_worker_warm_ups.cpp
@@ -35,6 +35,7 @@
 {
     const auto rank_of = [&](const steer::upstream_entry& entry)
     { return peers_.exchange().rank_for(rank_key(entry.id, entry.started_ms), now); };
+    steerer_.on_store_epoch(state_.store_epoch.load());
     for (const auto& request : steerer_.take_warm_up_requests(rank_of, now))
     {
         const bool is_claim = request.what == steer::warm_up_request::kind::claim;
--- a/src/steer/warm_up_claims.cpp
+++ b/src/steer/warm_up_claims.cpp
@@ -56,7 +56,8 @@
             const auto [found, is_new] = rows_.try_emplace(
                 upstream.token, row{.id = entry.id,
                                     .started_ms = entry.started_ms,
-                                    .next_attempt = std::max(now, *started_at_ + options_.startup_wait)});
+                                    .next_attempt = std::max(now, *started_at_ + options_.startup_wait),
+                                    .epoch = entry.revision.epoch == 0 ? store_epoch_ : entry.revision.epoch});
             auto& claimed = found->second;
             claimed.epoch = claimed.epoch == 0 ? entry.revision.epoch : claimed.epoch;
             claimed.rate = rate;
--- a/tests/steer/warm_up_claims_test.cpp
+++ b/tests/steer/warm_up_claims_test.cpp
@@ -336,3 +336,17 @@
     update(400ms);
     CHECK_FALSE(has_token(400ms));
 }
+
+// Failure: a process that knew the upstream from stale lists only, and so by no epoch, became its second owner after
+// the store had returned from an older copy without the object.
+TEST(warm_up_claims, an_upstream_of_a_stale_list_is_not_owned_after_a_restore)
+{
+    entry = starting_upstream(2);
+    registry.put(entry, at(0s));
+    claims.on_store_epoch(1);
+    update(0s);
+    claims.on_store_epoch(2);
+    LONGS_EQUAL(2, update(1s).size());
+    CHECK_FALSE(answer(claim_result::created, 1'010ms, 2));
+    CHECK_FALSE(claims.owns(token_of(entry)));
+}
