Log upstreams that get no flows because another one has their token

Cause: the later one of two upstreams with one token got no flows, and no log line or metric said so.

Change: upstream_token_in_use names both ids, once for each upstream and token; galenabay_colliding_upstreams counts them.

--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -4,12 +4,14 @@
 #include <galenabay/steer/answer_time.hpp>
 #include <galenabay/steer/upstream_entry.hpp>
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace galenabay::steer
@@ -124,6 +126,16 @@
     } probes;
 };
 
+/// An upstream that gets no flows, because another one has its token. Plain value.
+struct token_collision
+{
+    std::string id;
+    std::string other_id;
+    upstream_token token = 0;
+
+    friend auto operator<=>(const token_collision&, const token_collision&) = default;
+};
+
 /// The upstreams that are registered in the platform's store.
 ///
 /// Keeps ended incarnations for `limits::retention` to recognise packets of their
@@ -218,6 +230,10 @@
     /// Number of registrations that were not applied because a later change of the id was,
     /// and that differ from what is known.
     std::uint64_t outdated_count() const noexcept { return outdated_count_; }
+    /// Returns the upstreams that were found to have the token of another one since the last call.
+    std::vector<token_collision> take_collisions() { return std::exchange(found_collisions_, {}); }
+    /// Number of upstreams that have the token of another one.
+    std::size_t collision_count() const noexcept { return colliding_.size(); }
     /// Number of incarnations, ended ones included.
     std::size_t size() const noexcept { return by_token_.size(); }
 
@@ -261,6 +277,8 @@
     /// Ends the incarnations that did not register again after one of an earlier start, and adds
     /// those in their place. Appends the changes.
     void replace_with_earlier_starts(std::vector<change>& changes, base::time_point now);
+    /// Records that an upstream gets no flows because another one has its token.
+    void record_collision(const upstream_entry& entry, const upstream_incarnation& other);
     change mark_missing(upstream_incarnation& incarnation, base::time_point now);
     void end(upstream_incarnation& incarnation, base::time_point now);
     /// Records that `next` follows `ended`, if it has the same service, number and address.
@@ -275,6 +293,9 @@
     std::unordered_map<std::string, std::vector<upstream_incarnation*>> by_service_;
     std::unordered_map<std::string, known_change> known_;
     std::unordered_map<std::string, earlier_start> earlier_starts_;
+    /// Upstreams that get no flows because of their tokens, by id, and those of them to be reported.
+    std::unordered_map<std::string, upstream_token> colliding_;
+    std::vector<token_collision> found_collisions_;
     std::uint64_t epoch_ = 0;
     /// Revision of the latest complete list: what it does not contain was gone by then.
     store_revision listed_at_;
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -48,6 +48,8 @@
       peers{gauge(registry_, "galenabay_peers", "Other hosts that are live")},
       follows_store{
           gauge(registry_, "galenabay_follows_store", "1 while this host watches the store for its data centre")},
+      colliding_upstreams{gauge(registry_, "galenabay_colliding_upstreams",
+                                "Upstreams that get no flows because another one has their token")},
       store_unwatched{gauge(registry_, "galenabay_store_unwatched",
                             "1 while no host is known that watches the store for this one's data centre")},
       configuration_behind{gauge(registry_, "galenabay_configuration_behind_seconds",
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -75,6 +75,7 @@
     prometheus::Gauge& ready;
     prometheus::Gauge& peers;
     prometheus::Gauge& follows_store;
+    prometheus::Gauge& colliding_upstreams;
     prometheus::Gauge& store_unwatched;
     /// Seconds for which another host is known to have a newer configuration.
     prometheus::Gauge& configuration_behind;
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -270,6 +270,7 @@
     report_evacuations("hold_ended");
     report_links();
     report_slowed(now);
+    report_collisions();
     apply_demands(now);
     if (snapshot_due_ && steerer_.is_ready())
     {
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -148,6 +148,8 @@
     void report_links();
     /// Measures trial flows, rejected flows and the SYNs that the retry budget held back.
     void report_shortage();
+    /// Logs and counts the upstreams that get no flows because of their tokens.
+    void report_collisions();
     /// Logs the upstreams that lost half of their capacity.
     void report_slowed(base::time_point now);
     /// Ticks the `steerer`, publishes a due snapshot and, once per summary interval, reports
--- a/src/edge/packet_worker_updates.cpp
+++ b/src/edge/packet_worker_updates.cpp
@@ -286,6 +286,18 @@
     }
 }
 
+void packet_worker::report_collisions()
+{
+    for (const auto& [id, other_id, token] : steerer_.registry().take_collisions())
+    {
+        log_event{log_level::error, "upstream_token_in_use"}
+            .with("id", id)
+            .with("other", other_id)
+            .with("token", token);
+    }
+    metrics_.colliding_upstreams.Set(static_cast<double>(steerer_.registry().collision_count()));
+}
+
 void packet_worker::send_changes(const store_update& update, const steer::store_revision& previous_revision)
 {
     peers::upstream_changes changes{.previous_revision = previous_revision,
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -108,6 +108,7 @@
         return false;
     }
     earlier_starts_.erase(id);
+    colliding_.erase(id);
     known.revision = revision;
     known.removed = true;
     known.at = now;
@@ -190,6 +191,7 @@
     {
         // With two upstreams of one token, packets could reach the wrong one, so the
         // later one gets no flows.
+        record_collision(entry, *slot);
         return replaced == nullptr ? change{} : change{upstream_change::ended, replaced};
     }
     if (!slot)
@@ -199,6 +201,7 @@
         slot->last_progress = now;
         slot->warm_at = base::time_point::max();
     }
+    colliding_.erase(entry.id);
     slot->ended = false;
     slot->successor = 0;
     update(*slot, entry, now);
@@ -211,6 +214,15 @@
     return {kind, slot.get()};
 }
 
+void upstream_registry::record_collision(const upstream_entry& entry, const upstream_incarnation& other)
+{
+    // The upstream registers again and again.
+    if (std::exchange(colliding_[entry.id], other.token) != other.token)
+    {
+        found_collisions_.push_back({.id = entry.id, .other_id = other.entry.id, .token = other.token});
+    }
+}
+
 void upstream_registry::update(upstream_incarnation& incarnation, const upstream_entry& entry, base::time_point now)
 {
     incarnation.entry = entry;
