--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -104,7 +104,8 @@
     }
     if (is_unwatched != std::exchange(is_unwatched_, is_unwatched))
     {
-        log_event{log_level::info, is_unwatched ? "store_unwatched" : "store_watched"};
+        log_event{log_level::info, is_unwatched ? "store_unwatched" : "store_watched"}.with(
+            "peers", peers_.exchange().live_count(now));
         metrics_.store_unwatched.Set(is_unwatched ? 1 : 0);
     }
 }
--- a/src/steer/steerer_admission.cpp
+++ b/src/steer/steerer_admission.cpp
@@ -35,6 +35,7 @@
 std::vector<steerer::service_totals> steerer::add_up(const std::vector<admitted_service>& services) const
 {
     std::vector<service_totals> totals;
+    totals.reserve(services.size());
     for (const auto& service : services)
     {
         totals.push_back(add_up(service.name));
