--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -85,6 +85,9 @@
     /// Time for which a closed flow is kept, for retransmissions of its last packets, and one whose
     /// SYN was not answered.
     base::duration closed_flow_retention = std::chrono::seconds{2};
+    /// Longest wait for a current list of the upstreams after the first one: some calls to the store and, without it,
+    /// two statuses of other hosts. A service must not stay without upstreams for longer while the store is down.
+    base::duration current_list_wait = std::chrono::milliseconds{1'000};
     /// The load of an upstream is corrected by its answer time relative to the other upstreams of
     /// its service.
     bool learned_capacity = true;
@@ -115,7 +118,7 @@
     };
 
     /// Adopts a configuration. Returns false, and changes nothing, when `next` is not newer
-    /// than the version in force.
+    /// than the version in force. An exception for memory that is exhausted changes nothing, either.
     bool on_configuration(const configuration& next);
     /// Adopts a set of evacuations: new flows avoid the upstreams of these data centres at once,
     /// open flows stay. Returns false, and changes nothing, when the set is not newer than the
@@ -124,6 +127,14 @@
     /// Applies a complete list of the upstreams as of a store revision.
     outcome on_upstream_list(const std::vector<upstream_entry>& entries, const store_revision& revision,
                              base::time_point now);
+    /// Records that the known list of upstreams may be out of date. Where a service states a rate of new flows to
+    /// starting upstreams, this host is then not ready until `on_current_list`, since an upstream may have restarted;
+    /// for at most `steering_options::current_list_wait`, since the store may be down. Only the first call has an
+    /// effect.
+    void await_current_list(base::time_point now);
+    /// Records that the list of upstreams is current, or follows a current one.
+    void on_current_list() noexcept { awaits_list_ = false; }
+    bool awaits_current_list() const noexcept { return awaits_list_ && routes_.has_warm_up_rates(); }
     /// Applies one registration, unless a newer change of the upstream was applied.
     outcome on_upstream(const upstream_entry& entry, base::time_point now);
     /// Applies the removal of a registration at a store revision, with the same exception.
@@ -131,6 +142,9 @@
     /// Records that the store could not be read: for `missing_grace` from `now` no missing
     /// upstream is ended.
     void on_store_failure(base::time_point now) { registry_.store_failed(now); }
+    /// Records that no host is known to watch the store for this one, so that restarts may become known late. Missing
+    /// upstreams still end. Call it every `tick_interval` while that is so.
+    void on_store_unwatched(base::time_point now) { registry_.store_unwatched(now); }
     /// Totals of the other hosts' reports about one upstream.
     struct remote_view
     {
@@ -177,6 +191,8 @@
     /// rate; none where no service does. Call it every `tick_interval`.
     std::vector<warm_up_request> take_warm_up_requests(const warm_up_claims::rank_function& rank_of,
                                                        base::time_point now);
+    /// As `warm_up_claims::on_store_epoch`.
+    void on_store_epoch(std::uint64_t epoch) noexcept { warm_ups_.on_store_epoch(epoch); }
     /// Applies the answer to a claim. Returns true when this host owns the incarnation by it.
     bool on_claim(const claim_answer& answer, base::time_point now) { return warm_ups_.on_answer(answer, now); }
     /// Applies the list of those who share the rate of a starting upstream. Returns true when this
@@ -198,11 +214,12 @@
     /// Expires flows, upstreams and unanswered SYNs; call it every `tick_interval`.
     outcome on_tick(base::time_point now);
 
-    /// Returns true when a configuration, a list of upstreams and, where data centres are
-    /// evacuated, a set of evacuations have arrived.
+    /// Returns true when a configuration, a list of upstreams that need not be awaited and, where
+    /// data centres are evacuated, a set of evacuations have arrived.
     bool is_ready() const noexcept
     {
-        return routes_.version() != 0 && has_upstreams_ && (!options_.evacuation_bound || evacuations_.is_known());
+        return routes_.version() != 0 && has_upstreams_ && !awaits_current_list() &&
+               (!options_.evacuation_bound || evacuations_.is_known());
     }
     /// Sets the number of other live hosts. When there are any, a flow is reset only with
     /// their evidence.
@@ -274,8 +291,7 @@
     };
     /// Adds up the loads of a service's upstreams.
     service_totals add_up(const std::string& service) const;
-    /// Puts the services of a new configuration in force.
-    void adopt_admission();
+    std::vector<service_totals> add_up(const std::vector<admitted_service>& services) const;
     /// Brings `totals_` up to date and counts the flows that were rejected since the last call.
     void update_totals(base::time_point now);
     /// Takes the upstreams of data centres that return from an evacuation for starting ones.
@@ -345,6 +361,8 @@
     /// this host learnt of the restart late, continue there: the successor resets those that it does
     /// not have.
     void end_flows(const upstream_incarnation& ended, std::vector<lost_flow>& resets, base::time_point now);
+    /// Returns true when this host knows no other hosts and has watched the store itself for some time.
+    bool is_alone(base::time_point now) const;
     /// Returns the latest time at which a flow was certainly opened on the ended incarnation, not on
     /// its successor.
     base::time_point find_last_opened(const upstream_incarnation& ended, base::time_point now);
@@ -386,6 +404,9 @@
     std::vector<service_totals> totals_;
     std::uint64_t moved_flow_count_ = 0;
     bool has_upstreams_ = false;
+    /// When the first list of upstreams was known to be out of date; empty before.
+    std::optional<base::time_point> outdated_at_;
+    bool awaits_list_ = false;
     std::vector<probe_request> probe_requests_;
     std::unique_ptr<flow_table> flows_;
     std::unique_ptr<sent_packet_queue> unanswered_syns_;
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -4,12 +4,14 @@
 #include <galenabay/steer/answer_time.hpp>
 #include <galenabay/steer/upstream_entry.hpp>
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace galenabay::steer
@@ -48,6 +50,8 @@
     /// No flow of this incarnation can continue.
     bool ended = false;
     base::time_point ended_at{};
+    /// Since when this host may not have learnt in time that the incarnation ended; at most `ended_at`.
+    base::time_point end_unknown_since{};
     /// The next incarnation of the same id, service, number and address; 0 when there is none.
     upstream_token successor = 0;
 
@@ -126,6 +130,16 @@
     } probes;
 };
 
+/// An upstream that gets no flows, because another one has its token. Plain value.
+struct token_collision
+{
+    std::string id;
+    std::string other_id;
+    upstream_token token = 0;
+
+    friend auto operator<=>(const token_collision&, const token_collision&) = default;
+};
+
 /// The upstreams that are registered in the platform's store.
 ///
 /// Keeps ended incarnations for `limits::retention` to recognise packets of their
@@ -141,6 +155,9 @@
         base::duration missing_grace = std::chrono::milliseconds{2'500};
         /// Time for which an ended incarnation is kept: the age limit of flows.
         base::duration retention = std::chrono::seconds{60};
+        /// Longest time after the restart of an upstream within which hosts learn of it while some host can read the
+        /// store: in the fault soak it was unavailable for up to 4.5 s, and a first list was up to 6 s old.
+        base::duration restart_delay = std::chrono::seconds{6};
     };
 
     /// Change of one incarnation, which is null only for the kind `none`.
@@ -167,6 +184,9 @@
     /// Records that the store could not be read: registrations may expire although their
     /// upstreams are alive.
     void store_failed(base::time_point now);
+    /// Records that no host is known to watch the store for this one: restarts may become known late. Unlike after
+    /// `store_failed`, missing upstreams end.
+    void store_unwatched(base::time_point now);
 
     /// Ends incarnations that were missing for `missing_grace` and removes ended ones
     /// after `retention`. Returns those that it ended and those that took their place.
@@ -182,9 +202,12 @@
 
     /// Returns true when no read of the store failed for `missing_grace`.
     bool is_store_settled(base::time_point now) const;
-    /// Returns since when changes of the store may have been missed because it could not be read;
-    /// `now` when it is settled.
-    base::time_point unsettled_since(base::time_point now) const;
+    /// Returns true when a read of the store failed, or no host was known to watch it, within `restart_delay`.
+    bool was_unwatched(base::time_point now) const;
+    /// Returns since when restarts may have become known later than `restart_delay`: the first of the times of
+    /// `was_unwatched` that follow one another within that delay; `now` when the last one is longer ago.
+    base::time_point unwatched_since(base::time_point now) const;
+    const limits& bounds() const noexcept { return limits_; }
     /// Returns true when the registration went missing shortly after the store failed, so
     /// that it may have expired although the upstream is alive.
     bool may_have_expired(const upstream_incarnation& incarnation) const;
@@ -211,6 +234,10 @@
     /// Number of registrations that were not applied because a later change of the id was,
     /// and that differ from what is known.
     std::uint64_t outdated_count() const noexcept { return outdated_count_; }
+    /// Returns the upstreams that were found to have the token of another one since the last call.
+    std::vector<token_collision> take_collisions() { return std::exchange(found_collisions_, {}); }
+    /// Number of upstreams that have the token of another one.
+    std::size_t collision_count() const noexcept { return colliding_.size(); }
     /// Number of incarnations, ended ones included.
     std::size_t size() const noexcept { return by_token_.size(); }
 
@@ -234,6 +261,8 @@
     {
         upstream_entry entry;
         base::time_point known_since{};
+        /// `unwatched_since` at that time.
+        base::time_point unwatched_since{};
     };
 
     /// Returns true when a registration is newer than what is known of the upstream. Within
@@ -252,6 +281,8 @@
     /// Ends the incarnations that did not register again after one of an earlier start, and adds
     /// those in their place. Appends the changes.
     void replace_with_earlier_starts(std::vector<change>& changes, base::time_point now);
+    /// Records that an upstream gets no flows because another one has its token.
+    void record_collision(const upstream_entry& entry, const upstream_incarnation& other);
     change mark_missing(upstream_incarnation& incarnation, base::time_point now);
     void end(upstream_incarnation& incarnation, base::time_point now);
     /// Records that `next` follows `ended`, if it has the same service, number and address.
@@ -266,12 +297,16 @@
     std::unordered_map<std::string, std::vector<upstream_incarnation*>> by_service_;
     std::unordered_map<std::string, known_change> known_;
     std::unordered_map<std::string, earlier_start> earlier_starts_;
+    /// Upstreams that get no flows because of their tokens, by id, and those of them to be reported.
+    std::unordered_map<std::string, upstream_token> colliding_;
+    std::vector<token_collision> found_collisions_;
     std::uint64_t epoch_ = 0;
     /// Revision of the latest complete list: what it does not contain was gone by then.
     store_revision listed_at_;
     std::optional<base::time_point> store_failed_at_;
-    /// The first of the failures that ended with the latest one.
-    base::time_point store_failing_since_{};
+    /// Latest failure or time without a watching host, and the first one of those that it ended.
+    std::optional<base::time_point> unwatched_at_;
+    base::time_point unwatched_since_{};
     std::uint64_t outdated_count_ = 0;
     /// Sum of `digest_part` of all incarnations.
     std::uint64_t digest_sum_ = 0;
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -262,12 +262,16 @@
 void packet_worker::tick(base::time_point now)
 {
     next_tick_ = now + steer::steerer::tick_interval;
+    check_watch(now);
     process_outcome(steerer_.on_tick(now), {}, now);
+    update_list_wait(now);
+    mark_ready();
     request_warm_ups(now);
     report_evacuations("hold_ended");
     report_links();
     report_slowed(now);
     report_avoidance(now);
+    report_collisions();
     apply_demands(now);
     if (snapshot_due_ && steerer_.is_ready())
     {
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -100,6 +100,8 @@
     /// Sends the changes that a watch returned to the other hosts.
     void send_changes(const store_update& update, const steer::store_revision& previous_revision);
     void exchange_with_peers(base::time_point now);
+    /// Tells the `steerer` when neither this host nor another one of its data centre watches the store successfully.
+    void check_watch(base::time_point now);
     /// Decides whether this host watches the store and collects loads, and logs a change.
     void update_roles(base::time_point now);
     /// Passes requested probes to the probe thread and applies the results.
@@ -136,6 +138,8 @@
     peers::host_status status(base::time_point now);
     /// Replaces the state that this host serves to other hosts.
     void publish_snapshot();
+    /// Requests a current list of the upstreams where the `steerer` waits for one, and ends its wait.
+    void update_list_wait(base::time_point now);
     /// Reports this host as ready once a configuration and a list of upstreams are applied.
     void mark_ready();
     /// Logs and measures the evacuations in force when they have changed because of `source`.
@@ -146,6 +150,8 @@
     void report_shortage();
     /// Logs and measures whether weak evidence against upstreams is ignored.
     void report_avoidance(base::time_point now);
+    /// Logs and counts the upstreams that get no flows because of their tokens.
+    void report_collisions();
     /// Logs the upstreams that lost half of their capacity.
     void report_slowed(base::time_point now);
     /// Ticks the `steerer`, publishes a due snapshot and, once per summary interval, reports
@@ -165,6 +171,10 @@
     int apply_attempts_ = 0;
     peer_link peers_;
     bool collects_ = false;
+    /// Result of the last `check_watch`.
+    bool is_unwatched_ = false;
+    /// The `steerer` waits for a current list of the upstreams.
+    bool awaits_list_ = false;
     /// Data centres are evacuated on this deployment.
     bool has_evacuations_ = false;
     /// `evacuation_table::change_count` when the evacuations in force were last logged.
--- a/src/edge/packet_worker_updates.cpp
+++ b/src/edge/packet_worker_updates.cpp
@@ -78,11 +78,32 @@
         // Their lists are read by the `warm_up_worker`, which has a ring of its own.
         break;
     }
+    update_list_wait(base::steady_now());
     snapshot_due_ = true;
     metrics_.adoption_time.Observe(seconds_between(update.received_at, base::steady_now()));
     mark_ready();
 }
 
+void packet_worker::update_list_wait(base::time_point now)
+{
+    // A list of unknown epoch is stale, or comes from a host that has a stale one only.
+    const bool is_current = upstreams_position_.revision().epoch != 0;
+    is_current ? steerer_.on_current_list() : steerer_.await_current_list(now);
+    const bool awaits = steerer_.awaits_current_list();
+    if (awaits == std::exchange(awaits_list_, awaits))
+    {
+        return;
+    }
+    state_.request_current_list(awaits);
+    if (!awaits)
+    {
+        log_event{is_current ? log_level::info : log_level::warning,
+                  is_current ? "upstreams_current" : "upstreams_maybe_outdated"}
+            .with("revision", upstreams_position_.revision().number)
+            .with("epoch", upstreams_position_.revision().epoch);
+    }
+}
+
 void packet_worker::mark_ready()
 {
     if (steerer_.is_ready() && !state_.ready.exchange(true))
@@ -127,11 +148,13 @@
 void packet_worker::adopt(const steer::configuration& next, const steer::store_revision& revision)
 {
     const auto before = steerer_.routes().version();
+    // Made first: after an exception, which it may end with, the update is applied again, and would find the version in
+    // force.
+    auto served = std::make_shared<const peers::edge_state>(peers::edge_state{.configuration = next, .upstreams = {}});
     const bool adopted = steerer_.on_configuration(next);
     if (adopted)
     {
-        configuration_ =
-            std::make_shared<const peers::edge_state>(peers::edge_state{.configuration = next, .upstreams = {}});
+        configuration_ = std::move(served);
         if (steerer_.is_ready())
         {
             // Others ask for it as soon as the urgent status tells them of the version.
@@ -263,6 +286,18 @@
     }
 }
 
+void packet_worker::report_collisions()
+{
+    for (const auto& [id, other_id, token] : steerer_.registry().take_collisions())
+    {
+        log_event{log_level::error, "upstream_token_in_use"}
+            .with("id", id)
+            .with("other", other_id)
+            .with("token", token);
+    }
+    metrics_.colliding_upstreams.Set(static_cast<double>(steerer_.registry().collision_count()));
+}
+
 void packet_worker::send_changes(const store_update& update, const steer::store_revision& previous_revision)
 {
     peers::upstream_changes changes{.previous_revision = previous_revision,
--- a/src/steer/answer_time_sampler.hpp
+++ b/src/steer/answer_time_sampler.hpp
@@ -40,6 +40,9 @@
     bool has_short_flows(const std::string& service) const;
     /// Returns about the longest time that one of the last answers of the service took; 0 when none was seen.
     base::duration longest_answer(const std::string& service) const;
+    /// Returns true when most flows of the service carry one request as far as this host has seen. Some seconds after a
+    /// start this is the same as `has_short_flows`; before, first requests of long flows may seem to be the only ones.
+    bool may_have_short_flows(const std::string& service) const;
 
 private:
     /// Requests of recent flows of one service, and the longest of their answer times, which fades.
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -11,7 +11,7 @@
 #include <galenabay/base/invariant.hpp>
 
 #include <algorithm>
-
+#include <type_traits>
 #include <utility>
 
 namespace galenabay::steer
@@ -79,14 +79,21 @@
 
 bool steerer::on_configuration(const configuration& next)
 {
-    const auto before = routes_.version();
-    const bool adopted = routes_.adopt(next);
-    GALENABAY_INVARIANT(routes_.version() >= before);
-    if (adopted)
+    // When memory runs out, all that is in force stays so, and the caller tries again.
+    auto routes = routes_;
+    if (!routes.adopt(next))
     {
-        adopt_admission();
+        return false;
     }
-    return adopted;
+    auto admissions = admission_;
+    admissions.adopt(routes.admitted());
+    auto totals = add_up(admissions.services());
+    GALENABAY_INVARIANT(routes.version() > routes_.version());
+    static_assert(std::is_nothrow_move_assignable_v<route_table> && std::is_nothrow_move_assignable_v<admission>);
+    routes_ = std::move(routes);
+    admission_ = std::move(admissions);
+    totals_ = std::move(totals);
+    return true;
 }
 
 bool steerer::on_evacuations(const evacuation_set& next, base::time_point now)
@@ -120,6 +127,15 @@
     return process_changes(registry_.replace_all(entries, revision, now), now);
 }
 
+void steerer::await_current_list(base::time_point now)
+{
+    if (has_upstreams_ && !outdated_at_)
+    {
+        outdated_at_ = now;
+        awaits_list_ = true;
+    }
+}
+
 steerer::outcome steerer::on_upstream(const upstream_entry& entry, base::time_point now)
 {
     return process_changes({registry_.put(entry, now)}, now);
@@ -386,6 +402,7 @@
         on_pause(now);
     }
     last_tick_ = now;
+    awaits_list_ = awaits_list_ && now - *outdated_at_ < options_.current_list_wait;
     evacuations_.tick(now);
     mark_returned(now);
     check_unanswered_syns(now);
--- a/tests/steer/odd_input_test.cpp
+++ b/tests/steer/odd_input_test.cpp
@@ -2,6 +2,9 @@
 
 #include <galenabay/base/random.hpp>
 
+#include <CppUTest/TestMemoryAllocator.h>
+
+#include <new>
 #include <vector>
 
 using namespace galenabay;
@@ -129,3 +132,40 @@
     CHECK(forwarded > 0);
     CHECK(lost_flows > 0);
 }
+
+// Failure: memory ran out while the admission of a new configuration was built. Its routes were adopted, and its
+// admission never, because the version was in force by then.
+TEST(odd_input, a_configuration_is_adopted_completely_or_not_at_all)
+{
+    test_host host{{make_upstream("i-1", 1)}};
+    auto next = make_configuration(2, {{"feed", 1}, {"other", 1}});
+    next.routes.front().answer_target = 400ms;
+    next.routes.push_back(next.routes.front());
+    next.routes.back().port += 1;
+    next.limits = {{.service = "feed", .max_flows = 5}};
+    // The leak check keeps a reference to it.
+    static FailableMemoryAllocator memory{defaultNewAllocator()->name(), defaultNewAllocator()->alloc_name(),
+                                          defaultNewAllocator()->free_name()};
+    int failing = 0;
+    for (std::size_t adopted = 0; adopted == 0;)
+    {
+        memory.failAllocNumber(++failing);
+        setCurrentNewAllocator(&memory);
+        try
+        {
+            adopted = host.core.on_configuration(next) ? 1 : 0;
+        }
+        catch (const std::bad_alloc&)
+        {
+            CHECK(failing < 1'000);
+        }
+        setCurrentNewAllocatorToDefault();
+        memory.clearFailedAllocs();
+        LONGS_EQUAL(1 + adopted, host.core.routes().version());
+        LONGS_EQUAL(1 + adopted, host.core.routes().size());
+        LONGS_EQUAL(2 * adopted, host.core.admissions().services().size());
+        LONGS_EQUAL(5 * adopted, host.core.routes().limits_of("feed").max_flows);
+    }
+    CHECK(failing > 10);
+    host.run_until(1s);
+}
--- a/tests/steer/steerer_test.cpp
+++ b/tests/steer/steerer_test.cpp
@@ -239,6 +239,28 @@
     CHECK(fresh.is_ready());
 }
 
+// Failure (edge_soak seed 507): a host that began with a stale list took a restarted upstream for its earlier
+// incarnation, which was warm, and sent flows to it beyond the stated rate. While the store is down it must still
+// serve.
+TEST(steerer, waits_for_a_current_list_for_a_second_where_a_service_states_a_rate)
+{
+    for (const auto& [rate, has_current_list] : {std::pair{0.0, false}, {2.0, false}, {2.0, true}})
+    {
+        galenabay::steer::steerer fresh{{}, 1};
+        auto next = make_configuration(1);
+        next.limits = {{.service = "feed", .warm_up_time = 10s, .warm_up_rate = rate}};
+        fresh.on_upstream_list({make_upstream("i-1", 1)}, {}, at(0s));
+        fresh.await_current_list(at(0s));
+        fresh.on_configuration(next);
+        fresh.on_tick(at(900ms));
+        // Another stale list does not prolong the wait.
+        fresh.await_current_list(at(900ms));
+        CHECK_EQUAL(rate == 0, fresh.is_ready());
+        has_current_list ? fresh.on_current_list() : void(fresh.on_tick(at(1s)));
+        check_action(steering_action::forward, fresh.on_packet(syn(1), at(1s)));
+    }
+}
+
 // Failure: late packets of an earlier flow with the same addresses and ports reached the upstream of the later one.
 TEST(steerer, a_later_flow_with_the_same_ends_and_late_packets_of_the_earlier_one_keep_their_upstreams)
 {
--- a/tests/steer/warm_up_claims_test.cpp
+++ b/tests/steer/warm_up_claims_test.cpp
@@ -66,21 +66,21 @@
 // 40 new flows instead of 39, and 120 instead of 113.
 TEST(warm_up_budget, holders_that_always_have_flows_stay_within_the_limit_together)
 {
-    for (const auto& [rate, overshoot, slack] : {std::array{30.0, 1.2, 3.0}, {22.0, 1.2, 5.0}, {100.0, 1.1, 3.0}})
+    for (const auto& [stated, overshoot, slack] : {std::array{30.0, 1.2, 3.0}, {22.0, 1.2, 5.0}, {100.0, 1.1, 3.0}})
     {
-        const auto holders = static_cast<double>(share_limit(rate, overshoot, slack));
+        const auto holders = static_cast<double>(share_limit(stated, overshoot, slack));
         warm_up_budget budget;
         double sent = 0;
         for (base::duration now{0}; now < 1s; now += 100us)
         {
             if (budget.has_token(at(now)))
             {
-                budget.take(rate / holders, at(now), warm_up_budget::pacing::catch_up);
+                budget.take(stated / holders, at(now), warm_up_budget::pacing::catch_up);
                 ++sent;
             }
         }
         CHECK(holders > 1);
-        CHECK(sent * holders <= rate * overshoot + slack);
+        CHECK(sent * holders <= stated * overshoot + slack);
     }
 }
 
@@ -336,3 +336,17 @@
     update(400ms);
     CHECK_FALSE(has_token(400ms));
 }
+
+// Failure: a process that knew the upstream from stale lists only, and so by no epoch, became its second owner after
+// the store had returned from an older copy without the object.
+TEST(warm_up_claims, an_upstream_of_a_stale_list_is_not_owned_after_a_restore)
+{
+    entry = starting_upstream(2);
+    registry.put(entry, at(0s));
+    claims.on_store_epoch(1);
+    update(0s);
+    claims.on_store_epoch(2);
+    LONGS_EQUAL(2, update(1s).size());
+    CHECK_FALSE(answer(claim_result::created, 1'010ms, 2));
+    CHECK_FALSE(claims.owns(token_of(entry)));
+}
