--- a/tests/peers/service_demand_test.cpp
+++ b/tests/peers/service_demand_test.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 using namespace galenabay;
@@ -216,3 +217,135 @@
         }
     }
 }
+
+namespace
+{
+
+/// Hosts of a service whose upstreams begin to reject half of the flows of one host in `rejecting`. Each sees the
+/// first rejection at any time within half a second.
+struct rejecting_fleet : virtual_fleet
+{
+    rejecting_fleet(std::size_t data_centres, std::size_t hosts_each, bool is_early, std::size_t rejecting = 1)
+        : virtual_fleet{data_centres, hosts_each}, early{is_early}
+    {
+        base::random_source random{7};
+        for (auto& one : hosts())
+        {
+            one.own.demands = {make_demand(5)};
+            one.own.demands.front().rejected = 0;
+        }
+        run(6s);
+        step = 20ms;
+        for (std::size_t i = 0; i < hosts().size(); ++i)
+        {
+            reject_at.push_back(now() + (i % rejecting == 0 ? 20ms * random.below(25) : 1h));
+        }
+    }
+
+    void run_rejecting(base::duration time)
+    {
+        for (const auto end = now() + time; now() < end; run(step))
+        {
+            reported = {};
+            for (std::size_t i = 0; i < hosts().size(); ++i)
+            {
+                auto& one = hosts()[i];
+                if (now() >= reject_at[i])
+                {
+                    one.own.demands.front().rejected = 320;
+                    one.own.demands.front().admitted = 640;
+                    if (early && one.exchange->takes_early_status(now()))
+                    {
+                        send(one, one.exchange->on_shortage(one.own, now()));
+                    }
+                }
+                reported.add(one.own.demands.front());
+            }
+        }
+    }
+
+    /// Number of hosts whose sums show no shortage, or fewer rejected flows than `least`.
+    std::ptrdiff_t unaware(std::uint32_t least = 0)
+    {
+        return std::count_if(hosts().begin(), hosts().end(),
+                             [&](const host& one)
+                             {
+                                 const auto total = one.exchange->demands(now()).value().total();
+                                 return !steer::shows_shortage(*total.find(service)) ||
+                                        total.find(service)->rejected < least;
+                             });
+    }
+
+    /// Largest number of bytes a second that a host without and with the role of a collector sends and receives.
+    std::array<double, 2> largest_rates(base::duration time)
+    {
+        counts_bytes = true;
+        for (auto& one : hosts())
+        {
+            one.bytes_sent = one.bytes_received = 0;
+        }
+        run_rejecting(time);
+        std::array<double, 2> rates{};
+        for (const auto& one : hosts())
+        {
+            const auto bytes = static_cast<double>(one.bytes_sent + one.bytes_received);
+            auto& largest = rates[one.exchange->collects() ? 1 : 0];
+            largest = std::max(largest, bytes / std::chrono::duration<double>(time).count());
+        }
+        return rates;
+    }
+
+    bool early;
+    std::vector<base::time_point> reject_at;
+    /// Sum of what the hosts see themselves.
+    steer::demand_sum reported;
+};
+
+} // namespace
+
+// Regular sums show a burst after about a second, in which urgent flows are rejected like others. The model of queues
+// (tests/steer/late_sums.hpp) assumes the delays that are checked here.
+TEST(service_demand, a_shortage_is_in_all_sums_within_180_ms)
+{
+    for (const auto& [centres, hosts_each] : {std::pair<std::size_t, std::size_t>{2, 50}, {8, 50}, {2, 200}})
+    {
+        rejecting_fleet fleet{centres, hosts_each, true};
+        CHECK(hosts_each > 50 || fleet.hosts().back().exchange->demands(fleet.now())->local.age <= 1s);
+        do
+        {
+            fleet.run_rejecting(fleet.step);
+        } while (!steer::shows_shortage(fleet.reported.services.front()));
+        const auto rejected = fleet.reported.services.front().rejected;
+        fleet.run_rejecting(180ms);
+        LONGS_EQUAL(0, fleet.unaware(rejected));
+    }
+}
+
+// An early message takes the place of a later one, so that neither a shortage nor rejections of a few hosts cost more.
+TEST(service_demand, early_messages_stay_within_the_control_traffic_of_a_shortage)
+{
+    for (const std::size_t rejecting : {1U, 8U})
+    {
+        const auto regular = rejecting_fleet{5, 30, false, rejecting}.largest_rates(6s);
+        rejecting_fleet fleet{5, 30, true, rejecting};
+        const auto early = fleet.largest_rates(6s);
+        UT_PRINT(StringFromFormat("bytes/s without and with early messages: host %.0f, %.0f; collector %.0f, %.0f",
+                                  regular[0], early[0], regular[1], early[1])
+                     .asCharString());
+        CHECK(early[0] <= regular[0] + (rejecting == 1 ? 2'000 : 20));
+        CHECK(early[1] <= regular[1] + (rejecting == 1 ? 4'000 : 200));
+        const auto sent = std::count_if(fleet.hosts().begin(), fleet.hosts().end(),
+                                        [](const auto& one) { return one.exchange->early_page_count() > 0; });
+        LONGS_EQUAL(rejecting == 1 ? 10 : 0, sent);
+    }
+}
+
+// A lost early message must not lose the shortage: regular messages follow.
+TEST(service_demand, a_shortage_is_known_within_a_second_while_a_fifth_of_the_datagrams_is_lost)
+{
+    rejecting_fleet fleet{3, 12, true};
+    base::random_source random{3};
+    fleet.is_lost = [&](const auto&, const auto&) { return random.below(5) == 0; };
+    fleet.run_rejecting(1s);
+    LONGS_EQUAL(0, fleet.unaware());
+}
