Use the tokens that a short list of holders leaves

A token bucket of a holder had a depth of about one, also where fewer processes share a rate than the limit allows. With nine hosts, a tenth of a second with several new flows found no token although the limit left room.

A holder may now send as many flows in any span of 1 s and 1.1 s as the limit leaves for each process; its mean stays r / n. An owner alone whose settings leave a flow beyond r + 1 catches up, too. The first flows come as before.

--- a/include/galenabay/steer/warm_up_budget.hpp
+++ b/include/galenabay/steer/warm_up_budget.hpp
@@ -6,6 +6,8 @@
 #include <array>
 #include <chrono>
 #include <cmath>
+#include <cstddef>
+#include <cstdint>
 
 namespace galenabay::steer
 {
@@ -15,7 +17,8 @@
 ///
 /// With `catch_up`, the time for which a token waited for a flow shortens the time to the next one,
 /// as far as any span of each of `checked_spans` has no more flows than without: the number of flows
-/// that fit into it at the rate, and one. A host that gets few new flows then uses its part of the rate.
+/// that fit into it at the rate, and one, or those that the limit on all hosts leaves for this one if that is more. A
+/// host that gets few new flows then uses its part of the rate.
 class warm_up_budget
 {
 public:
@@ -30,12 +33,16 @@
     static constexpr std::array<base::duration, 2> checked_spans{std::chrono::milliseconds{1'000},
                                                                  std::chrono::milliseconds{1'100}};
 
+    /// Returns true before the first flow.
+    bool is_unused() const noexcept { return next_at_ == base::time_point{}; }
+
     /// Returns true when a new flow may go to the upstream.
     bool has_token(base::time_point now) const noexcept { return now >= next_at_; }
 
     /// Takes the token, which is there again after the time between two flows of `rate` a second.
-    /// `rate`: above 0.
-    void take(double rate, base::time_point now, pacing how = pacing::depth_one)
+    /// `rate`: above 0. `allowed`: flows that each of `checked_spans` may have with `catch_up`; 0 for no more than
+    /// without it.
+    void take(double rate, base::time_point now, pacing how = pacing::depth_one, std::size_t allowed = 0)
     {
         constexpr double microseconds_per_second = 1e6;
         // Longer than any warm-up.
@@ -51,7 +58,10 @@
         auto tolerance = base::duration::max();
         for (const auto span : checked_spans)
         {
-            tolerance = std::min(tolerance, (span / spacing + 1) * spacing - span - base::duration{1});
+            // An upstream that has just started gets its first flows no faster than with a depth of 1.
+            const auto more = is_unused() ? 0 : static_cast<std::int64_t>(allowed);
+            const auto flows = std::max(span / spacing + 1, more);
+            tolerance = std::min(tolerance, flows * spacing - span - base::duration{1});
         }
         next_at_ = std::max(next_at_ + spacing, now + spacing - tolerance);
     }
--- a/include/galenabay/steer/warm_up_shares.hpp
+++ b/include/galenabay/steer/warm_up_shares.hpp
@@ -36,10 +36,13 @@
 /// Largest number of holders, with which a list fits into a datagram.
 constexpr std::size_t max_share_holders = 16;
 
+/// Returns how many flows any span of one second may have beyond the stated `rate`, that is what `rate` x `overshoot` +
+/// `slack` leaves, without the one that is left for delays that differ between links; at most `max_share_holders`.
+std::size_t spare_flows(double rate, double overshoot, double slack);
+
 /// Returns the largest number of holders for a stated `rate` of new flows a second, from 1 to
 /// `max_share_holders`. Any span of one second may have `rate` x `overshoot` + `slack` new flows.
-/// Each holder's bucket adds up to one flow to its part of the rate; one more flow is left for
-/// delays that differ between links.
+/// Each holder's bucket adds up to one of the `spare_flows` to its part of the rate.
 std::size_t share_limit(double rate, double overshoot, double slack);
 
 } // namespace galenabay::steer
--- a/src/steer/warm_up_claims.cpp
+++ b/src/steer/warm_up_claims.cpp
@@ -289,8 +289,13 @@
     GALENABAY_INVARIANT(has_token(token, now) && rate > 0);
     auto& claimed = rows_.at(token);
     const auto holders = claimed.own_share->holders;
+    // Holders that are fewer than the limit allows wait for flows with more tokens each.
+    constexpr double largest_rate = 1e6;
+    const auto spare = spare_flows(claimed.rate, options_.overshoot, options_.slack);
+    const auto allowed = (static_cast<std::size_t>(std::min(claimed.rate, largest_rate)) + spare) / holders;
+    const bool catches_up = holders > 1 || (spare > 0 && !claimed.budget.is_unused());
     claimed.budget.take(rate / static_cast<double>(holders), now,
-                        holders > 1 ? warm_up_budget::pacing::catch_up : warm_up_budget::pacing::depth_one);
+                        catches_up ? warm_up_budget::pacing::catch_up : warm_up_budget::pacing::depth_one, allowed);
 }
 
 } // namespace galenabay::steer
