Pass SYNs on to hosts that have tokens of starting upstreams

Cause: a share whose process gets no new flow is not used by others.

A host without a token passes a SYN on to a process that may have a share, at most three times, in the datagram RelayedSyn. The last host opens or refuses the flow as if the SYN had come from the caller. Copies of a SYN follow the first one. Metrics and inspect show what is passed on and opened for others.

--- a/include/galenabay/inspect/fleet_report.hpp
+++ b/include/galenabay/inspect/fleet_report.hpp
@@ -70,6 +70,9 @@
     /// the number of flows that it refused because of such rates since its process started.
     std::map<std::string, double> share_rates{};
     std::uint64_t limited_flows = 0;
+    /// SYNs that the host passed on to others because of such a rate, and flows that it opened for others.
+    std::uint64_t relayed_syns = 0;
+    std::uint64_t opened_for_others = 0;
 };
 
 /// A store and the hosts that it lists, as they were when they were read.
--- a/include/galenabay/peers/fleet_exchange.hpp
+++ b/include/galenabay/peers/fleet_exchange.hpp
@@ -180,6 +180,8 @@
     /// Returns this process and, in the order of `rank_for`, other ones of this data centre: at most
     /// `count` with names of at most `max_holder_bytes`, so that the list fits into a datagram.
     std::vector<steer::share_holder> holders_for(std::uint64_t key, std::size_t count, base::time_point now) const;
+    /// As in `peer_view`.
+    std::vector<member> remote_members() const { return peers_.remote_members(); }
     /// Returns the datagram with a list of this host for the other processes in it.
     outgoing_message on_shares(const steer::warm_up_shares& shares, base::time_point now) const
     {
--- a/include/galenabay/peers/message_codec.hpp
+++ b/include/galenabay/peers/message_codec.hpp
@@ -3,6 +3,7 @@
 #include <galenabay/base/result.hpp>
 #include <galenabay/peers/host_status.hpp>
 #include <galenabay/peers/load_sums.hpp>
+#include <galenabay/peers/relayed_syn.hpp>
 #include <galenabay/peers/upstream_changes.hpp>
 #include <galenabay/steer/warm_up_shares.hpp>
 
@@ -16,8 +17,8 @@
 {
 
 /// Content of one datagram between hosts.
-using message =
-    std::variant<host_status, upstream_changes, load_summary, load_digest, member_list, steer::warm_up_shares>;
+using message = std::variant<host_status, upstream_changes, load_summary, load_digest, member_list,
+                             steer::warm_up_shares, relayed_syn>;
 
 /// Encodes a message as packed Cap'n Proto.
 std::vector<std::byte> encode(const message& value);
--- a/include/galenabay/peers/upstream_changes.hpp
+++ b/include/galenabay/peers/upstream_changes.hpp
@@ -66,6 +66,10 @@
     std::vector<starting_upstream> starting{};
     /// New flows that the host refused because of such a rate since its process started.
     std::uint64_t limited_flows = 0;
+    /// SYNs that this host passed on to others because of such a rate, and new flows that it opened by
+    /// SYNs of other hosts.
+    std::uint64_t relayed_syns = 0;
+    std::uint64_t opened_for_others = 0;
 
     friend auto operator<=>(const edge_state&, const edge_state&) = default;
 };
--- a/include/galenabay/steer/route_table.hpp
+++ b/include/galenabay/steer/route_table.hpp
@@ -4,6 +4,7 @@
 #include <galenabay/steer/admission_plan.hpp>
 #include <galenabay/steer/configuration.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -39,6 +40,8 @@
 
     /// Selects a service at random by the route's weights.
     route_choice select(std::uint32_t address, std::uint16_t port, base::random_source& random) const;
+    /// Selects the service whose name has the hash `key`; null when the route does not name it.
+    route_choice find(std::uint32_t address, std::uint16_t port, std::uint64_t key) const;
     /// The services to which admission applies; `route_choice::admission` refers to them.
     const std::vector<admitted_service>& admitted() const noexcept { return admitted_; }
     /// Returns what the configuration states of a service's upstreams.
@@ -56,6 +59,7 @@
         std::vector<admission_class> admissions;
     };
 
+    static route_choice choice_of(const known_route& known, std::size_t part);
     static std::uint64_t key_of(std::uint32_t address, std::uint16_t port)
     {
         return (std::uint64_t{address} << 16U) | port;
--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -29,6 +29,7 @@
 class answer_time_sampler;
 class flow_table;
 class sent_packet_queue;
+class syn_relays;
 struct flow_state;
 struct shortage_state;
 
@@ -189,6 +190,20 @@
 
     /// Decides one packet of a caller.
     steering_decision on_packet(const packet_header& header, base::time_point now);
+    /// A SYN that another host passed on. Plain value.
+    struct relayed_syn
+    {
+        packet_header header;
+        /// `host_key` of the host that it is meant for; another one drops it.
+        std::uint32_t receiver = 0;
+        /// Service that the first host selected, by the hash of its name.
+        std::uint64_t service = 0;
+        /// Times that this host may pass it on.
+        std::uint8_t passes_left = 0;
+    };
+    /// Decides a SYN that another host passed on as if it had come from the caller. Admission and
+    /// the choice between the services of a route were made by the first host.
+    steering_decision on_relayed(const relayed_syn& relayed, base::time_point now);
     /// Records that the process did not run for a while: packets and probe results that were
     /// queued meanwhile are no evidence of silence.
     void on_pause(base::time_point now);
@@ -253,7 +268,15 @@
     static constexpr base::duration tick_interval = std::chrono::milliseconds{100};
 
 private:
-    steering_decision on_syn(const packet_header& header, base::time_point now);
+    /// `relayed`: what another host said of the SYN; null when it came from the caller.
+    steering_decision on_syn(const packet_header& header, const relayed_syn* relayed, base::time_point now);
+    /// Number of times that a SYN may be passed on.
+    static std::uint8_t passes_of(const relayed_syn* relayed);
+    /// Returns true when a SYN of a caller may be passed on to other hosts.
+    bool take_relay_budget(const packet_header& header, const std::string& service, base::time_point now);
+    /// Returns to whom a SYN is passed on for which this host has no token; nullopt when it is refused.
+    std::optional<relay_target> select_relay(const packet_header& header, const std::string& service,
+                                             std::uint8_t passes, base::time_point now);
     /// Returns true unless the flow is refused for lack of room. Decides on the first copy of a SYN only: a
     /// later copy, or one of a known flow, may have been forwarded before.
     bool has_room(const packet_header& header, const route_table::route_choice& route, const flow_state* known,
@@ -281,15 +304,19 @@
     void expect_restart(upstream_incarnation& upstream, base::time_point now);
     /// Returns true when a SYN may go to the upstream, and counts it if it is limited.
     bool take_warm_up_token(const upstream_incarnation& upstream, base::time_point now);
-    /// Decides a SYN for which no upstream can be selected. `tried`: the one that the flow's last
-    /// SYN went to; null when there is none.
-    static steering_decision refuse(const packet_header& header, steering_reason reason,
-                                    const upstream_incarnation* tried);
+    /// Decides a SYN for which no upstream can be selected.
+    /// `may_be_open`: an earlier copy of the SYN may have opened the flow.
+    static steering_decision refuse(const packet_header& header, steering_reason reason, bool may_be_open);
+    /// The same for a SYN that other hosts may have room for: passes it on if `may_relay`, or refuses it.
+    steering_decision relay_or_refuse(const packet_header& header, const std::string& service,
+                                      const relayed_syn* relayed, bool may_relay, base::time_point now);
     /// Decides a SYN to an address and port that no route names.
     steering_decision on_unrouted(const packet_header& header) const;
     /// Counts a new flow as load of `chosen` and awaits the answer to its SYN. `known`: the
-    /// flow's earlier state, or null.
-    void track_syn(const packet_header& header, upstream_incarnation& chosen, flow_state* known, base::time_point now);
+    /// flow's earlier state, or null. The packets of a relayed flow go through the host that the
+    /// caller's SYN came to, so that it is neither load here nor evidence.
+    void track_syn(const packet_header& header, upstream_incarnation& chosen, flow_state* known, bool is_relayed,
+                   base::time_point now);
     /// Updates a flow and its upstream's evidence by a packet of the flow.
     void observe(flow_state& flow, upstream_incarnation& upstream, const packet_header& header, base::time_point now);
     /// Records an answer from an upstream, which may end the silence of its data centre.
@@ -370,6 +397,7 @@
     /// First packets of requests.
     std::unique_ptr<sent_packet_queue> unanswered_requests_;
     std::unique_ptr<shortage_state> shortage_;
+    std::unique_ptr<syn_relays> relays_;
     data_centre_evidence links_;
     std::unique_ptr<answer_time_sampler> answer_times_;
     /// Upstreams for `take_slowed`.
--- a/include/galenabay/steer/steering_decision.hpp
+++ b/include/galenabay/steer/steering_decision.hpp
@@ -5,7 +5,9 @@
 #include <galenabay/steer/packet_header.hpp>
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace galenabay::steer
 {
@@ -16,6 +18,8 @@
     forward,
     reset,
     drop,
+    /// A SYN is passed on to another host, which decides it.
+    relay,
 };
 
 /// Reason for the action on a packet.
@@ -42,14 +46,37 @@
     warm_up_limit,
     /// The upstreams have no room, and more urgent flows or other callers come first.
     no_room,
+    /// The upstreams that are left are starting, and another host may have room for a new flow. Also of a SYN
+    /// that was passed on to another host and reached this one.
+    relayed,
 };
 
-constexpr std::size_t steering_reason_count = 14;
+constexpr std::size_t steering_reason_count = 15;
 
 /// Returns the lower-case name that logs and metrics use; it never changes.
 const char* name_of(steering_action action);
 const char* name_of(steering_reason reason);
 
+/// Returns the key by which a host that passes a SYN on names the receiver.
+std::uint32_t host_key(std::string_view name) noexcept;
+
+/// The hosts to one of which a SYN is passed on. Plain value.
+struct relay_target
+{
+    /// A starting upstream that they have shares of.
+    upstream_token token = 0;
+    /// Number of processes that may have shares of it.
+    std::size_t holders = 1;
+    /// Selects one of the hosts: the same one for all copies of a SYN.
+    std::uint64_t lot = 0;
+    /// Service of the flow, by `service_key`.
+    std::uint64_t service = 0;
+    /// Times that the receiver may pass the SYN on.
+    std::uint8_t passes_left = 0;
+
+    friend auto operator<=>(const relay_target&, const relay_target&) = default;
+};
+
 /// The decision for one packet. Immutable value.
 struct steering_decision
 {
@@ -59,8 +86,10 @@
     upstream_token token = 0;
     std::uint64_t upstream_number = 0;
     base::endpoint upstream;
-    /// Set when the flow is reset.
+    /// Set when the flow is reset, and for a relay, which becomes a reset when there is no host.
     flow_reset reset;
+    /// Set when the packet is passed on.
+    relay_target relay{};
 
     friend auto operator<=>(const steering_decision&, const steering_decision&) = default;
 };
--- a/schema/edge.capnp
+++ b/schema/edge.capnp
@@ -238,6 +238,10 @@
   # Null where no service states a rate for starting upstreams.
   limitedFlows @4 :UInt64;
   # New flows that the host refused because of such a rate since its process started.
+  relayedSyns @5 :UInt64;
+  # SYNs that it passed on to other hosts instead.
+  openedForOthers @6 :UInt64;
+  # New flows that it opened by SYNs that other hosts passed on.
 }
 
 struct ShareHolder {
@@ -257,6 +261,18 @@
   # The owner first.
 }
 
+struct RelayedSyn {
+  # A caller's SYN, passed on by a host that has no token for the service's starting upstreams.
+  packet @0 :Data;
+  # The datagram as it came from the caller.
+  service @1 :UInt64;
+  # Hash of the name of the service that the first host selected.
+  passesLeft @2 :UInt8;
+  # Times that the receiver may pass it on.
+  receiver @3 :UInt32;
+  # Hash of the name of the host that it is meant for.
+}
+
 struct EdgeMessage {
   # Content of one datagram.
   union {
@@ -266,5 +282,6 @@
     digest @3 :LoadDigest;
     members @4 :List(Member);
     shares @5 :WarmUpShares;
+    relayedSyn @6 :RelayedSyn;
   }
 }
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -72,6 +72,8 @@
       starting_upstreams{gauge(registry_, "galenabay_starting_upstreams", "Upstreams that are slow after their start")},
       warm_up_shares{gauge(registry_, "galenabay_warm_up_shares",
                            "Starting upstreams to which this host may send a part of their rate of new flows")},
+      relayed_syns{counter(registry_, "galenabay_relayed_syns_total",
+                           "SYNs passed on to another host for lack of a token of a starting upstream")},
       adopted_shares{counter(registry_, "galenabay_adopted_shares_total",
                              "Parts of the rate of starting upstreams that owners gave to this host")},
       collects{gauge(registry_, "galenabay_collects", "1 while this host collects the loads of its data centre")},
@@ -127,6 +129,12 @@
     {
         warm_up_claims_[i] = &claimed.Add({{"result", name_of(static_cast<steer::claim_result>(i))}});
     }
+    auto& received = prometheus::BuildCounter()
+                         .Name("galenabay_received_syns_total")
+                         .Help("SYNs that other hosts passed on, by whether they opened a flow")
+                         .Register(registry_);
+    opened_syns_ = &received.Add({{"result", "opened"}});
+    unopened_syns_ = &received.Add({{"result", "not_opened"}});
     auto& calls = prometheus::BuildCounter()
                       .Name("galenabay_store_calls_total")
                       .Help("Calls to the store by kind of object")
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -37,6 +37,8 @@
         return reason == steer::steering_reason::upstream_silent ? *silent_resets_ : *ended_resets_;
     }
     prometheus::Counter& probes(steer::probe_result result) { return *probes_[static_cast<std::size_t>(result)]; }
+    /// SYNs that other hosts passed on to this one, by whether it opened a flow by them.
+    prometheus::Counter& received_syns(bool opened) { return opened ? *opened_syns_ : *unopened_syns_; }
     prometheus::Counter& warm_up_claims(steer::claim_result result)
     {
         return *warm_up_claims_[static_cast<std::size_t>(result)];
@@ -56,6 +58,8 @@
     prometheus::Counter* ended_resets_ = nullptr;
     std::array<prometheus::Counter*, 3> probes_{};
     std::array<prometheus::Counter*, steer::claim_result_count> warm_up_claims_{};
+    prometheus::Counter* opened_syns_ = nullptr;
+    prometheus::Counter* unopened_syns_ = nullptr;
     std::array<prometheus::Counter*, adapter::object_kind_count> store_calls_{};
     std::array<prometheus::Counter*, adapter::object_kind_count> store_failures_{};
 
@@ -97,6 +101,7 @@
     prometheus::Gauge& starting_upstreams;
     /// Starting upstreams of which this host has a share, and shares that it got by a message.
     prometheus::Gauge& warm_up_shares;
+    prometheus::Counter& relayed_syns;
     prometheus::Counter& adopted_shares;
     prometheus::Gauge& collects;
     /// Hosts whose loads this host's selection of upstreams takes into account.
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -46,6 +46,7 @@
                              std::uint64_t seed, shared_state& state, edge_metrics& metrics)
     : socket_{std::move(socket)}, state_{state}, metrics_{metrics}, steerer_{with_self(options, self), seed},
       peers_{std::move(peers), peers::fleet_exchange{self, std::move(seeds), {}, base::mix(seed, 1)}, metrics},
+      data_centre_{options.data_centre},
       has_evacuations_{options.evacuation_bound.has_value()}, probes_{state, wakeup_, metrics.thread_failures},
       warm_ups_{{.host = std::move(self.name), .process_started_us = self.started_us}, state, metrics, wakeup_},
       buffers_(net::batch_size)
@@ -182,20 +183,31 @@
         metrics_.malformed_packets.Increment();
         return false;
     }
-    const auto decision = steerer_.on_packet(*header, now);
+    return apply(steerer_.on_packet(*header, now), *header, datagram, now);
+}
+
+bool packet_worker::apply(steer::steering_decision decision, const steer::packet_header& header, net::packet& datagram,
+                          base::time_point now)
+{
+    if (decision.action == steer::steering_action::relay && !pass_on(datagram.payload(), decision.relay, now))
+    {
+        decision.action = steer::steering_action::reset;
+        decision.reason = steer::steering_reason::warm_up_limit;
+    }
     metrics_.decisions(decision.reason).Increment();
     limited_flows_ +=
         decision.action == steer::steering_action::reset && decision.reason == steer::steering_reason::warm_up_limit
             ? 1
             : 0;
-    log_.packet(*header, decision, steerer_.routes().version(), now);
+    log_.packet(header, decision, steerer_.routes().version(), now);
     switch (decision.action)
     {
     case steer::steering_action::drop:
+    case steer::steering_action::relay:
         return false;
     case steer::steering_action::reset:
         metrics_.resets.Increment();
-        datagram.peer = base::endpoint::make_v4(header->flow.caller_address, socket_.local().port());
+        datagram.peer = base::endpoint::make_v4(header.flow.caller_address, socket_.local().port());
         return datagram.assign(adapter::encode_reset(decision.reset));
     case steer::steering_action::forward:
         break;
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <thread>
 #include <vector>
@@ -76,6 +77,20 @@
     void receive_rest();
     /// Decides one packet and rewrites it in place. Returns true when it is to be sent.
     bool decide(net::packet& datagram, base::time_point now);
+    /// Rewrites a packet in place by its decision, or passes it on. Returns true when it is to be sent.
+    bool apply(steer::steering_decision decision, const steer::packet_header& header, net::packet& datagram,
+               base::time_point now);
+    /// Returns the host that takes a SYN for which this host has no token; nullopt when none is known.
+    struct relay_host
+    {
+        std::string name;
+        base::endpoint address;
+    };
+    std::optional<relay_host> find_relay_host(const steer::relay_target& target, base::time_point now);
+    /// Passes a SYN on to another host. Returns false when there is none.
+    bool pass_on(std::span<const std::byte> packet, const steer::relay_target& target, base::time_point now);
+    /// Decides the SYNs that other hosts passed on.
+    void decide_relayed(base::time_point now);
     void apply_queued(update_ring& ring);
     void apply(const store_update& update);
     void apply_configuration(const store_update& update);
@@ -163,6 +178,7 @@
     int apply_attempts_ = 0;
     peer_link peers_;
     bool collects_ = false;
+    std::string data_centre_;
     /// Data centres are evacuated on this deployment.
     bool has_evacuations_ = false;
     /// `evacuation_table::change_count` when the evacuations in force were last logged.
@@ -190,6 +206,9 @@
     /// New flows that were refused because of the rate of starting upstreams, in total.
     std::uint64_t limited_flows_ = 0;
     std::uint64_t published_limited_flows_ = 0;
+    /// SYNs that were passed on to other hosts, and flows that were opened for other hosts, in total.
+    std::uint64_t relayed_syns_ = 0;
+    std::uint64_t opened_for_others_ = 0;
     std::vector<net::packet> buffers_;
     base::time_point defer_until_{};
     base::time_point next_tick_{};
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -48,6 +48,7 @@
                                                    apply_shares(*effects.shares, now);
                                                }
                                            });
+    decide_relayed(now);
     if (any_status)
     {
         catch_up(now);
@@ -255,6 +256,8 @@
     state->starting = shared_upstreams(base::steady_now());
     state->limited_flows = limited_flows_;
     published_limited_flows_ = limited_flows_;
+    state->relayed_syns = relayed_syns_;
+    state->opened_for_others = opened_for_others_;
     steerer_.registry().for_each(
         [&](const steer::upstream_incarnation& upstream)
         {
--- a/src/edge/packet_worker_warm_ups.cpp
+++ b/src/edge/packet_worker_warm_ups.cpp
@@ -3,6 +3,10 @@
 #include <galenabay/base/hash.hpp>
 #include <galenabay/base/log.hpp>
 
+#include <platform/packet_header.hpp>
+
+#include <algorithm>
+#include <array>
 #include <utility>
 
 // Ownership of starting upstreams: requests to the store and their results.
@@ -152,6 +156,81 @@
     }
 }
 
+std::optional<packet_worker::relay_host> packet_worker::find_relay_host(const steer::relay_target& target,
+                                                                        base::time_point now)
+{
+    const auto* upstream = steerer_.registry().find(target.token);
+    if (upstream == nullptr)
+    {
+        return std::nullopt;
+    }
+    auto& exchange = peers_.exchange();
+    const auto& entry = upstream->entry;
+    if (entry.data_centre != data_centre_)
+    {
+        auto others = exchange.remote_members();
+        std::erase_if(others, [&](const peers::member& other) { return other.data_centre != entry.data_centre; });
+        std::sort(others.begin(), others.end());
+        const auto* other = others.empty() ? nullptr : &others[target.lot % others.size()];
+        return other == nullptr ? std::nullopt : std::optional{relay_host{other->name, other->address}};
+    }
+    const auto key = rank_key(entry.id, entry.started_ms);
+    const bool is_holder = exchange.rank_for(key, now).value_or(target.holders) < target.holders;
+    // The first one of the list is this host.
+    const auto holders = exchange.holders_for(key, is_holder ? target.holders : target.holders + 1, now);
+    if (holders.size() < 2)
+    {
+        return std::nullopt;
+    }
+    const auto& chosen = holders[1 + target.lot % (holders.size() - 1)];
+    const auto addresses = exchange.on_shares({.id = {}, .holders = {chosen}}, now).to;
+    return addresses.empty() ? std::nullopt : std::optional{relay_host{chosen.host, addresses.front()}};
+}
+
+bool packet_worker::pass_on(std::span<const std::byte> packet, const steer::relay_target& target, base::time_point now)
+{
+    const auto host = find_relay_host(target, now);
+    if (!host || packet.size() > peers::max_relayed_packet)
+    {
+        return false;
+    }
+    peers_.send({{.content = peers::relayed_syn{.packet = {packet.begin(), packet.end()},
+                                                .receiver = steer::host_key(host->name),
+                                                .service = target.service,
+                                                .passes_left = target.passes_left},
+                  .to = {host->address}}});
+    ++relayed_syns_;
+    metrics_.relayed_syns.Increment();
+    return true;
+}
+
+void packet_worker::decide_relayed(base::time_point now)
+{
+    for (const auto& relayed : peers_.take_relayed())
+    {
+        auto& datagram = buffers_.front();
+        const auto header = adapter::decode_header(relayed.packet);
+        if (!header || !header->syn || !datagram.assign(relayed.packet))
+        {
+            metrics_.malformed_packets.Increment();
+            continue;
+        }
+        const auto decision = steerer_.on_relayed({.header = *header,
+                                                   .receiver = relayed.receiver,
+                                                   .service = relayed.service,
+                                                   .passes_left = relayed.passes_left},
+                                                  now);
+        const bool is_opened = decision.action == steer::steering_action::forward;
+        opened_for_others_ += is_opened ? 1 : 0;
+        metrics_.received_syns(is_opened).Increment();
+        if (apply(decision, *header, datagram, now))
+        {
+            const std::array<net::packet*, 1> single{&datagram};
+            send(single);
+        }
+    }
+}
+
 void packet_worker::log_relapses(const steer::steerer::outcome& effects)
 {
     for (const auto& [upstream, count] : effects.relapses)
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <utility>
+#include <variant>
 
 namespace galenabay::edge
 {
@@ -37,6 +38,11 @@
         }
         metrics_.peer_messages.Increment();
         metrics_.peer_bytes_received.Increment(static_cast<double>(batch[i]->payload().size()));
+        if (const auto* relayed = std::get_if<peers::relayed_syn>(&decoded.value()); relayed != nullptr)
+        {
+            relayed_.push_back(*relayed);
+            continue;
+        }
         auto effects = exchange_.on_message(decoded.value(), batch[i]->peer, now);
         view_changed = view_changed || effects.view_changed;
         apply(effects);
--- a/src/edge/peer_link.hpp
+++ b/src/edge/peer_link.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace galenabay::edge
@@ -24,9 +25,12 @@
     peers::fleet_exchange& exchange() noexcept { return exchange_; }
 
     /// Reads one batch of datagrams and calls `apply` with the effects of each. Returns true when
-    /// the view of the other hosts may have changed.
+    /// the view of the other hosts may have changed. SYNs that hosts passed on are kept for `take_relayed`.
     bool receive(base::time_point now, const std::function<void(const peers::fleet_exchange::effects&)>& apply);
 
+    /// Takes the SYNs that other hosts passed on to this one.
+    std::vector<peers::relayed_syn> take_relayed() { return std::exchange(relayed_, {}); }
+
     /// Sends messages of the exchange.
     void send(const std::vector<peers::outgoing_message>& messages);
 
@@ -37,6 +41,7 @@
     peers::fleet_exchange exchange_;
     edge_metrics& metrics_;
     std::vector<net::packet> buffers_;
+    std::vector<peers::relayed_syn> relayed_;
     log_limiter refused_{1, 10};
 };
 
--- a/src/inspect/fleet_report.cpp
+++ b/src/inspect/fleet_report.cpp
@@ -82,8 +82,11 @@
     {
         words.push_back(id + " " + to_string(rate) + "/s");
     }
+    const auto describe = [](std::uint64_t count, const char* what)
+    { return count == 0 ? std::string{} : ", " + std::to_string(count) + what; };
     return (words.empty() ? "" : ", starting " + join(words)) +
-           (host.limited_flows == 0 ? "" : ", " + std::to_string(host.limited_flows) + " refused by warm-up limits");
+           describe(host.limited_flows, " refused by warm-up limits") + describe(host.relayed_syns, " SYNs passed on") +
+           describe(host.opened_for_others, " flows opened for other hosts");
 }
 
 bool has_configuration(const host_answer& host, const store_contents& store)
--- a/src/inspect/read_fleet.cpp
+++ b/src/inspect/read_fleet.cpp
@@ -151,6 +151,8 @@
         host.share_rates.emplace(one.id, one.share_rate);
     }
     host.limited_flows = upstreams.value().limited_flows;
+    host.relayed_syns = upstreams.value().relayed_syns;
+    host.opened_for_others = upstreams.value().opened_for_others;
     return host;
 }
 
--- a/src/peers/fleet_exchange.cpp
+++ b/src/peers/fleet_exchange.cpp
@@ -136,7 +136,10 @@
     {
         return {.messages = {}, .view_changed = false, .changes = {}, .evacuations = {}, .shares = *shares};
     }
-    learn(std::get<member_list>(received).members, false, now);
+    if (const auto* listed = std::get_if<member_list>(&received); listed != nullptr)
+    {
+        learn(listed->members, false, now);
+    }
     return {};
 }
 
--- a/src/peers/message_codec.cpp
+++ b/src/peers/message_codec.cpp
@@ -3,6 +3,7 @@
 #include "demands_codec.hpp"
 #include "evacuations_codec.hpp"
 #include "load_sums_codec.hpp"
+#include "relayed_syn_codec.hpp"
 #include "warm_up_shares_codec.hpp"
 
 #include <capnp/message.h>
@@ -318,6 +319,10 @@
             {
                 write_shares(content, root.initShares());
             }
+            else if constexpr (std::is_same_v<content_type, relayed_syn>)
+            {
+                write_relayed(content, root.initRelayedSyn());
+            }
             else
             {
                 write_members(content.members, root.initMembers(static_cast<unsigned>(content.members.size())));
@@ -345,6 +350,8 @@
             return member_list{.members = read_members(in.getMembers())};
         case schema::EdgeMessage::SHARES:
             return read_shares(in.getShares());
+        case schema::EdgeMessage::RELAYED_SYN:
+            return read_relayed(in.getRelayedSyn());
         }
         // A newer build may send other kinds of messages.
         kj::throwFatalException(KJ_EXCEPTION(UNIMPLEMENTED, "unknown kind of message"));
@@ -371,7 +378,9 @@
                           .upstreams = read_changes(in.getUpstreams()),
                           .evacuations = read_evacuations(in),
                           .starting = read_starting(in),
-                          .limited_flows = in.getLimitedFlows()};
+                          .limited_flows = in.getLimitedFlows(),
+                          .relayed_syns = in.getRelayedSyns(),
+                          .opened_for_others = in.getOpenedForOthers()};
     };
     return unpack<schema::EdgeState>(as_array(body.data(), body.size()), "decode_peer_state", read);
 }
--- a/src/peers/warm_up_shares_codec.hpp
+++ b/src/peers/warm_up_shares_codec.hpp
@@ -45,6 +45,8 @@
 inline void write_starting(const edge_state& from, schema::EdgeState::Builder out)
 {
     out.setLimitedFlows(from.limited_flows);
+    out.setRelayedSyns(from.relayed_syns);
+    out.setOpenedForOthers(from.opened_for_others);
     if (from.starting.empty())
     {
         return;
--- a/src/steer/names.cpp
+++ b/src/steer/names.cpp
@@ -15,6 +15,8 @@
         return "reset";
     case steering_action::drop:
         return "drop";
+    case steering_action::relay:
+        return "relay";
     }
     return "unknown";
 }
@@ -51,10 +53,17 @@
         return "warm_up_limit";
     case steering_reason::no_room:
         return "no_room";
+    case steering_reason::relayed:
+        return "relayed";
     }
     return "unknown";
 }
 
+std::uint32_t host_key(std::string_view name) noexcept
+{
+    return static_cast<std::uint32_t>(base::hash_text(name));
+}
+
 const char* name_of(probe_result result)
 {
     switch (result)
--- a/src/steer/route_table.cpp
+++ b/src/steer/route_table.cpp
@@ -1,5 +1,7 @@
 #include <galenabay/steer/route_table.hpp>
 
+#include <galenabay/steer/service_demand.hpp>
+
 #include <cstddef>
 #include <utility>
 
@@ -61,7 +63,7 @@
     {
         return {};
     }
-    const auto& [route, admissions] = found->second;
+    const auto& route = found->second.route;
     std::uint64_t total = 0;
     for (const auto& part : route.services)
     {
@@ -73,16 +75,39 @@
         const auto& part = route.services[i];
         if (position < part.weight)
         {
-            return {.service = &part.service,
-                    .urgency = route.urgency,
-                    .answer_target = route.answer_target,
-                    .admission = admissions[i]};
+            return choice_of(found->second, i);
         }
         position -= part.weight;
     }
     return {};
 }
 
+route_table::route_choice route_table::choice_of(const known_route& known, std::size_t part)
+{
+    return {.service = &known.route.services[part].service,
+            .urgency = known.route.urgency,
+            .answer_target = known.route.answer_target,
+            .admission = known.admissions[part]};
+}
+
+route_table::route_choice route_table::find(std::uint32_t address, std::uint16_t port, std::uint64_t key) const
+{
+    const auto found = routes_.find(key_of(address, port));
+    if (found == routes_.end())
+    {
+        return {};
+    }
+    const auto& services = found->second.route.services;
+    for (std::size_t i = 0; i < services.size(); ++i)
+    {
+        if (services[i].weight > 0 && service_key(services[i].service) == key)
+        {
+            return choice_of(found->second, i);
+        }
+    }
+    return {};
+}
+
 bool route_table::was_removed(std::uint32_t address, std::uint16_t port) const
 {
     return removed_.contains(key_of(address, port));
--- a/src/steer/steerer.cpp
+++ b/src/steer/steerer.cpp
@@ -5,6 +5,7 @@
 #include "relative_answer_times.hpp"
 #include "sent_packet_queue.hpp"
 #include "shortage_state.hpp"
+#include "syn_relays.hpp"
 #include "upstream_evidence.hpp"
 #include "upstream_selection.hpp"
 
@@ -65,8 +66,8 @@
       admission_{options_.clock_offset}, flows_{std::make_unique<flow_table>(options_.max_flows)},
       unanswered_syns_{std::make_unique<sent_packet_queue>()},
       unanswered_requests_{std::make_unique<sent_packet_queue>()}, shortage_{std::make_unique<shortage_state>()},
-      links_{options_.data_centre, options_.links}, answer_times_{
-                                                        std::make_unique<answer_time_sampler>(options_.data_centre)}
+      relays_{std::make_unique<syn_relays>()}, links_{options_.data_centre, options_.links},
+      answer_times_{std::make_unique<answer_time_sampler>(options_.data_centre)}
 {
 }
 
@@ -153,7 +154,7 @@
 {
     if (header.syn)
     {
-        return on_syn(header, now);
+        return on_syn(header, nullptr, now);
     }
     if (header.token == 0)
     {
@@ -261,13 +262,28 @@
     }
 }
 
-steering_decision steerer::refuse(const packet_header& header, steering_reason reason,
-                                  const upstream_incarnation* tried)
+steering_decision steerer::refuse(const packet_header& header, steering_reason reason, bool may_be_open)
 {
     // The starting upstream that got the earlier SYN may have opened the flow just now. The last
     // retransmission tells that it has not.
-    const bool may_be_open = tried != nullptr && header.acknowledged < last_retransmission;
-    return reason == steering_reason::warm_up_limit && may_be_open ? drop(reason) : reset(header, reason);
+    const bool is_last = header.acknowledged >= last_retransmission;
+    return reason == steering_reason::warm_up_limit && may_be_open && !is_last ? drop(reason) : reset(header, reason);
+}
+
+steering_decision steerer::relay_or_refuse(const packet_header& header, const std::string& service,
+                                           const relayed_syn* relayed, bool may_relay, base::time_point now)
+{
+    const auto passes = passes_of(relayed);
+    const bool may_be_open = relays_->was_passed_on(header.flow, passes, now);
+    if (const auto target = may_relay ? select_relay(header, service, passes, now) : std::nullopt)
+    {
+        relays_->record(header.flow, passes, now);
+        auto decision = reset(header, steering_reason::relayed);
+        decision.action = steering_action::relay;
+        decision.relay = *target;
+        return decision;
+    }
+    return refuse(header, steering_reason::warm_up_limit, may_be_open);
 }
 
 steering_decision steerer::on_unrouted(const packet_header& header) const
@@ -282,13 +298,26 @@
                                                       : drop(steering_reason::no_route);
 }
 
-steering_decision steerer::on_syn(const packet_header& header, base::time_point now)
+steering_decision steerer::on_relayed(const relayed_syn& relayed, base::time_point now)
+{
+    relays_->count_received(now);
+    if (relayed.receiver != host_key(options_.warm_ups.self.host))
+    {
+        // A host that took the address of another one would open flows that a repeated datagram opens there.
+        return drop(steering_reason::relayed);
+    }
+    return on_syn(relayed.header, &relayed, now);
+}
+
+steering_decision steerer::on_syn(const packet_header& header, const relayed_syn* relayed, base::time_point now)
 {
     if (!is_ready())
     {
         return drop(steering_reason::not_ready);
     }
-    const auto route = routes_.select(header.flow.service_address, header.flow.service_port, random_);
+    const auto [address, port] = std::pair{header.flow.service_address, header.flow.service_port};
+    auto route = relayed != nullptr ? routes_.find(address, port, relayed->service) : route_table::route_choice{};
+    route = route.service == nullptr ? routes_.select(address, port, random_) : route;
     if (route.service == nullptr)
     {
         return on_unrouted(header);
@@ -311,7 +340,15 @@
         }
         on_retransmission(*tried, known->last_seen, now);
     }
-    if (!has_room(header, route, known, now))
+    // Copies of a SYN that was passed on follow it, so that they do not open the flow on two upstreams.
+    // The last one may not, since the host that they were passed on to may be lost.
+    const bool was_passed_on = relays_->was_passed_on(header.flow, passes_of(relayed), now);
+    if (tried == nullptr && header.acknowledged < last_retransmission && was_passed_on)
+    {
+        return relay_or_refuse(header, service, relayed, true, now);
+    }
+    const bool may_relay = relayed != nullptr || take_relay_budget(header, service, now);
+    if (relayed == nullptr && !has_room(header, route, known, now))
     {
         return reset(header, steering_reason::no_room);
     }
@@ -333,13 +370,15 @@
     moved_flow_count_ += selected.left_data_centre ? 1 : 0;
     if (selected.upstream == nullptr)
     {
-        return refuse(header, selected.refusal, tried);
+        return selected.refusal == steering_reason::warm_up_limit && tried == nullptr
+                   ? relay_or_refuse(header, service, relayed, may_relay && !was_passed_on, now)
+                   : refuse(header, selected.refusal, tried != nullptr);
     }
     auto* chosen = selected.upstream;
     GALENABAY_INVARIANT(chosen->entry.service == service && takes_new_flows(*chosen, evacuations_));
     const bool is_admitted = take_warm_up_token(*chosen, now);
     GALENABAY_INVARIANT(is_admitted);
-    track_syn(header, *chosen, known, now);
+    track_syn(header, *chosen, known, relayed != nullptr, now);
     if (header.acknowledged == 0)
     {
         admission_.count_forwarded(route.admission, now);
@@ -347,7 +386,7 @@
     return forward(*chosen, tried == nullptr ? steering_reason::new_flow : steering_reason::next_upstream);
 }
 
-void steerer::track_syn(const packet_header& header, upstream_incarnation& chosen, flow_state* known,
+void steerer::track_syn(const packet_header& header, upstream_incarnation& chosen, flow_state* known, bool is_relayed,
                         base::time_point now)
 {
     if (known != nullptr)
@@ -359,7 +398,11 @@
     {
         return;
     }
-    *flow = {.token = chosen.token, .last_seen = now, .opened_at = now};
+    *flow = {.token = chosen.token, .last_seen = now, .opened_at = now, .closing = is_relayed};
+    if (is_relayed)
+    {
+        return;
+    }
     ++chosen.flows;
     unanswered_syns_->push({.flow = header.flow, .token = chosen.token, .sent_at = now});
 }
@@ -391,6 +434,7 @@
     {
         last_sweep_ = now;
         expire_flows(now);
+        relays_->expire(now);
         update_assumed_loads(now);
     }
     return process_changes(registry_.expire(now), now);
--- a/src/steer/steerer_starting.cpp
+++ b/src/steer/steerer_starting.cpp
@@ -1,8 +1,13 @@
 #include <galenabay/steer/steerer.hpp>
 
+#include "syn_relays.hpp"
 #include "upstream_evidence.hpp"
+#include "upstream_selection.hpp"
+
+#include <galenabay/base/hash.hpp>
 
 #include <algorithm>
+#include <functional>
 
 // Upstreams that are starting, and those that fail again after their start.
 namespace galenabay::steer
@@ -63,6 +68,67 @@
     return true;
 }
 
+std::uint8_t steerer::passes_of(const relayed_syn* relayed)
+{
+    return relayed == nullptr ? syn_relays::max_passes : std::min(relayed->passes_left, syn_relays::max_passes);
+}
+
+bool steerer::take_relay_budget(const packet_header& header, const std::string& service, base::time_point now)
+{
+    const auto stated_rate = routes_.limits_of(service).warm_up_rate;
+    if (stated_rate <= 0 || peer_count_ == 0 || header.data_size > syn_relays::max_data_size)
+    {
+        return false;
+    }
+    // An earlier copy that went through another host may have opened the flow.
+    if (header.acknowledged > 0)
+    {
+        return false;
+    }
+    double fleet_rate = 0;
+    for (const auto* upstream : registry_.of_service(service))
+    {
+        const bool is_counted = takes_new_flows(*upstream, evacuations_);
+        fleet_rate += is_counted ? stated_rate * restarts_.rate_factor(upstream->entry, now) : 0;
+    }
+    return relays_->take_new_flow(service, fleet_rate / static_cast<double>(peer_count_ + 1), random_, now);
+}
+
+std::optional<relay_target> steerer::select_relay(const packet_header& header, const std::string& service,
+                                                  std::uint8_t passes, base::time_point now)
+{
+    if (passes == 0)
+    {
+        return std::nullopt;
+    }
+    const auto stated_rate = routes_.limits_of(service).warm_up_rate;
+    const auto holders = share_limit(stated_rate, options_.warm_ups.overshoot, options_.warm_ups.slack);
+    std::vector<upstream_token> local;
+    std::vector<upstream_token> remote;
+    for (const auto* upstream : registry_.of_service(service))
+    {
+        const bool is_only_holder = holders == 1 && warm_ups_.owns(upstream->token);
+        if (is_limited(*upstream, now) && takes_new_flows(*upstream, evacuations_) && !is_only_holder)
+        {
+            (upstream->entry.data_centre == options_.data_centre ? local : remote).push_back(upstream->token);
+        }
+    }
+    // A flow between data centres breaks when their link fails, and its bytes are paid for.
+    auto& candidates = local.empty() ? remote : local;
+    if (candidates.empty() || !relays_->take_datagram(now))
+    {
+        return std::nullopt;
+    }
+    // With the same order on all hosts, the next pass goes to the holders of another upstream.
+    std::sort(candidates.begin(), candidates.end());
+    const std::uint64_t lot = std::hash<flow_key>{}(header.flow);
+    return relay_target{.token = candidates[(lot + passes) % candidates.size()],
+                        .holders = holders,
+                        .lot = base::mix(lot, passes),
+                        .service = service_key(service),
+                        .passes_left = static_cast<std::uint8_t>(passes - 1)};
+}
+
 std::vector<warm_up_request> steerer::take_warm_up_requests(const warm_up_claims::rank_function& rank_of,
                                                             base::time_point now)
 {
--- a/tests/inspect/fleet_report_test.cpp
+++ b/tests/inspect/fleet_report_test.cpp
@@ -65,7 +65,10 @@
     auto known = host(7, {2, 30});
     known.share_rates = {{"i-1", 4.0 / 3}, {"i-2", 4}};
     known.limited_flows = 12;
-    STRCMP_CONTAINS("epoch 2, starting i-1 1.33/s, i-2 4.00/s, 12 refused by warm-up limits",
+    known.relayed_syns = 13;
+    known.opened_for_others = 14;
+    STRCMP_CONTAINS("epoch 2, starting i-1 1.33/s, i-2 4.00/s, 12 refused by warm-up limits, 13 SYNs passed on, "
+                    "14 flows opened for other hosts",
                     describe(fleet_report{store, {known}}).back().c_str());
 }
 
--- a/tests/peers/message_codec_test.cpp
+++ b/tests/peers/message_codec_test.cpp
@@ -160,9 +160,25 @@
     state.evacuations = make_status().evacuations;
     state.starting = {{.id = "i-1", .share_rate = 0.75}};
     state.limited_flows = 12;
+    state.relayed_syns = 13;
+    state.opened_for_others = 14;
     CHECK(decode_state(encode(state)).value() == state);
 }
 
+// Failure: the traffic of relaying exceeds its limit, or a host steers bytes that are no SYN.
+TEST(message_codec, a_relayed_syn_is_small_and_a_larger_packet_is_not_read)
+{
+    relayed_syn relayed{.packet = std::vector<std::byte>(max_relayed_packet, std::byte{0x5a}),
+                        .receiver = 0xfedcba98,
+                        .service = 0xfedcba9876543210,
+                        .passes_left = 3};
+    const auto encoded = encode(message{relayed});
+    CHECK(encoded.size() <= max_relayed_size);
+    CHECK(decode_message(encoded).value() == message{relayed});
+    relayed.packet.push_back(std::byte{0x5a});
+    CHECK(std::get<relayed_syn>(decode_message(encode(message{relayed})).value()).packet.empty());
+}
+
 TEST(message_codec, corrupt_bytes_do_not_crash_the_decoder_and_empty_ones_are_rejected)
 {
     const auto encoded = encode(message{make_status()});
--- a/tests/peers/odd_messages_test.cpp
+++ b/tests/peers/odd_messages_test.cpp
@@ -64,30 +64,32 @@
     const std::vector<upstream_votes> votes{{.token = 9, .silent = 2, .unreachable = 1}};
     auto joining = make_status("edge-3");
     joining.joining = true;
-    return {make_status("edge-2"),
-            joining,
-            upstream_changes{.previous_revision = {.epoch = 3, .number = 11},
-                             .revision = {.epoch = 3, .number = 12},
-                             .entries = {make_entry("i-1"), make_entry("i-2")},
-                             .removed = {{.id = "i-3", .revision = {.epoch = 3, .number = 12}}},
-                             .data_centre = "east"},
-            load_summary{.collector = make_stamp("edge-west", "west"),
-                         .follows_store = true,
-                         .configuration_version = 7,
-                         .upstreams_revision = {.epoch = 3, .number = 12},
-                         .page = page,
-                         .votes = votes},
-            load_digest{.collector = make_stamp("edge-2", "east"),
-                        .remote_hosts = 100,
-                        .page = page,
-                        .remote_votes = votes,
-                        .members = {make_stamp("edge-4", "east").sender}},
-            member_list{.members = {make_stamp("edge-5", "west").sender}},
-            steer::warm_up_shares{
-                .id = "i-1",
-                .started_ms = 1785880304094,
-                .epoch = 3,
-                .holders = {{.host = "edge-2", .process_started_us = 5}, {.host = "edge-1", .process_started_us = 6}}}};
+    return {
+        make_status("edge-2"),
+        joining,
+        upstream_changes{.previous_revision = {.epoch = 3, .number = 11},
+                         .revision = {.epoch = 3, .number = 12},
+                         .entries = {make_entry("i-1"), make_entry("i-2")},
+                         .removed = {{.id = "i-3", .revision = {.epoch = 3, .number = 12}}},
+                         .data_centre = "east"},
+        load_summary{.collector = make_stamp("edge-west", "west"),
+                     .follows_store = true,
+                     .configuration_version = 7,
+                     .upstreams_revision = {.epoch = 3, .number = 12},
+                     .page = page,
+                     .votes = votes},
+        load_digest{.collector = make_stamp("edge-2", "east"),
+                    .remote_hosts = 100,
+                    .page = page,
+                    .remote_votes = votes,
+                    .members = {make_stamp("edge-4", "east").sender}},
+        member_list{.members = {make_stamp("edge-5", "west").sender}},
+        steer::warm_up_shares{
+            .id = "i-1",
+            .started_ms = 1785880304094,
+            .epoch = 3,
+            .holders = {{.host = "edge-2", .process_started_us = 5}, {.host = "edge-1", .process_started_us = 6}}},
+        relayed_syn{.packet = std::vector<std::byte>(31, std::byte{1}), .receiver = 2, .service = 3, .passes_left = 1}};
 }
 
 /// Undoes the packing of a message.
--- a/tests/steer/starting_fleet.hpp
+++ b/tests/steer/starting_fleet.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "host_ranks.hpp"
 #include "steer_fixture.hpp"
+#include "syn_record.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -8,8 +10,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <numeric>
-#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -36,9 +36,12 @@
         double slack = 0;
         /// Longest time that a SYN takes to its upstream.
         base::duration link_delay{0};
+        /// Hosts pass on SYNs for which they have no token.
+        bool relays = true;
     };
 
-    starting_fleet(settings what, std::uint64_t seed) : settings_{std::move(what)}, random_{seed}
+    starting_fleet(settings what, std::uint64_t seed)
+        : settings_{std::move(what)}, random_{seed}, ranks_{settings_.hosts}
     {
         for (std::size_t i = 0; i < upstream_count; ++i)
         {
@@ -46,19 +49,11 @@
             entry.data_centre = i % 2 == 0 ? "east" : "west";
             entries_.push_back(entry);
             restart_upstream(i);
-            auto& order = orders_.emplace_back();
-            for (std::size_t number = i % 2; number < settings_.hosts; number += 2)
-            {
-                order.push_back(number);
-            }
-            const auto weight = [&](std::size_t number) { return base::mix(number, base::hash_text(entry.id)); };
-            std::sort(order.begin(), order.end(), [&](auto a, auto b) { return weight(a) < weight(b); });
+            ranks_.add(entry.id, i % 2);
         }
         for (std::size_t i = 0; i < settings_.hosts; ++i)
         {
-            hosts_.push_back({.data_centre = i % 2 == 0 ? "east" : "west",
-                              .core = {},
-                              .believed = std::vector<std::uint64_t>(settings_.hosts, 1)});
+            hosts_.push_back({.data_centre = i % 2 == 0 ? "east" : "west", .core = {}});
             start(i);
         }
     }
@@ -79,35 +74,17 @@
         }
     }
 
-    /// Number of times that an incarnation got more than `bound` SYNs within a second of its warm-up.
-    int violations(double bound) const
-    {
-        int found = 0;
-        for (auto [token, times] : syns_)
-        {
-            std::sort(times.begin(), times.end());
-            for (std::size_t first = 0, last = 0; last < times.size(); ++last)
-            {
-                while (times[last] - times[first] >= 1s)
-                {
-                    ++first;
-                }
-                found += static_cast<double>(last - first + 1) > bound ? 1 : 0;
-            }
-        }
-        return found;
-    }
-    /// Number of SYNs that went to starting incarnations.
-    std::size_t admitted() const
-    {
-        return std::accumulate(syns_.begin(), syns_.end(), std::size_t{0},
-                               [](std::size_t sum, const auto& row) { return sum + row.second.size(); });
-    }
+    const syn_record& syns() const { return syns_; }
+    /// As in `syn_record`.
+    int violations(double bound) const { return syns_.violations(bound); }
+    std::size_t admitted() const { return syns_.admitted(); }
 
     /// Claims by which a later process of a host took over from an earlier one.
     int owner_changes = 0;
     /// Shares that processes other than owners got.
     int shares_adopted = 0;
+    /// New flows that callers opened.
+    int offered = 0;
     /// Resets for another reason than the limit.
     int refused_otherwise = 0;
 
@@ -122,8 +99,6 @@
         std::uint64_t process = 0;
         base::duration paused_until{};
         bool is_cut_off = false;
-        /// Process by which it knows each host; 0 for one that it does not take for live.
-        std::vector<std::uint64_t> believed;
     };
     enum class store_state
     {
@@ -194,6 +169,7 @@
                                                                            .slack = settings_.slack}},
                                              random_());
         one.core->on_configuration(settings_.configuration);
+        one.core->set_peer_count(settings_.relays ? settings_.hosts - 1 : 0);
         auto listed = entries_;
         for (auto& entry : listed)
         {
@@ -229,7 +205,7 @@
             {
                 for (std::size_t other = 0; other < settings_.hosts; ++other)
                 {
-                    one.believed[other] = !one.is_cut_off && random_.unit() < 0.8 ? hosts_[other].process : 0;
+                    ranks_.believed(i, other) = !one.is_cut_off && random_.unit() < 0.8 ? hosts_[other].process : 0;
                 }
             }
         }
@@ -246,38 +222,13 @@
         return {.host = std::to_string(number), .process_started_us = process};
     }
 
-    /// Hosts of an upstream's data centre in the order by which they claim it.
-    const std::vector<std::size_t>& order_of(const std::string& id) const
-    {
-        return orders_[std::stoul(id.substr(2)) - 1];
-    }
-
-    std::optional<std::size_t> rank(std::size_t self, const upstream_entry& entry) const
-    {
-        constexpr std::size_t last_candidate = 1;
-        std::size_t before = 0;
-        for (const auto other : order_of(entry.id))
-        {
-            if (other == self || before > last_candidate)
-            {
-                break;
-            }
-            before += hosts_[self].believed[other] != 0 ? 1 : 0;
-        }
-        return before;
-    }
-
     /// Returns whom a host lists as holders, itself first.
-    std::vector<share_holder> holders(std::size_t self, const warm_up_request& request) const
+    std::vector<share_holder> holders(std::size_t self, const warm_up_request& request)
     {
         std::vector<share_holder> listed{holder(self, hosts_[self].process)};
-        for (const auto other : order_of(request.id))
+        for (const auto other : ranks_.first_others(self, request.id, request.max_shares - 1))
         {
-            const auto process = hosts_[self].believed[other];
-            if (listed.size() < request.max_shares && other != self && process != 0)
-            {
-                listed.push_back(holder(other, process));
-            }
+            listed.push_back(holder(other, ranks_.believed(self, other)));
         }
         return listed;
     }
@@ -333,7 +284,7 @@
         {
             one.core->on_tick(at(now_));
             for (const auto& request : one.core->take_warm_up_requests(
-                     [&](const upstream_entry& entry) { return rank(index, entry); }, at(now_)))
+                     [&](const upstream_entry& entry) { return ranks_.rank(index, entry.id); }, at(now_)))
             {
                 call_store(index, request);
             }
@@ -352,6 +303,7 @@
     void open_flow(std::size_t index)
     {
         const auto port = next_port_++;
+        ++offered;
         decide(index, syn(port));
         if (settings_.faults && random_.unit() < 0.2)
         {
@@ -360,17 +312,58 @@
         }
     }
 
-    void decide(std::size_t index, const packet_header& header)
+    /// Passes a SYN on to a host that may have a share, with faults also lost, late, repeated and to another host.
+    void pass_on(std::size_t from, const packet_header& header, const relay_target& relay)
+    {
+        const auto upstream = std::find_if(entries_.begin(), entries_.end(),
+                                           [&](const auto& entry) { return token_of(entry) == relay.token; });
+        const auto targets = upstream == entries_.end() ? std::vector<std::size_t>{}
+                                                        : ranks_.first_others(from, upstream->id, relay.holders);
+        if (targets.empty())
+        {
+            return;
+        }
+        syns_.on_datagram(from, now_);
+        const auto to = targets[relay.lot % targets.size()];
+        const steerer::relayed_syn relayed{.header = header,
+                                           .receiver = host_key(std::to_string(to)),
+                                           .service = relay.service,
+                                           .passes_left = relay.passes_left};
+        for (double copy = settings_.faults ? random_.unit() : 0.5; copy > 0.25; copy -= 0.25)
+        {
+            const auto delay = random_.unit() < 0.1 ? random_time(10s) : random_time(60ms);
+            const auto index = random_.unit() < 0.1 ? random_.below(settings_.hosts) : to;
+            after(settings_.faults ? delay : step,
+                  [this, relayed, index = settings_.faults ? index : to] { decide(index, relayed.header, &relayed); });
+        }
+    }
+
+    /// Decides a SYN of a caller, or one that another host passed on.
+    void decide(std::size_t index, const packet_header& header, const steerer::relayed_syn* relayed = nullptr)
     {
         auto& one = hosts_[index];
+        if (relayed != nullptr && one.core && now_ < one.paused_until)
+        {
+            after(one.paused_until - now_ + step,
+                  [this, index, copy = *relayed] { decide(index, copy.header, &copy); });
+        }
         if (!runs(one))
         {
             return;
         }
-        const auto decision = one.core->on_packet(header, at(now_));
-        if (decision.action == steering_action::forward && now_ < warm_at_.at(decision.token))
+        if (relayed != nullptr)
+        {
+            syns_.on_datagram(index, now_);
+        }
+        const auto decision =
+            relayed != nullptr ? one.core->on_relayed(*relayed, at(now_)) : one.core->on_packet(header, at(now_));
+        if (decision.action == steering_action::relay)
+        {
+            pass_on(index, header, decision.relay);
+        }
+        else if (decision.action == steering_action::forward && now_ < warm_at_.at(decision.token))
         {
-            syns_[decision.token].push_back(now_ + random_time(settings_.link_delay + 1us));
+            syns_.on_forwarded(decision.token, header.flow.caller_port, now_ + random_time(settings_.link_delay + 1us));
         }
         else if (decision.action == steering_action::reset && decision.reason != steering_reason::warm_up_limit)
         {
@@ -429,6 +422,7 @@
 
     settings settings_;
     base::random_source random_;
+    host_ranks ranks_;
     base::duration now_ = 0s;
     std::vector<upstream_entry> entries_;
     std::map<upstream_token, base::duration> warm_at_;
@@ -436,10 +430,8 @@
     std::multimap<base::duration, std::function<void()>> due_;
     /// Holders that each object lists.
     std::map<std::string, std::vector<share_holder>> objects_;
-    /// Hosts in the order by which they claim each upstream.
-    std::vector<std::vector<std::size_t>> orders_;
     store_state store_ = store_state::working;
-    std::map<upstream_token, std::vector<base::duration>> syns_;
+    syn_record syns_;
     std::uint64_t revision_ = 1;
     std::uint16_t next_port_ = 1;
 };
