--- a/src/peers/relayed_syn_codec.hpp
+++ b/src/peers/relayed_syn_codec.hpp
@@ -21,7 +21,8 @@
 /// A packet that is too large is read as an empty one, which no host steers.
 inline relayed_syn read_relayed(schema::RelayedSyn::Reader in)
 {
-    relayed_syn read{.packet = {}, .receiver = in.getReceiver(), .service = in.getService(), .passes_left = in.getPassesLeft()};
+    relayed_syn read{
+        .packet = {}, .receiver = in.getReceiver(), .service = in.getService(), .passes_left = in.getPassesLeft()};
     const auto packet = in.getPacket();
     if (packet.size() <= max_relayed_packet)
     {
--- a/tests/steer/host_ranks.hpp
+++ b/tests/steer/host_ranks.hpp
@@ -63,7 +63,10 @@
     }
 
 private:
-    const std::vector<std::size_t>& order_of(const std::string& id) const { return orders_[std::stoul(id.substr(2)) - 1]; }
+    const std::vector<std::size_t>& order_of(const std::string& id) const
+    {
+        return orders_[std::stoul(id.substr(2)) - 1];
+    }
 
     std::vector<std::vector<std::uint64_t>> believed_;
     std::vector<std::vector<std::size_t>> orders_;
--- a/tests/steer/syn_relays_test.cpp
+++ b/tests/steer/syn_relays_test.cpp
@@ -191,8 +191,8 @@
     check_action(steering_action::reset, relayed(1, 0, 20ms));
 }
 
-// Failure: all hosts pass all flows on when demand is far above the rate, so that holders get thousands of datagrams and
-// callers wait for what cannot be served.
+// Failure: all hosts pass all flows on when demand is far above the rate, so that holders get thousands of datagrams
+// and callers wait for what cannot be served.
 TEST(syn_relays, most_flows_are_refused_at_once_when_demand_is_far_above_the_rate)
 {
     list();
@@ -211,12 +211,9 @@
 {
     for (const std::size_t hosts : {9, 70, 1'000})
     {
-        starting_fleet fleet{{.configuration = stated_rate(rate),
-                              .hosts = hosts,
-                              .flows_per_second = 2,
-                              .overshoot = 1.5,
-                              .slack = 5},
-                             5};
+        starting_fleet fleet{
+            {.configuration = stated_rate(rate), .hosts = hosts, .flows_per_second = 2, .overshoot = 1.5, .slack = 5},
+            5};
         fleet.run(6s);
         // Of at most 80 bytes each: 2 KB.
         CHECK(fleet.syns().datagrams() > 0 && fleet.syns().most_datagrams() <= 25);
