--- a/tests/edge/syn_relay_test.cpp
+++ b/tests/edge/syn_relay_test.cpp
@@ -49,8 +49,7 @@
         peers_address = peer_socket.local();
         worker = std::make_unique<packet_worker>(
             std::move(packet_socket), std::move(peer_socket),
-            packet_worker::identity{
-                .name = "edge-1", .data_centre = "east", .started_us = 1, .address = peers_address},
+            packet_worker::identity{.name = "edge-1", .data_centre = "east", .started_us = 1, .address = peers_address},
             std::vector<base::endpoint>{},
             steer::steering_options{.data_centre = "east", .warm_ups = {.overshoot = 1.5, .slack = 5}}, 7, *state,
             *metrics);
