--- a/tests/steer/warm_up_claims_test.cpp
+++ b/tests/steer/warm_up_claims_test.cpp
@@ -4,9 +4,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cmath>
+#include <cstddef>
 #include <utility>
 #include <vector>
 
@@ -62,6 +64,39 @@
     }
 }
 
+// Failure: a holder that may catch up by more flows sends more of them in a second than the limit leaves for it.
+TEST(warm_up_budget, a_larger_allowance_bounds_each_checked_span)
+{
+    for (const auto& [part, allowed] : {std::pair{0.8, 2U}, {0.667, 1U}, {1.0, 3U}, {4.0, 6U}, {4.0, 5U}})
+    {
+        base::random_source random{allowed};
+        warm_up_budget budget;
+        std::vector<base::duration> sent;
+        for (base::duration now{0}; now < 200s; now += base::duration{random.below(2'000'000)})
+        {
+            // Callers come together, so that all tokens are used.
+            for (auto at_once = now; at_once < now + 5ms; at_once += 1ms)
+            {
+                if (budget.has_token(at(at_once)))
+                {
+                    budget.take(part, at(at_once), warm_up_budget::pacing::catch_up, allowed);
+                    sent.push_back(at_once);
+                }
+            }
+        }
+        for (const auto span : warm_up_budget::checked_spans)
+        {
+            const auto at_depth_one = static_cast<std::size_t>(std::chrono::duration<double>(span).count() * part) + 1;
+            const auto bound = std::max<std::size_t>(at_depth_one, allowed);
+            for (std::size_t first = 0; first + bound < sent.size(); ++first)
+            {
+                CHECK(sent[first + bound] - sent[first] > span);
+            }
+        }
+        CHECK(static_cast<double>(sent.size()) <= part * 200 + 2 + allowed);
+    }
+}
+
 // Failure: each holder sent what 1.1 s allow within the first second, so that all of them together exceeded the limit:
 // 40 new flows instead of 39, and 120 instead of 113.
 TEST(warm_up_budget, holders_that_always_have_flows_stay_within_the_limit_together)
