--- a/tests/steer/warm_up_claims_test.cpp
+++ b/tests/steer/warm_up_claims_test.cpp
@@ -101,21 +101,21 @@
 // 40 new flows instead of 39, and 120 instead of 113.
 TEST(warm_up_budget, holders_that_always_have_flows_stay_within_the_limit_together)
 {
-    for (const auto& [rate, overshoot, slack] : {std::array{30.0, 1.2, 3.0}, {22.0, 1.2, 5.0}, {100.0, 1.1, 3.0}})
+    for (const auto& [stated, overshoot, slack] : {std::array{30.0, 1.2, 3.0}, {22.0, 1.2, 5.0}, {100.0, 1.1, 3.0}})
     {
-        const auto holders = static_cast<double>(share_limit(rate, overshoot, slack));
+        const auto holders = static_cast<double>(share_limit(stated, overshoot, slack));
         warm_up_budget budget;
         double sent = 0;
         for (base::duration now{0}; now < 1s; now += 100us)
         {
             if (budget.has_token(at(now)))
             {
-                budget.take(rate / holders, at(now), warm_up_budget::pacing::catch_up);
+                budget.take(stated / holders, at(now), warm_up_budget::pacing::catch_up);
                 ++sent;
             }
         }
         CHECK(holders > 1);
-        CHECK(sent * holders <= rate * overshoot + slack);
+        CHECK(sent * holders <= stated * overshoot + slack);
     }
 }
 
