Name the types of net directly in the daemon

Three headers of src/daemon only passed on names of net, and the fleet report spelled a kind of object of the store itself.

--- a/bench/bench_relay.cpp
+++ b/bench/bench_relay.cpp
@@ -4,8 +4,8 @@
 
 #include <galenabay/base/endpoint.hpp>
 
-#include "../src/daemon/packet.hpp"
-#include "../src/daemon/udp_socket.hpp"
+#include <galenabay/net/packet.hpp>
+#include <galenabay/net/udp_socket.hpp>
 
 #include <boost/program_options.hpp>
 #include <poll.h>
@@ -26,11 +26,11 @@
 
 namespace options = boost::program_options;
 using galenabay::base::endpoint;
-using galenabay::daemon::batch_size;
-using galenabay::daemon::packet;
-using galenabay::daemon::receive_batch;
-using galenabay::daemon::send_batch;
-using galenabay::daemon::udp_socket;
+using galenabay::net::batch_size;
+using galenabay::net::packet;
+using galenabay::net::receive_batch;
+using galenabay::net::send_batch;
+using galenabay::net::udp_socket;
 
 constexpr double ratio_bound = 0.8;
 constexpr int rounds = 5;
--- a/src/daemon/balancer.cpp
+++ b/src/daemon/balancer.cpp
@@ -10,7 +10,7 @@
 #include "receive_worker.hpp"
 #include "send_worker.hpp"
 #include "thread_state.hpp"
-#include "udp_socket.hpp"
+#include <galenabay/net/udp_socket.hpp>
 
 #include <galenabay/base/hash.hpp>
 #include <galenabay/base/log.hpp>
@@ -53,7 +53,7 @@
 class balancer::threads
 {
 public:
-    threads(const config::host_settings& settings, udp_socket upstream_socket, udp_socket relay_socket,
+    threads(const config::host_settings& settings, net::udp_socket upstream_socket, net::udp_socket relay_socket,
             std::uint64_t seed)
         : settings_{settings}, links_{settings.ring_size}, pool_{pool_size}, metrics_{std::make_shared<metric_table>()},
           upstream_socket_{std::move(upstream_socket)}, relay_socket_{std::move(relay_socket)},
@@ -132,8 +132,8 @@
     channels links_;
     packet_pool pool_;
     std::shared_ptr<metric_table> metrics_;
-    udp_socket upstream_socket_;
-    udp_socket relay_socket_;
+    net::udp_socket upstream_socket_;
+    net::udp_socket relay_socket_;
     receive_worker receive_;
     decide_worker decide_;
     send_worker send_;
@@ -148,8 +148,8 @@
 
 base::result<balancer> balancer::start(const config::host_settings& settings)
 {
-    BOOST_OUTCOME_TRY(upstream_socket, udp_socket::bind(settings.address.with_port(settings.upstream_port)));
-    BOOST_OUTCOME_TRY(relay_socket, udp_socket::bind(settings.address.with_port(settings.relay_port)));
+    BOOST_OUTCOME_TRY(upstream_socket, net::udp_socket::bind(settings.address.with_port(settings.upstream_port)));
+    BOOST_OUTCOME_TRY(relay_socket, net::udp_socket::bind(settings.address.with_port(settings.relay_port)));
     auto running =
         std::make_unique<threads>(settings, std::move(upstream_socket), std::move(relay_socket), process_seed());
     BOOST_OUTCOME_TRYV(running->start());
--- a/src/daemon/channels.hpp
+++ b/src/daemon/channels.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "packet.hpp"
 #include "upstream_allowlist.hpp"
-#include "wakeup_event.hpp"
+#include <galenabay/net/packet.hpp>
+#include <galenabay/net/wakeup_event.hpp>
 
 #include <galenabay/base/ring.hpp>
 #include <galenabay/config/accepted_revision.hpp>
@@ -91,8 +91,8 @@
     /// Capacity of the rings that carry no packets, in elements.
     static constexpr std::size_t control_ring_size = 1024;
 
-    base::ring<packet*> receive_to_decide;
-    base::ring<packet*> decide_to_send;
+    base::ring<net::packet*> receive_to_decide;
+    base::ring<net::packet*> decide_to_send;
     base::ring<decide_event> control_to_decide;
     base::ring<outgoing_records> decide_to_control;
     base::ring<socket_change> decide_to_receive;
@@ -100,9 +100,9 @@
     base::ring<address_rules> control_to_send_rules;
     base::ring<address_rules> control_to_receive_rules;
 
-    wakeup_event receive_wakeup;
-    wakeup_event decide_wakeup;
-    wakeup_event send_wakeup;
+    net::wakeup_event receive_wakeup;
+    net::wakeup_event decide_wakeup;
+    net::wakeup_event send_wakeup;
 };
 
 } // namespace galenabay::daemon
--- a/src/daemon/decide_worker.cpp
+++ b/src/daemon/decide_worker.cpp
@@ -29,7 +29,7 @@
 
 decide_worker::decide_worker(const config::host_settings& settings, std::uint64_t seed, channels& links,
                              packet_pool& pool, metric_table& metrics, thread_state& state,
-                             const udp_socket& upstream_socket, int relay_socket)
+                             const net::udp_socket& upstream_socket, int relay_socket)
     : settings_{settings}, links_{links}, pool_{pool}, metrics_{metrics}, state_{state},
       path_{settings, seed, links, pool, metrics, upstream_socket, relay_socket}
 {
@@ -90,9 +90,9 @@
 bool decide_worker::handle_packets(base::time_point now)
 {
     std::size_t count = 0;
-    for (packet* received = nullptr; count < packets_per_round && links_.receive_to_decide.pop(received); ++count)
+    for (net::packet* received = nullptr; count < packets_per_round && links_.receive_to_decide.pop(received); ++count)
     {
-        if (open_pause_ != 0 && received->origin != packet_origin::upstream)
+        if (open_pause_ != 0 && received->origin != net::packet_origin::upstream)
         {
             metrics_.add(metric::dropped_paused);
             pool_.release(received);
--- a/src/daemon/decide_worker.hpp
+++ b/src/daemon/decide_worker.hpp
@@ -5,7 +5,7 @@
 #include "packet_path.hpp"
 #include "packet_pool.hpp"
 #include "thread_state.hpp"
-#include "udp_socket.hpp"
+#include <galenabay/net/udp_socket.hpp>
 
 #include <galenabay/base/time.hpp>
 #include <galenabay/config/host_settings.hpp>
@@ -20,7 +20,7 @@
 {
 public:
     decide_worker(const config::host_settings& settings, std::uint64_t seed, channels& links, packet_pool& pool,
-                  metric_table& metrics, thread_state& state, const udp_socket& upstream_socket, int relay_socket);
+                  metric_table& metrics, thread_state& state, const net::udp_socket& upstream_socket, int relay_socket);
 
     /// Runs until `thread_state::stop` is set.
     void run();
--- a/src/daemon/outbox.cpp
+++ b/src/daemon/outbox.cpp
@@ -12,9 +12,9 @@
 {
 }
 
-packet* outbox::copy_to_packet(std::span<const std::byte> payload)
+net::packet* outbox::copy_to_packet(std::span<const std::byte> payload)
 {
-    packet* copy = pool_.acquire();
+    net::packet* copy = pool_.acquire();
     if (copy == nullptr)
     {
         metrics_.add(metric::dropped_no_buffer);
@@ -29,7 +29,7 @@
     return copy;
 }
 
-void outbox::push(packet* ready)
+void outbox::push(net::packet* ready)
 {
     pushed_ = true;
     if (!links_.decide_to_send.push(ready))
@@ -38,7 +38,7 @@
     }
 }
 
-void outbox::discard(packet* received)
+void outbox::discard(net::packet* received)
 {
     pool_.release(received);
 }
@@ -51,7 +51,7 @@
     }
 }
 
-void outbox::forward(packet* received, config::service_id service, const wire::proxy_header& header,
+void outbox::forward(net::packet* received, config::service_id service, const wire::proxy_header& header,
                      const base::endpoint& upstream)
 {
     header_bytes_.clear();
@@ -71,7 +71,7 @@
     push(received);
 }
 
-void outbox::reply(packet* received, int socket, const base::endpoint& caller)
+void outbox::reply(net::packet* received, int socket, const base::endpoint& caller)
 {
     received->socket = socket;
     received->peer = caller;
@@ -83,7 +83,7 @@
 void outbox::send_to_upstream(std::span<const std::byte> payload, config::service_id service,
                               const wire::proxy_header& header, const base::endpoint& upstream)
 {
-    if (packet* copy = copy_to_packet(payload))
+    if (net::packet* copy = copy_to_packet(payload))
     {
         forward(copy, service, header, upstream);
     }
@@ -91,7 +91,7 @@
 
 void outbox::send_to_caller(std::span<const std::byte> payload, int socket, const base::endpoint& caller)
 {
-    if (packet* copy = copy_to_packet(payload))
+    if (net::packet* copy = copy_to_packet(payload))
     {
         reply(copy, socket, caller);
     }
@@ -99,7 +99,7 @@
 
 void outbox::send_to_host(const base::endpoint& relay, const wire::peer_datagram& message)
 {
-    packet* copy = copy_to_packet(wire::encode_peer_datagram(message));
+    net::packet* copy = copy_to_packet(wire::encode_peer_datagram(message));
     if (copy == nullptr)
     {
         return;
--- a/src/daemon/outbox.hpp
+++ b/src/daemon/outbox.hpp
@@ -27,11 +27,11 @@
            int relay_socket);
 
     /// Forwards a received packet to an upstream behind a PROXY header. Takes ownership of the packet.
-    void forward(packet* received, config::service_id service, const wire::proxy_header& header,
+    void forward(net::packet* received, config::service_id service, const wire::proxy_header& header,
                  const base::endpoint& upstream);
 
     /// Sends the payload of a received packet to a caller. Takes ownership of the packet.
-    void reply(packet* received, int socket, const base::endpoint& caller);
+    void reply(net::packet* received, int socket, const base::endpoint& caller);
 
     /// Like `forward`, but sends a copy of `payload`.
     void send_to_upstream(std::span<const std::byte> payload, config::service_id service,
@@ -44,7 +44,7 @@
     void send_to_host(const base::endpoint& relay, const wire::peer_datagram& message);
 
     /// Returns an unsent packet to the pool.
-    void discard(packet* received);
+    void discard(net::packet* received);
 
     /// Wakes the send thread if a packet was passed to it since the last call.
     void flush();
@@ -52,8 +52,8 @@
 private:
     /// Returns a packet with a copy of `payload`. Counts a drop and returns null when no buffer is free or the payload
     /// does not fit.
-    packet* copy_to_packet(std::span<const std::byte> payload);
-    void push(packet* ready);
+    net::packet* copy_to_packet(std::span<const std::byte> payload);
+    void push(net::packet* ready);
 
     std::string self_;
     channels& links_;
--- a/src/daemon/packet_path.cpp
+++ b/src/daemon/packet_path.cpp
@@ -61,7 +61,7 @@
 } // namespace
 
 packet_path::packet_path(const config::host_settings& settings, std::uint64_t seed, channels& links, packet_pool& pool,
-                         metric_table& metrics, const udp_socket& upstream_socket, int relay_socket)
+                         metric_table& metrics, const net::udp_socket& upstream_socket, int relay_socket)
     : self_{settings.name}, upstream_address_{upstream_socket.local()}, links_{links}, metrics_{metrics},
       services_{settings, links}, outbox_{settings.name, links, pool, metrics, upstream_socket.descriptor(),
                                           relay_socket},
@@ -70,15 +70,15 @@
 {
 }
 
-void packet_path::on_packet(packet* received, base::time_point now)
+void packet_path::on_packet(net::packet* received, base::time_point now)
 {
     switch (received->origin)
     {
-    case packet_origin::caller:
+    case net::packet_origin::caller:
         return on_caller_packet({received, received->service, received->peer, 0}, now);
-    case packet_origin::upstream:
+    case net::packet_origin::upstream:
         return on_upstream_packet(received, now);
-    case packet_origin::host:
+    case net::packet_origin::host:
         return on_host_packet(received, now);
     }
 }
@@ -208,7 +208,7 @@
     }
 }
 
-void packet_path::on_upstream_packet(packet* received, base::time_point now)
+void packet_path::on_upstream_packet(net::packet* received, base::time_point now)
 {
     const auto parsed = wire::parse_proxied(received->payload());
     if (!parsed)
@@ -235,7 +235,7 @@
     return_to_caller(received, header, now);
 }
 
-void packet_path::return_to_caller(packet* received, const wire::proxy_header& header, base::time_point now)
+void packet_path::return_to_caller(net::packet* received, const wire::proxy_header& header, base::time_point now)
 {
     const auto* entry = services_.find(header.service);
     if (entry == nullptr)
@@ -263,8 +263,8 @@
     outbox_.reply(received, entry->socket, header.caller);
 }
 
-bool packet_path::handle_response(const packet& received, const wire::proxy_header& header, const wire::coap_view& view,
-                                  base::time_point now)
+bool packet_path::handle_response(const net::packet& received, const wire::proxy_header& header,
+                                  const wire::coap_view& view, base::time_point now)
 {
     if (!view.is_response())
     {
@@ -295,7 +295,7 @@
     return false;
 }
 
-void packet_path::on_probe_answer(const packet& received, base::time_point now)
+void packet_path::on_probe_answer(const net::packet& received, base::time_point now)
 {
     const auto view = wire::parse_coap(received.payload());
     if (!view)
@@ -323,7 +323,7 @@
     return found != relay_addresses_.end() && found->second == sender;
 }
 
-void packet_path::on_host_packet(packet* received, base::time_point now)
+void packet_path::on_host_packet(net::packet* received, base::time_point now)
 {
     auto message = wire::decode_peer_datagram(received->payload());
     if (!message)
--- a/src/daemon/packet_path.hpp
+++ b/src/daemon/packet_path.hpp
@@ -27,10 +27,10 @@
 {
 public:
     packet_path(const config::host_settings& settings, std::uint64_t seed, channels& links, packet_pool& pool,
-                metric_table& metrics, const udp_socket& upstream_socket, int relay_socket);
+                metric_table& metrics, const net::udp_socket& upstream_socket, int relay_socket);
 
     /// Handles one packet and takes ownership of it.
-    void on_packet(packet* received, base::time_point now);
+    void on_packet(net::packet* received, base::time_point now);
 
     // Events from the control thread (`decide_event`), and the decide thread's own pauses and ticks.
     void on_revision(const std::shared_ptr<const config::accepted_revision>& revision, base::time_point now);
@@ -54,15 +54,15 @@
     /// A packet from a caller, received directly or relayed by another host.
     struct caller_packet
     {
-        packet* received = nullptr;
+        net::packet* received = nullptr;
         base::endpoint service;
         base::endpoint caller;
         std::uint8_t hops = 0;
     };
 
     void on_caller_packet(const caller_packet& from, base::time_point now);
-    void on_upstream_packet(packet* received, base::time_point now);
-    void on_host_packet(packet* received, base::time_point now);
+    void on_upstream_packet(net::packet* received, base::time_point now);
+    void on_host_packet(net::packet* received, base::time_point now);
     void on_coap_packet(const caller_packet& from, const service_entry& entry, base::time_point now);
     void on_request(const caller_packet& from, const service_entry& entry, const wire::coap_view& view,
                     base::time_point now);
@@ -70,10 +70,10 @@
     void carry_out(const caller_packet& from, const flow::decision& decided, const wire::coap_view* view);
     void refuse_registration(const caller_packet& from, const wire::coap_view& view);
     void answer_malformed(const caller_packet& from, const service_entry& entry);
-    void return_to_caller(packet* received, const wire::proxy_header& header, base::time_point now);
-    bool handle_response(const packet& received, const wire::proxy_header& header, const wire::coap_view& view,
+    void return_to_caller(net::packet* received, const wire::proxy_header& header, base::time_point now);
+    bool handle_response(const net::packet& received, const wire::proxy_header& header, const wire::coap_view& view,
                          base::time_point now);
-    void on_probe_answer(const packet& received, base::time_point now);
+    void on_probe_answer(const net::packet& received, base::time_point now);
     void apply_health(const health_change& change, base::time_point now);
     void send_coap(const wire::coap_message& message, const base::endpoint& service, const base::endpoint& caller);
     bool is_known_host(const std::string& name, const base::endpoint& sender) const;
--- a/src/daemon/packet_pool.hpp
+++ b/src/daemon/packet_pool.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "packet.hpp"
+#include <galenabay/net/packet.hpp>
 
 #include <boost/lockfree/stack.hpp>
 
@@ -20,24 +20,24 @@
         packets_.reserve(count);
         for (std::size_t i = 0; i < count; ++i)
         {
-            packets_.push_back(std::make_unique<packet>());
+            packets_.push_back(std::make_unique<net::packet>());
             free_.bounded_push(packets_.back().get());
         }
     }
 
     /// Returns a free buffer, or null when all are in use.
-    packet* acquire()
+    net::packet* acquire()
     {
-        packet* free_packet = nullptr;
+        net::packet* free_packet = nullptr;
         return free_.pop(free_packet) ? free_packet : nullptr;
     }
 
     /// Returns a buffer that came from `acquire` to the pool.
-    void release(packet* used) { free_.bounded_push(used); }
+    void release(net::packet* used) { free_.bounded_push(used); }
 
 private:
-    std::vector<std::unique_ptr<packet>> packets_;
-    boost::lockfree::stack<packet*> free_;
+    std::vector<std::unique_ptr<net::packet>> packets_;
+    boost::lockfree::stack<net::packet*> free_;
 };
 
 } // namespace galenabay::daemon
--- a/src/daemon/platform_worker.hpp
+++ b/src/daemon/platform_worker.hpp
@@ -2,7 +2,7 @@
 
 #include "metric_table.hpp"
 #include "thread_state.hpp"
-#include "wakeup_event.hpp"
+#include <galenabay/net/wakeup_event.hpp>
 
 #include <galenabay/base/endpoint.hpp>
 #include <galenabay/base/error.hpp>
@@ -144,7 +144,7 @@
     base::token_bucket budget_;
     base::ring<platform_request> requests_;
     base::ring<platform_event> events_;
-    wakeup_event wakeup_;
+    net::wakeup_event wakeup_;
 };
 
 } // namespace galenabay::daemon
--- a/src/daemon/receive_worker.cpp
+++ b/src/daemon/receive_worker.cpp
@@ -26,13 +26,13 @@
 } // namespace
 
 receive_worker::receive_worker(channels& links, packet_pool& pool, metric_table& metrics, const thread_state& state,
-                               const udp_socket& upstream_socket, const udp_socket& relay_socket)
+                               const net::udp_socket& upstream_socket, const net::udp_socket& relay_socket)
     : links_{links}, pool_{pool}, metrics_{metrics}, state_{state}, epoll_{epoll_create1(EPOLL_CLOEXEC)},
       blocked_{std::make_shared<blocked_addresses>()}
 {
     GALENABAY_INVARIANT(epoll_ >= 0);
-    add(upstream_socket.descriptor(), {packet_origin::upstream, {}});
-    add(relay_socket.descriptor(), {packet_origin::host, {}});
+    add(upstream_socket.descriptor(), {net::packet_origin::upstream, {}});
+    add(relay_socket.descriptor(), {net::packet_origin::host, {}});
     epoll_event event{};
     event.events = EPOLLIN;
     event.data.fd = links_.receive_wakeup.descriptor();
@@ -41,7 +41,7 @@
 
 receive_worker::~receive_worker()
 {
-    for (packet* unused : batch_)
+    for (net::packet* unused : batch_)
     {
         pool_.release(unused);
     }
@@ -63,7 +63,7 @@
     {
         if (change.open)
         {
-            add(change.descriptor, {packet_origin::caller, change.service});
+            add(change.descriptor, {net::packet_origin::caller, change.service});
         }
         else
         {
@@ -82,9 +82,9 @@
 
 bool receive_worker::fill_batch()
 {
-    while (batch_.size() < batch_size)
+    while (batch_.size() < net::batch_size)
     {
-        packet* free_packet = pool_.acquire();
+        net::packet* free_packet = pool_.acquire();
         if (free_packet == nullptr)
         {
             break;
@@ -94,25 +94,25 @@
     return !batch_.empty();
 }
 
-bool receive_worker::is_blocked(const packet& received) const
+bool receive_worker::is_blocked(const net::packet& received) const
 {
     return !blocked_->empty() && blocked_->contains(received.peer.address_string());
 }
 
-void receive_worker::count_received(packet_origin origin)
+void receive_worker::count_received(net::packet_origin origin)
 {
     switch (origin)
     {
-    case packet_origin::caller:
+    case net::packet_origin::caller:
         return metrics_.add(metric::packets_from_callers);
-    case packet_origin::upstream:
+    case net::packet_origin::upstream:
         return metrics_.add(metric::packets_from_upstreams);
-    case packet_origin::host:
+    case net::packet_origin::host:
         return metrics_.add(metric::packets_from_hosts);
     }
 }
 
-void receive_worker::enqueue(packet* received, const source& from)
+void receive_worker::enqueue(net::packet* received, const source& from)
 {
     count_received(from.origin);
     received->origin = from.origin;
@@ -147,7 +147,7 @@
             return;
         }
         const std::size_t requested = batch_.size();
-        const auto outcome = receive_batch(descriptor, batch_);
+        const auto outcome = net::receive_batch(descriptor, batch_);
         for (std::size_t i = 0; i < outcome.received; ++i)
         {
             enqueue(batch_[i], from);
--- a/src/daemon/receive_worker.hpp
+++ b/src/daemon/receive_worker.hpp
@@ -4,7 +4,7 @@
 #include "metric_table.hpp"
 #include "packet_pool.hpp"
 #include "thread_state.hpp"
-#include "udp_socket.hpp"
+#include <galenabay/net/udp_socket.hpp>
 
 #include <memory>
 #include <unordered_map>
@@ -19,7 +19,7 @@
 {
 public:
     receive_worker(channels& links, packet_pool& pool, metric_table& metrics, const thread_state& state,
-                   const udp_socket& upstream_socket, const udp_socket& relay_socket);
+                   const net::udp_socket& upstream_socket, const net::udp_socket& relay_socket);
     receive_worker(const receive_worker&) = delete;
     receive_worker& operator=(const receive_worker&) = delete;
     ~receive_worker();
@@ -30,7 +30,7 @@
 private:
     struct source
     {
-        packet_origin origin = packet_origin::caller;
+        net::packet_origin origin = net::packet_origin::caller;
         base::endpoint service;
     };
 
@@ -38,9 +38,9 @@
     void apply_changes();
     bool fill_batch();
     void read_from(int descriptor);
-    void enqueue(packet* received, const source& from);
-    bool is_blocked(const packet& received) const;
-    void count_received(packet_origin origin);
+    void enqueue(net::packet* received, const source& from);
+    bool is_blocked(const net::packet& received) const;
+    void count_received(net::packet_origin origin);
 
     channels& links_;
     packet_pool& pool_;
@@ -48,7 +48,7 @@
     const thread_state& state_;
     int epoll_;
     std::unordered_map<int, source> sources_;
-    std::vector<packet*> batch_;
+    std::vector<net::packet*> batch_;
     std::shared_ptr<const blocked_addresses> blocked_;
 };
 
--- a/src/daemon/send_worker.cpp
+++ b/src/daemon/send_worker.cpp
@@ -34,7 +34,7 @@
     }
 }
 
-bool send_worker::is_allowed(const packet& waiting)
+bool send_worker::is_allowed(const net::packet& waiting)
 {
     if (waiting.to_upstream && !allowlist_->allows(waiting.decided_service, waiting.service, waiting.peer))
     {
@@ -64,7 +64,7 @@
 bool send_worker::collect()
 {
     batch_.clear();
-    packet* waiting = nullptr;
+    net::packet* waiting = nullptr;
     while (batch_.size() < max_collected_packets && links_.decide_to_send.pop(waiting))
     {
         batch_.push_back(waiting);
@@ -73,8 +73,8 @@
     // the packets are at least as new.
     apply_rules();
     const auto kept =
-        std::stable_partition(batch_.begin(), batch_.end(), [&](packet* each) { return is_allowed(*each); });
-    std::for_each(kept, batch_.end(), [&](packet* refused) { pool_.release(refused); });
+        std::stable_partition(batch_.begin(), batch_.end(), [&](net::packet* each) { return is_allowed(*each); });
+    std::for_each(kept, batch_.end(), [&](net::packet* refused) { pool_.release(refused); });
     batch_.erase(kept, batch_.end());
     return !batch_.empty();
 }
@@ -84,8 +84,8 @@
     const int descriptor = batch_[begin]->socket;
     while (begin < end)
     {
-        const std::size_t count = std::min(end - begin, batch_size);
-        const std::size_t sent = send_batch(descriptor, std::span{batch_}.subspan(begin, count));
+        const std::size_t count = std::min(end - begin, net::batch_size);
+        const std::size_t sent = net::send_batch(descriptor, std::span{batch_}.subspan(begin, count));
         if (sent == 0)
         {
             metrics_.add(metric::dropped_send_failed);
@@ -105,7 +105,7 @@
             begin = i;
         }
     }
-    for (packet* sent : batch_)
+    for (net::packet* sent : batch_)
     {
         pool_.release(sent);
     }
--- a/src/daemon/send_worker.hpp
+++ b/src/daemon/send_worker.hpp
@@ -4,7 +4,7 @@
 #include "metric_table.hpp"
 #include "packet_pool.hpp"
 #include "thread_state.hpp"
-#include "udp_socket.hpp"
+#include <galenabay/net/udp_socket.hpp>
 
 #include <memory>
 #include <vector>
@@ -25,7 +25,7 @@
 private:
     bool collect();
     void apply_rules();
-    bool is_allowed(const packet& waiting);
+    bool is_allowed(const net::packet& waiting);
     void apply(const address_rules& rules);
     void send_collected();
     /// Sends the packets `begin` to `end` (exclusive) of the batch, which have the same socket.
@@ -37,7 +37,7 @@
     const thread_state& state_;
     std::shared_ptr<const upstream_allowlist> allowlist_;
     std::shared_ptr<const blocked_addresses> blocked_;
-    std::vector<packet*> batch_;
+    std::vector<net::packet*> batch_;
 };
 
 } // namespace galenabay::daemon
--- a/src/daemon/service_table.cpp
+++ b/src/daemon/service_table.cpp
@@ -29,7 +29,7 @@
 void service_table::open(const config::service& service)
 {
     const auto local = local_address(service.address);
-    auto opened = udp_socket::bind(local);
+    auto opened = net::udp_socket::bind(local);
     if (!opened)
     {
         base::log_event{base::log_level::error, "service_not_served"}
--- a/src/daemon/service_table.hpp
+++ b/src/daemon/service_table.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "channels.hpp"
-#include "udp_socket.hpp"
+#include <galenabay/net/udp_socket.hpp>
 
 #include <galenabay/base/endpoint.hpp>
 #include <galenabay/base/hash.hpp>
@@ -44,12 +44,12 @@
 private:
     struct open_socket
     {
-        udp_socket socket;
+        net::udp_socket socket;
         service_entry entry;
     };
     struct retired_socket
     {
-        udp_socket socket;
+        net::udp_socket socket;
         base::time_point close_at;
     };
 
--- a/src/inspect/fleet_report.cpp
+++ b/src/inspect/fleet_report.cpp
@@ -2,6 +2,8 @@
 
 #include "answer_time_lines.hpp"
 
+#include <platform/store_objects.hpp>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -110,7 +112,7 @@
     }
     if (!has_evacuated(host, store))
     {
-        words.emplace_back("evacuations");
+        words.emplace_back(name_of(adapter::object_kind::evacuations));
     }
     return words.empty() ? "" : ": lags (" + join(words) + ")";
 }
--- a/tests/daemon/packet_test.cpp
+++ b/tests/daemon/packet_test.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 using namespace galenabay::daemon;
+using galenabay::net::packet;
 
 TEST_GROUP(packet)
 {
