Show usable and avoided upstreams as metrics

An operator could see ignored evidence, but not how many upstreams a host uses and avoids. galenabay_usable_upstreams and galenabay_avoided_upstreams show them; they are counted where evidence is updated anyway.

--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -223,6 +223,10 @@
     std::vector<avoidance_change> take_avoidance_changes() { return std::exchange(avoidance_changes_, {}); }
     /// Number of upstreams that get new flows although weak evidence speaks against them.
     std::size_t ignored_doubt_count() const noexcept { return ignored_doubt_count_; }
+    /// Number of upstreams that may get new flows and are avoided: none gets one while others of its service can.
+    std::size_t avoided_count() const noexcept { return avoided_count_; }
+    /// Number of upstreams that get new flows.
+    std::size_t usable_count() const noexcept { return usable_count_; }
     const route_table& routes() const noexcept { return routes_; }
     const evacuation_table& evacuations() const noexcept { return evacuations_; }
     /// Number of new flows for which upstreams of this host's data centre were left out because
@@ -406,6 +410,8 @@
     std::map<std::string, base::time_point> ignored_since_;
     std::vector<avoidance_change> avoidance_changes_;
     std::size_t ignored_doubt_count_ = 0;
+    std::size_t avoided_count_ = 0;
+    std::size_t usable_count_ = 0;
     base::time_point last_tick_{};
     base::time_point last_sweep_{};
 };
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -69,6 +69,10 @@
                               "Retransmitted SYNs that stayed on their upstream for lack of room on others")},
       ignored_evidence{gauge(registry_, "galenabay_ignored_evidence_upstreams",
                              "Upstreams that get new flows although unanswered SYNs or votes speak against them")},
+      avoided_upstreams{
+          gauge(registry_, "galenabay_avoided_upstreams",
+                "Upstreams without new flows here because of failures, silence or a missing registration")},
+      usable_upstreams{gauge(registry_, "galenabay_usable_upstreams", "Upstreams that get new flows of this host")},
       slow_upstreams{gauge(registry_, "galenabay_slow_upstreams",
                            "Upstreams that get less than half of an even share because their answers are late")},
       starting_upstreams{gauge(registry_, "galenabay_starting_upstreams", "Upstreams that are slow after their start")},
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -94,6 +94,9 @@
     prometheus::Counter& limited_retries;
     /// Upstreams that get new flows although weak evidence speaks against them.
     prometheus::Gauge& ignored_evidence;
+    /// Upstreams that take new flows, but not of this host: it avoids them.
+    prometheus::Gauge& avoided_upstreams;
+    prometheus::Gauge& usable_upstreams;
     /// Upstreams that lost half of their capacity by their answer times.
     prometheus::Gauge& slow_upstreams;
     prometheus::Gauge& starting_upstreams;
--- a/src/edge/packet_worker_shortage.cpp
+++ b/src/edge/packet_worker_shortage.cpp
@@ -55,6 +55,8 @@
         log_.avoidance(change, now);
     }
     metrics_.ignored_evidence.Set(static_cast<double>(steerer_.ignored_doubt_count()));
+    metrics_.avoided_upstreams.Set(static_cast<double>(steerer_.avoided_count()));
+    metrics_.usable_upstreams.Set(static_cast<double>(steerer_.usable_count()));
 }
 
 void packet_worker::report_shortage()
--- a/src/steer/steerer_avoidance.cpp
+++ b/src/steer/steerer_avoidance.cpp
@@ -43,6 +43,8 @@
 {
     std::map<std::string, base::time_point> ignored_since;
     ignored_doubt_count_ = 0;
+    avoided_count_ = 0;
+    usable_count_ = 0;
     registry_.for_each_service(
         [&](const std::vector<upstream_incarnation*>& upstreams)
         {
@@ -55,6 +57,13 @@
             for (auto* upstream : upstreams)
             {
                 upstream->doubts_ignored = ignored && !has_strong_evidence(*upstream, now);
+                if (takes_new_flows(*upstream, evacuations_))
+                {
+                    const bool is_missing = upstream->missing_since && !registry_.may_have_expired(*upstream);
+                    const bool avoided =
+                        is_missing || is_avoided(*upstream, now) || links_.is_silent(upstream->entry.data_centre);
+                    ++(avoided ? avoided_count_ : usable_count_);
+                }
             }
             const auto& service = upstreams.front()->entry.service;
             const auto known = ignored_since_.find(service);
--- a/tests/steer/failure_detection_test.cpp
+++ b/tests/steer/failure_detection_test.cpp
@@ -313,10 +313,14 @@
     upstream(3).avoid_until = at(10s);
     LONGS_EQUAL(4, count_used(400ms));
     LONGS_EQUAL(3, host.core.ignored_doubt_count());
+    LONGS_EQUAL(4, host.core.usable_count());
+    LONGS_EQUAL(0, host.core.avoided_count());
     // One that refused a connection and one that several hosts cannot connect to leave two.
     upstream(1).probes.failed_at = at(500ms);
     upstream(2).unreachable_votes = 2;
     LONGS_EQUAL(1, count_used(600ms));
+    LONGS_EQUAL(1, host.core.usable_count());
+    LONGS_EQUAL(3, host.core.avoided_count());
     const auto changes = host.core.take_avoidance_changes();
     LONGS_EQUAL(2, changes.size());
     CHECK(changes.front() == (avoidance_change{.service = "feed", .ignored = true, .counts = {4, 0, 3}}));
