--- a/daemons/galenactl.cpp
+++ b/daemons/galenactl.cpp
@@ -1,4 +1,5 @@
 #include "check_command.hpp"
+#include "plot_commands.hpp"
 
 #include <galenabay/config/codec.hpp>
 #include <galenabay/config/load.hpp>
@@ -53,6 +54,8 @@
     std::optional<std::string> against;
     bool json = false;
     std::vector<base::endpoint> hosts;
+    sample_request sample;
+    std::vector<std::string> logs;
 };
 
 std::string default_author()
@@ -75,7 +78,10 @@
         "  galenactl check FILE         users' platform: check a configuration (the JSON specification\n"
         "                               of config/main) before it is sent; --against FILE or --store\n"
         "                               names the one in force; read-only; exit codes 0 fine,\n"
-        "                               1 findings, 2 bad input\n\n"
+        "                               1 findings, 2 bad input\n"
+        "  galenactl sample             users' platform: read /metrics of each --host at each --interval\n"
+        "                               and append them to the file --out; read-only on the hosts\n"
+        "  galenactl plot FILE...       write the page --out with plots of such files and of --logs\n\n"
         "Example: galenactl apply --platform 127.0.0.1:7000 --wait examples/alliance.yaml\n\n"
         "Exit codes: 0 done, 1 failed, 2 bad input or usage, 3 conflict with another\n"
         "operator's change, 4 not in force on every live host (in time)\n\n"
@@ -95,7 +101,13 @@
     add("against", options::value<std::string>(), "check: file with the configuration in force");
     add("json", "check: print one JSON object");
     add("host", options::value<std::vector<std::string>>()->composing(),
-        "inspect: ADDRESS:PORT at which a host serves others; repeatable");
+        "inspect: ADDRESS:PORT at which a host serves others; sample: of its metrics; repeatable");
+    add("out", options::value<std::string>()->default_value(""), "sample: file of samples; plot: page to write");
+    add("interval", options::value<double>()->default_value(1), "sample: time between two readings in seconds");
+    add("duration", options::value<double>()->default_value(0), "sample: end after so many seconds; 0: without end");
+    add("limit-mib", options::value<std::uint64_t>()->default_value(64), "sample: end at this size of the file in MiB");
+    add("logs", options::value<std::vector<std::string>>()->composing(),
+        "plot: log of a host, or directory with *.log; repeatable");
     add("to", options::value<std::uint64_t>(), "history: accept the content of revision N again");
     return description;
 }
@@ -114,6 +126,11 @@
     return values;
 }
 
+std::chrono::milliseconds to_milliseconds(double seconds)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>{seconds});
+}
+
 base::result<command_line> decode(const options::variables_map& values)
 {
     command_line line;
@@ -122,8 +139,7 @@
     BOOST_OUTCOME_TRY(platform, base::endpoint::parse(values["platform"].as<std::string>()));
     line.platform = platform;
     line.wait = values.count("wait") > 0;
-    const std::chrono::duration<double> timeout{values["timeout"].as<double>()};
-    line.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+    line.timeout = to_milliseconds(values["timeout"].as<double>());
     line.author = values["author"].as<std::string>();
     if (values.count("expect-version") > 0)
     {
@@ -147,12 +163,23 @@
         line.against = values["against"].as<std::string>();
     }
     line.json = values.count("json") > 0;
+    constexpr std::uint64_t bytes_per_mib = 1U << 20U;
+    line.sample = {.hosts = {},
+                   .file = values["out"].as<std::string>(),
+                   .interval = to_milliseconds(values["interval"].as<double>()),
+                   .duration = to_milliseconds(values["duration"].as<double>()),
+                   .limit = values["limit-mib"].as<std::uint64_t>() * bytes_per_mib};
+    if (values.count("logs") > 0)
+    {
+        line.logs = values["logs"].as<std::vector<std::string>>();
+    }
     if (values.count("host") > 0)
     {
         for (const auto& text : values["host"].as<std::vector<std::string>>())
         {
             BOOST_OUTCOME_TRY(host, base::endpoint::parse(text));
             line.hosts.push_back(host);
+            line.sample.hosts.push_back(host);
         }
     }
     return line;
@@ -348,6 +375,15 @@
     return check_configuration_file({line.files.front(), line.against, line.store, line.json});
 }
 
+int plot(const command_line& line)
+{
+    if (line.sample.file.empty() || (line.files.empty() && line.logs.empty()))
+    {
+        return usage_error("plot needs --out and files of samples or --logs");
+    }
+    return plot_samples({line.files, line.logs, line.sample.file});
+}
+
 int run(const command_line& line)
 {
     if (line.command == "validate" || line.command == "plan" || line.command == "apply")
@@ -366,6 +402,14 @@
     {
         return check(line);
     }
+    if (line.command == "sample")
+    {
+        return line.sample.file.empty() ? usage_error("sample needs --out") : sample_metrics(line.sample);
+    }
+    if (line.command == "plot")
+    {
+        return plot(line);
+    }
     if (line.command == "inspect")
     {
         return inspect_fleet(line);
