Keep flows through pauses, failures and host replacements

Change: a host that resumed asks the hosts after it in the ranking; of two records the one whose upstream keeps flows counts; such a new flow waits 1 s; every announced version is awaited on its own; record_latency is 3.5 s instead of 1.3 s; a host that leaves sends the flows on which versions disagree; flows that were searched for are sent first.

--- a/src/flow/host_ranking.hpp
+++ b/src/flow/host_ranking.hpp
@@ -24,6 +24,9 @@
 {
 public:
     static constexpr std::size_t max_group = 16;
+    /// Number of hosts by which the rankings of two hosts may differ. A packet with
+    /// more hops than this and the hosts before this one has visited every host.
+    static constexpr std::size_t max_difference = 2;
 
     /// Replaces the hosts; `self` is the name of this host. Returns true when
     /// the set of names has changed.
--- a/src/flow/packet_decision.cpp
+++ b/src/flow/packet_decision.cpp
@@ -25,9 +25,6 @@
 /// Time for which a host that started or resumed waits for its peers' answers.
 constexpr base::duration answer_wait_limit{8'000'000};
 constexpr std::uint8_t max_hops = 64;
-/// A packet with this many more hops than there are hosts before this one has
-/// visited every host of the ranking; hosts' rankings may differ by one host.
-constexpr std::size_t ranking_slack = 2;
 
 } // namespace
 
@@ -66,7 +63,7 @@
 {
     auto& slot = index_.service(pkt.service);
     const auto position = ranking_.position(slot.id, pkt.key);
-    const bool all_visited = pkt.hops > position + ranking_slack;
+    const bool all_visited = pkt.hops > position + host_ranking::max_difference;
     if (all_visited && !awaits_version(slot))
     {
         return std::nullopt;
@@ -80,12 +77,19 @@
     // No host has a record of the flow. The first host of the ranking places it,
     // so that the record is there at once.
     const auto first = ranking_.first(slot.id, pkt.key);
-    const bool may_restart_ranking = pkt.hops < 2 * ranking_.hosts().size() + 2 * ranking_slack;
+    const bool may_restart_ranking = pkt.hops < 2 * ranking_.hosts().size() + 2 * host_ranking::max_difference;
     return first && may_restart_ranking ? std::optional{relay(*first)} : std::nullopt;
 }
 
 bool steering::state::in_transition(const packet& pkt) const
 {
+    // The flows of a former owner that the lineage no longer shows are known to other
+    // hosts only, and a host that started alone can't ask them.
+    const auto& slot = index_.service(pkt.service);
+    if (slot.address_taken && !exchange_.has_peers() && started_at_ && now_ - *started_at_ < slot.idle_timeout)
+    {
+        return true;
+    }
     return std::any_of(pkt.owners->former.begin(), pkt.owners->former.end(),
                        [&](const former_owner& one) { return index_.in_transition(one, now_); });
 }
@@ -148,114 +152,10 @@
     return drop(drop_reason::unknown_service);
 }
 
-flow_entry* steering::state::find_entry(const packet& pkt, const base::endpoint& address)
-{
-    auto* entry = table_.find(pkt.key);
-    if (entry == nullptr)
-    {
-        return nullptr;
-    }
-    if (is_expired(*entry))
-    {
-        table_.erase(pkt.key);
-        table_.count_idle_eviction();
-        return nullptr;
-    }
-    // Flows of an owner may outlive its entry in the lineage.
-    if (const auto service = index_.upstream(entry->upstream).service; !service_index::owns(*pkt.owners, service))
-    {
-        index_.add_former_owner(address, service, now_);
-    }
-    return entry;
-}
-
-bool steering::state::is_trusted(const packet& pkt, const flow_entry& entry) const
-{
-    const auto since_confirmed = coarse_time::of(now_).since(entry.confirmed);
-    const auto& slot = index_.upstream(entry.upstream);
-    if (resumed_at_ && now_ - *resumed_at_ < since_confirmed && !is_authoritative(slot.service, pkt.key))
-    {
-        return false;
-    }
-    // The deciding host may have moved the flow while the upstream was unhealthy.
-    return !slot.was_unhealthy || now_ - slot.unhealthy_at >= since_confirmed;
-}
-
-decision steering::state::decide_known(const packet& pkt, flow_entry& entry)
-{
-    if (const auto& slot = index_.upstream(entry.upstream); !slot.reachable())
-    {
-        // A flow of a former owner must not become a flow of the current one.
-        if (slot.service != pkt.owners->current)
-        {
-            table_.touch(pkt.key, entry, now_);
-            return drop(drop_reason::upstream_gone);
-        }
-        table_.erase(pkt.key);
-        return drop(drop_reason::upstream_gone);
-    }
-    const bool keeps = keeps_established_flows(entry.upstream);
-    if (pkt.hops == 0 && (!keeps || !is_trusted(pkt, entry)))
-    {
-        if (const auto first = ranking_.first(index_.service(pkt.service).id, pkt.key))
-        {
-            return relay(*first);
-        }
-    }
-    if (!keeps)
-    {
-        replace_upstream(pkt, entry);
-    }
-    table_.touch(pkt.key, entry, now_);
-    refresh(pkt, entry);
-    return forward(pkt, entry.upstream);
-}
-
-void steering::state::replace_upstream(const packet& pkt, flow_entry& entry)
-{
-    const auto service = index_.upstream(entry.upstream).service;
-    const auto chosen = choose_open(service, pkt.key);
-    if (chosen == no_upstream_index || chosen == entry.upstream)
-    {
-        return;
-    }
-    record_unhealthy(entry.upstream, now_);
-    entry.upstream = chosen;
-    entry.moved = 1;
-    entry.registered = 1;
-    entry.confirmed = coarse_time::of(now_);
-    notify_record_holders(pkt.service, pkt.key);
-}
-
-void steering::state::notify_record_holders(std::uint32_t service, std::uint64_t key)
-{
-    const auto id = index_.service(service).id;
-    for (std::size_t host = 0; host < ranking_.hosts().size(); ++host)
-    {
-        if (!ranking_.is_self(host) && ranking_.keeps_records(host, id, key))
-        {
-            exchange_.queue_flow(ranking_.hosts()[host].id, key);
-        }
-    }
-}
-
-void steering::state::refresh(const packet& pkt, flow_entry& entry)
-{
-    const auto since = coarse_time::of(now_).since(entry.confirmed);
-    if (since < index_.service(index_.upstream(entry.upstream).service).idle_timeout || !is_trusted(pkt, entry))
-    {
-        return;
-    }
-    entry.confirmed = coarse_time::of(now_);
-    if (needs_record(pkt.key, entry))
-    {
-        notify_record_holders(pkt.service, pkt.key);
-    }
-}
-
 bool steering::state::awaits_version(const service_slot& slot) const
 {
-    return slot.awaited_tag != 0 && now_ - slot.awaited_since < version_wait_limit;
+    const auto since = slot.awaited_since();
+    return since && now_ - *since < version_wait_limit;
 }
 
 bool steering::state::may_decide_alone(const packet& pkt, std::uint32_t& upstream) const
@@ -275,10 +175,14 @@
     return accepts_new_flows(upstream) && !recently_unhealthy(upstream);
 }
 
+bool steering::state::is_resuming() const
+{
+    return resumed_at_ && !exchange_.has_peers() && now_ - *resumed_at_ < resume_delay;
+}
+
 decision steering::state::decide_unknown(const packet& pkt)
 {
-    const bool resuming = resumed_at_ && !exchange_.has_peers() && now_ - *resumed_at_ < resume_delay;
-    if (resuming || (pkt.hops > 0 && !ranking_.has_self()))
+    if (is_resuming() || (pkt.hops > 0 && !ranking_.has_self()))
     {
         return drop(drop_reason::undecided);
     }
@@ -327,15 +231,35 @@
     {
         return drop(drop_reason::service_draining);
     }
+    if (!where.certain && !pkt.owners->former.empty() && !authoritative)
+    {
+        // The flow may be one of the former owner that only another host knows.
+        return drop(drop_reason::address_moved);
+    }
     return place(pkt, where);
 }
 
+bool steering::state::lacks_answers() const
+{
+    return answers_missing_since_ && now_ - *answers_missing_since_ < answer_wait_limit;
+}
+
 bool steering::state::must_wait(const packet& pkt) const
 {
     const auto& slot = index_.service(pkt.service);
-    const bool outdated = awaits_version(slot) && now_ - slot.awaited_since < outdated_version_limit;
-    const bool answers_missing = answers_missing_since_ && now_ - *answers_missing_since_ < answer_wait_limit;
-    return outdated || answers_missing || exchange_.awaits_departed_peer(slot.changed_in);
+    const bool outdated = awaits_version(slot) && now_ - *slot.awaited_since() < outdated_version_limit;
+    const bool may_have_peers = without_peers_since_ && !exchange_.has_peers() && !is_sole_host();
+    return outdated || lacks_answers() || may_have_peers || upstream_may_recover(pkt) ||
+           exchange_.awaits_departed_peer(slot.changed_in);
+}
+
+bool steering::state::upstream_may_recover(const packet& pkt) const
+{
+    candidate_list candidates;
+    const auto& choice = index_.service(pkt.service).choice;
+    choice.choose_all(pkt.key, candidates);
+    return std::any_of(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(choice.versions()),
+                       [&](std::uint32_t one) { return one != no_upstream_index && may_recover(one); });
 }
 
 decision steering::state::place(const packet& pkt, const placement& where)
--- a/src/flow/peer_exchange.cpp
+++ b/src/flow/peer_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace galenabay::flow
 {
@@ -114,6 +115,7 @@
     link.peer_nonce = value.nonce();
     link.last_batch = 0;
     link.urgent.clear();
+    link.found.clear();
     link.bulk.clear();
     link.bulk_sent = 0;
     link.answer_due = true;
@@ -160,11 +162,25 @@
     }
 }
 
-void peer_exchange::queue_flow(std::uint64_t host, std::uint64_t key)
+void peer_exchange::queue_flow(std::uint64_t host, std::uint64_t key, record_urgency urgency)
 {
-    if (const auto found = links_.find(short_host_id(host)); found != links_.end() && found->second.live)
+    const auto found = links_.find(short_host_id(host));
+    if (found == links_.end() || !found->second.live)
     {
-        found->second.urgent.push_back(key);
+        return;
+    }
+    auto& link = found->second;
+    switch (urgency)
+    {
+    case record_urgency::changed:
+        link.urgent.push_back(key);
+        break;
+    case record_urgency::found_slow:
+        link.found.push_front(key);
+        break;
+    case record_urgency::found:
+        link.found.push_back(key);
+        break;
     }
 }
 
@@ -177,7 +193,8 @@
 {
     auto& bulk = links_[short_host_id(host)].bulk;
     std::stable_sort(bulk.begin(), bulk.end(),
-                     [](const queued_flow& a, const queued_flow& b) { return a.idle_time < b.idle_time; });
+                     [](const queued_flow& a, const queued_flow& b)
+                     { return std::tie(a.optional, a.idle_time) < std::tie(b.optional, b.idle_time); });
 }
 
 bool peer_exchange::scan_due(std::uint64_t revision) const
@@ -256,13 +273,16 @@
     add_notice(to, notice_kind::batch, link.last_batch, 0, link.peer_nonce);
     link.answer_due = false;
     flow_record record;
-    while (to.size() < limit && !link.urgent.empty())
+    for (auto* queue : {&link.urgent, &link.found})
     {
-        if (record_of(link.urgent.front(), record))
+        while (to.size() < limit && !queue->empty())
         {
-            to.push_back(record);
+            if (record_of(queue->front(), record))
+            {
+                to.push_back(record);
+            }
+            queue->pop_front();
         }
-        link.urgent.pop_front();
     }
     while (to.size() < limit && link.bulk_sent < link.bulk.size())
     {
--- a/src/flow/peer_exchange.hpp
+++ b/src/flow/peer_exchange.hpp
@@ -28,6 +28,17 @@
     base::time_point until{};
 };
 
+/// Order in which the records of flows are sent.
+enum class record_urgency
+{
+    /// The flow was just placed, moved or refreshed.
+    changed,
+    /// A packet of the flow was searched for, and the next one is far away.
+    found_slow,
+    /// A packet of the flow was searched for.
+    found,
+};
+
 /// A peer that needs a scan of the flow table, and what earlier scans covered.
 struct scan_request
 {
@@ -74,7 +85,7 @@
     void on_notice(const notice& value, base::time_point now);
 
     /// Queues a flow for the peer with this host id, ahead of scanned flows.
-    void queue_flow(std::uint64_t host, std::uint64_t key);
+    void queue_flow(std::uint64_t host, std::uint64_t key, record_urgency urgency);
 
     /// Returns true when some peer needs a scan of the flow table, so that
     /// `start_scan` has to be called.
--- a/src/flow/peer_link.hpp
+++ b/src/flow/peer_link.hpp
@@ -28,6 +28,8 @@
 {
     std::uint64_t key = 0;
     base::duration idle_time{};
+    /// Sent after all others.
+    bool optional = false;
 };
 
 /// State of the record exchange with one peer. Owned by `peer_exchange`.
@@ -59,6 +61,8 @@
     std::uint32_t last_batch = 0;
     /// Keys of flows that were just placed, moved or refreshed; sent before `bulk`.
     std::deque<std::uint64_t> urgent;
+    /// Keys of flows whose packets were searched for; sent after `urgent`.
+    std::deque<std::uint64_t> found;
     /// Flows found by a scan of the table, shortest idle time first.
     std::vector<queued_flow> bulk;
     std::size_t bulk_sent = 0;
@@ -79,7 +83,7 @@
     {
         return complete && complete->revision >= at_least && received.has_all(complete->last_batch);
     }
-    bool queues_empty() const { return urgent.empty() && bulk_sent == bulk.size(); }
+    bool queues_empty() const { return urgent.empty() && found.empty() && bulk_sent == bulk.size(); }
 };
 
 } // namespace galenabay::flow
--- a/src/flow/record_codec.hpp
+++ b/src/flow/record_codec.hpp
@@ -47,8 +47,10 @@
 
 constexpr std::uint32_t max_notice_number = (1U << 24) - 1;
 constexpr base::duration age_unit{16'000};
-/// Longest time until the record of a flow that another host has placed arrives.
-constexpr base::duration record_latency{1'300'000};
+/// Longest time until the record of a flow that another host has placed arrives or
+/// its loss is noticed: `complete` notices, which are repeated every 2 s, name the
+/// last batch, and a batch takes up to a heartbeat and the delay of the network.
+constexpr base::duration record_latency{3'500'000};
 
 /// Converts an age to units of `age_unit`, clamped to 0 to `max_notice_number`.
 std::uint32_t encode_age(base::duration age) noexcept;
--- a/src/flow/record_handling.cpp
+++ b/src/flow/record_handling.cpp
@@ -38,7 +38,8 @@
         if (auto& slot = index_.service(i); !slot.version_tags.empty() && slot.changed_in <= complete)
         {
             slot.settled_tag = slot.version_tags.front();
-            slot.bypassed = slot.awaited_tag != 0;
+            const bool recent = now_ - slot.adopted_at < record_latency;
+            slot.bypassed = !slot.awaited.empty() || (slot.bypassed && recent);
         }
     }
 }
@@ -72,6 +73,13 @@
     return candidates[0] != entry.upstream;
 }
 
+bool steering::state::is_disputed(std::uint64_t key, const flow_entry& entry) const
+{
+    candidate_list candidates;
+    const auto service = index_.upstream(entry.upstream).service;
+    return !index_.service(service).choice.choose_all(key, candidates);
+}
+
 void steering::state::scan_table()
 {
     struct target
@@ -104,9 +112,13 @@
         return host != hosts.end() &&
                to.covered->keeps_records(static_cast<std::size_t>(host - hosts.begin()), slot.id, key);
     };
+    // No packet is relayed to a host that has left, so it also sends the flows that
+    // the next version may move: those on which the versions disagree.
+    const bool leaving = !ranking_.has_self();
     const auto visit = [&](std::uint64_t key, flow_entry& entry)
     {
-        if (is_expired(entry) || !needs_record(key, entry))
+        const bool needed = needs_record(key, entry);
+        if (is_expired(entry) || (!needed && !(leaving && is_disputed(key, entry))))
         {
             return true;
         }
@@ -117,9 +129,9 @@
         }
         for (const auto& to : targets)
         {
-            if (ranking_.keeps_records(to.host, slot.id, key) && !was_sent(to, slot, key))
+            if (ranking_.keeps_records(to.host, slot.id, key) && !(needed && was_sent(to, slot, key)))
             {
-                exchange_.queue_bulk(to.request.host, {key, coarse_time::of(now_).since(entry.last_seen)});
+                exchange_.queue_bulk(to.request.host, {key, coarse_time::of(now_).since(entry.last_seen), !needed});
             }
         }
         return true;
@@ -211,10 +223,9 @@
         {
             slot.changed_at = std::min(slot.changed_at, since);
         }
-        else if (known == slot.version_tags.end() && slot.awaited_tag != value.detail)
+        else if (known == slot.version_tags.end())
         {
-            slot.awaited_since = slot.awaited_tag == 0 ? since : std::min(slot.awaited_since, since);
-            slot.awaited_tag = value.detail;
+            slot.await_version(value.detail, since);
         }
     }
 }
@@ -234,7 +245,12 @@
     if (entry != nullptr && entry->upstream != upstream)
     {
         const bool fresher = coarse_time::of(now_).since(entry->last_seen) <= reported.idle_time;
-        if (fresher && !is_expired(*entry))
+        // A flow leaves an unhealthy upstream but never moves to one. The idle time of a
+        // record is too coarse to order a move and the last packet before it.
+        const bool keeps_entry = keeps_established_flows(entry->upstream);
+        const bool keeps_record = keeps_established_flows(upstream);
+        const bool prefers_entry = keeps_entry == keeps_record ? fresher : keeps_entry;
+        if (prefers_entry && !is_expired(*entry))
         {
             return;
         }
@@ -248,13 +264,17 @@
         entry->upstream = upstream;
         entry->first_seen = seen;
         entry->last_seen = seen;
+        entry->confirmed = seen;
     }
     if (seen.since(entry->last_seen).count() > 0)
     {
         entry->last_seen = seen;
     }
     entry->registered = 1;
-    entry->confirmed = coarse_time::of(now_);
+    if (seen.since(entry->confirmed).count() > 0)
+    {
+        entry->confirmed = seen;
+    }
     if (reported.established)
     {
         table_.establish(key, *entry);
--- a/src/flow/service_index.cpp
+++ b/src/flow/service_index.cpp
@@ -44,6 +44,41 @@
 
 } // namespace
 
+void service_slot::await_version(std::uint32_t tag, base::time_point since)
+{
+    const auto known =
+        std::find_if(awaited.begin(), awaited.end(), [&](const awaited_version& one) { return one.tag == tag; });
+    if (known != awaited.end())
+    {
+        known->since = std::min(known->since, since);
+        return;
+    }
+    if (awaited.size() == max_versions)
+    {
+        awaited.erase(awaited.begin());
+    }
+    awaited.push_back({tag, since});
+}
+
+std::optional<base::time_point> service_slot::awaited_since() const
+{
+    const auto first = std::min_element(awaited.begin(), awaited.end(),
+                                        [](const auto& a, const auto& b) { return a.since < b.since; });
+    return first == awaited.end() ? std::nullopt : std::optional{first->since};
+}
+
+base::time_point service_slot::end_wait(base::time_point now)
+{
+    const auto since = awaited_since();
+    std::erase_if(awaited,
+                  [&](const awaited_version& one)
+                  {
+                      return std::any_of(version_tags.begin(), version_tags.end(),
+                                         [&](std::uint64_t tag) { return static_cast<std::uint32_t>(tag) == one.tag; });
+                  });
+    return since ? std::min(now, *since) : now;
+}
+
 std::uint32_t service_index::find_or_add(config::service_id id)
 {
     const auto [found, added] = by_service_.try_emplace(id, static_cast<std::uint32_t>(services_.size()));
@@ -141,14 +176,9 @@
     slot.changed_in = revision;
     slot.adopted_at = now;
     slot.changed_at = now;
-    if (slot.awaited_tag != 0)
+    if (!slot.awaited.empty())
     {
-        const bool arrived =
-            std::any_of(slot.version_tags.begin(), slot.version_tags.end(),
-                        [&](std::uint64_t tag) { return static_cast<std::uint32_t>(tag) == slot.awaited_tag; });
-        // The version that the peer had in force then is this one or a later one.
-        slot.changed_at = std::min(now, slot.awaited_since);
-        slot.awaited_tag = arrived ? 0 : slot.awaited_tag;
+        slot.changed_at = slot.end_wait(now);
         slot.bypassed = true;
     }
     for (const auto position : slot.upstreams)
@@ -285,6 +315,7 @@
             std::any_of(lineage.begin(), lineage.end(),
                         [&](const config::generation& earlier) { return earlier.address != slot.address; });
         slot.address_uncertain = history_incomplete_ && (moved_here || slot.history_full);
+        slot.address_taken = history_incomplete_ && moved_here;
     }
 }
 
--- a/src/flow/service_index.hpp
+++ b/src/flow/service_index.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -51,6 +52,15 @@
     bool reachable() const noexcept { return listed && !endpoint_reassigned; }
 };
 
+/// A version of a service that a peer has in force and this host does not know.
+struct awaited_version
+{
+    /// Low 32 bits of its tag.
+    std::uint32_t tag = 0;
+    /// When the first peer put it in force, as far as this host knows.
+    base::time_point since{};
+};
+
 /// One service of the revision in force or of its lineage.
 struct service_slot
 {
@@ -70,6 +80,8 @@
     std::vector<std::uint64_t> version_tags;
     /// The lineage is too short to show whether another service had the address.
     bool address_uncertain = false;
+    /// As above, and the service had another address before.
+    bool address_taken = false;
     /// The lineage has its full length, so older versions may be missing.
     bool history_full = false;
     /// Tag of the newest version since whose adoption this host has records of
@@ -86,12 +98,19 @@
     base::time_point adopted_at{};
     /// When the first host put the version in force, as far as this host knows.
     base::time_point changed_at{};
-    /// Low 32 bits of the tag of a version that is in force at a peer and unknown
-    /// to this host; 0: none.
-    std::uint32_t awaited_tag = 0;
-    base::time_point awaited_since{};
+    /// Versions that are in force at a peer and unknown to this host.
+    std::vector<awaited_version> awaited;
     /// The service owned an address that it does not own now.
     bool has_former_address = false;
+    /// Adds an awaited version, or sets back the time of a known one.
+    void await_version(std::uint32_t tag, base::time_point since);
+    /// Returns when a peer put the first of the awaited versions in force; empty
+    /// when there are none.
+    std::optional<base::time_point> awaited_since() const;
+    /// Removes the awaited versions that have arrived. Returns when the first peer
+    /// put one of the awaited versions in force: the one that has arrived, a later
+    /// one, or an earlier one that this host skipped. `now` when there were none.
+    base::time_point end_wait(base::time_point now);
     /// Hash of the service and lineage from which the slot was built; unchanged
     /// services are not rebuilt.
     std::uint64_t fingerprint = 0;
--- a/src/flow/steering_state.cpp
+++ b/src/flow/steering_state.cpp
@@ -56,6 +56,7 @@
 void steering::state::on_hosts(std::span<const membership::live_host> hosts, base::time_point now)
 {
     now_ = now;
+    started_at_ = started_at_.value_or(now);
     const bool had_peers = exchange_.has_peers();
     update_settled_versions();
     auto before = ranking_;
--- a/src/flow/steering_state.hpp
+++ b/src/flow/steering_state.hpp
@@ -81,19 +81,39 @@
     /// Relays the packet down the ranking. Empty when all hosts of the ranking
     /// have received it.
     std::optional<decision> relay_to_next(const packet& pkt);
+    /// Returns true when this host started or resumed a short time ago and a peer
+    /// has not answered its request yet.
+    bool lacks_answers() const;
     /// Returns true when a new flow can't be placed yet.
     bool must_wait(const packet& pkt) const;
+    /// Returns true when `may_recover` holds for an upstream that some version gives
+    /// to the flow.
+    bool upstream_may_recover(const packet& pkt) const;
     /// Adds the flow to the table and forwards the packet.
     decision place(const packet& pkt, const placement& where);
     placement plan_placement(const packet& pkt) const;
     /// Plans from `settled`, the upstream that the settled version gives.
     placement plan_from_settled(const packet& pkt, std::uint32_t settled, bool authoritative) const;
+    /// Relays the packet of a flow to hosts that may have moved it since, or drops it
+    /// when they can't be asked yet. Empty when this host has to decide.
+    std::optional<decision> ask_other_hosts(const packet& pkt, flow_entry& entry, bool keeps);
+    /// Sends the record of a flow that was found here by relaying, because the hosts
+    /// before this one in the ranking lack it. When this host comes first, it does so
+    /// for a slow flow, once for each version, because the second host may lack it.
+    void report_found(const packet& pkt, flow_entry& entry, base::duration idle_time);
     void replace_upstream(const packet& pkt, flow_entry& entry);
     /// Queues the flow for the peers that hold its records.
-    void notify_record_holders(std::uint32_t service, std::uint64_t key);
+    void notify_record_holders(std::uint32_t service, std::uint64_t key,
+                               record_urgency urgency = record_urgency::changed);
     /// Confirms the flow once per idle timeout and, when other hosts need its
     /// record, sends that again.
     void refresh(const packet& pkt, flow_entry& entry);
+    /// Returns true when the entry was confirmed before the last pause of the
+    /// process, so that other hosts may have moved the flow meanwhile.
+    bool predates_pause(const packet& pkt, const flow_entry& entry) const;
+    /// Returns true when the process has just resumed and has not heard from its
+    /// peers yet.
+    bool is_resuming() const;
     /// Returns false when another host may have moved the flow since the entry
     /// was confirmed.
     bool is_trusted(const packet& pkt, const flow_entry& entry) const;
@@ -109,6 +129,9 @@
     bool accepts_new_flows(std::uint32_t upstream) const;
     bool keeps_established_flows(std::uint32_t upstream) const;
     bool recently_unhealthy(std::uint32_t upstream) const;
+    /// Returns true when an upstream has been unhealthy for so short a time that
+    /// established flows stay on it.
+    bool may_recover(std::uint32_t upstream) const;
     bool awaits_version(const service_slot& slot) const;
     /// Returns true when this host holds records of the flow and all peers have
     /// sent theirs.
@@ -121,6 +144,9 @@
     bool is_authoritative(std::uint32_t service, std::uint64_t key) const;
     bool is_expired(const flow_entry& entry) const;
     bool needs_record(std::uint64_t key, const flow_entry& entry) const;
+    /// Returns true when the versions of the service give the flow different
+    /// upstreams.
+    bool is_disputed(std::uint64_t key, const flow_entry& entry) const;
 
     // Exchange with peers.
     void update_settled_versions();
@@ -159,6 +185,8 @@
     /// Time since which this host has had no peers; empty before the first list
     /// of hosts.
     std::optional<base::time_point> without_peers_since_;
+    /// Time of the first list of hosts.
+    std::optional<base::time_point> started_at_;
     /// Time at which the process last resumed after a pause.
     std::optional<base::time_point> resumed_at_;
     /// Time since which a peer whose answer is required has not answered.
--- a/src/flow/upstream_health.cpp
+++ b/src/flow/upstream_health.cpp
@@ -113,6 +113,12 @@
                                                                             index_.service(slot.service).idle_timeout));
 }
 
+bool steering::state::may_recover(std::uint32_t upstream) const
+{
+    const auto& slot = index_.upstream(upstream);
+    return slot.reachable() && !slot.healthy && now_ - slot.unhealthy_since < dead_after;
+}
+
 bool steering::state::in_panic(std::uint32_t service) const
 {
     std::size_t open = 0;
--- a/tests/flow/steering_test.cpp
+++ b/tests/flow/steering_test.cpp
@@ -298,3 +298,77 @@
     fleet.advance(10 * second);
     LONGS_EQUAL(0, count_moved());
 }
+
+// A host that heard of two versions forgot the later one when the earlier one arrived,
+// and its period of grace for the draining upstream began anew.
+TEST(steering_fleet, grace_of_a_draining_upstream_does_not_start_anew_with_the_second_of_two_versions)
+{
+    revisions.draft()[0].upstreams.push_back(make_upstream(50));
+    const auto first = revisions.accept();
+    revisions.draft()[0].upstreams[2].draining = true;
+    const auto next = revisions.accept();
+    fleet.schedule(0, next, base::duration{0});
+    fleet.schedule(1, first, base::duration{200'000});
+    // Notices end 4 s after a change.
+    const auto later = 4 * second + base::duration{600'000};
+    for (std::size_t host = 1; host < fleet.size(); ++host)
+    {
+        fleet.schedule(host, first, later);
+        fleet.schedule(host, next, later + base::duration{100'000});
+    }
+    fleet.advance(later + base::duration{200'000});
+    for (std::uint32_t i = 0; i < 2000; ++i)
+    {
+        const auto result = fleet.send(caller_of(100'000 + i), parts);
+        CHECK(!result.delivered || result.upstream != make_upstream(3).endpoint);
+    }
+}
+
+// A host that resumed sent flows back to the failed upstream that they had left
+// meanwhile, and handed its old entries to other hosts.
+TEST(steering_fleet, host_that_resumes_moves_no_flow_back_to_a_failed_upstream)
+{
+    fleet.pause(1, 20 * second);
+    fleet.report_health(config::id_of(revisions.draft()[0], make_upstream(3)), false, second);
+    fleet.advance(6 * second);
+    for (auto& [caller, upstream] : flows)
+    {
+        const auto result = fleet.send(caller_of(caller), parts);
+        upstream = result.delivered ? result.upstream : upstream;
+    }
+    std::erase_if(flows, [](const auto& flow) { return flow.second == make_upstream(3).endpoint; });
+    fleet.advance(13 * second + base::duration{900'000});
+    for (int i = 0; i < 50; ++i)
+    {
+        fleet.advance(base::duration{100'000});
+        LONGS_EQUAL(0, count_moved());
+    }
+}
+
+// The records that only one host had were sent by the time of the flows' last packets
+// before a change, so a host that was replaced took idle flows with it although their
+// packets had been found there by a search.
+TEST(steering_fleet, flow_that_was_searched_for_survives_the_loss_of_the_host_that_knew_it)
+{
+    for (std::uint32_t i = 0; i < 40; ++i)
+    {
+        flows[2000 + i] = fleet.send_to(1, caller_of(2000 + i), parts).upstream;
+    }
+    fleet.advance(second);
+    for (std::uint32_t i = 0; i < 6000; ++i)
+    {
+        fleet.send_to(1, caller_of(10'000 + i), parts);
+    }
+    revisions.draft()[0].upstreams[2].weight = 900;
+    fleet.publish(revisions.accept(), base::duration{0});
+    fleet.advance(2 * second);
+    for (int i = 0; i < 4; ++i)
+    {
+        LONGS_EQUAL(0, count_moved());
+        fleet.advance(base::duration{300'000});
+    }
+    fleet.advance(2 * second);
+    fleet.kill(1);
+    fleet.advance(10 * second);
+    LONGS_EQUAL(0, count_moved());
+}
