--- a/include/galenabay/peers/fleet_exchange.hpp
+++ b/include/galenabay/peers/fleet_exchange.hpp
@@ -5,7 +5,6 @@
 #include <galenabay/peers/load_sums.hpp>
 #include <galenabay/peers/load_table.hpp>
 #include <galenabay/peers/message_codec.hpp>
-#include <galenabay/peers/message_schedule.hpp>
 #include <galenabay/peers/peer_view.hpp>
 #include <galenabay/peers/upstream_changes.hpp>
 
@@ -45,12 +44,6 @@
     std::size_t digest_bytes_per_second = 128U << 10U;
     /// Shortest time between two summaries or digests that new evidence causes.
     base::duration urgent_interval = std::chrono::milliseconds{300};
-    /// Shortest time between two statuses, and between two summaries and digests, that are sent early because of a
-    /// shortage: four intervals make up for an early message.
-    base::duration early_pause = std::chrono::milliseconds{3'000};
-    /// Time between a shortage and the early summary and digest of a collector that is not the first one. They
-    /// contain the statuses and early summaries that arrived meanwhile.
-    base::duration second_digest_delay = std::chrono::milliseconds{80};
     /// Time for which a load that another collector reported is used: a full turn of the
     /// pages of some hundred upstreams, and one lost page.
     base::duration load_lifetime = std::chrono::milliseconds{4'500};
@@ -133,8 +126,6 @@
         std::optional<steer::evacuation_set> evacuations{};
         /// Processes that share the rate of a starting upstream.
         std::optional<steer::warm_up_shares> shares{};
-        /// New sums show a shortage.
-        bool shows_shortage = false;
     };
 
     /// Records a host that the store lists.
@@ -145,28 +136,13 @@
     void on_pause(base::time_point now);
 
     /// Returns true when `on_tick` has messages to send.
-    bool is_due(base::time_point now) const { return statuses_.is_due(now) || pages_.is_due(now); }
+    bool is_due(base::time_point now) const { return now >= next_status_ || now >= next_page_; }
     /// Returns the messages that are due. `own`: this host's status with its loads; the fields
     /// that identify the host and the message are filled in here.
-    std::vector<outgoing_message> on_tick(const host_status& own, base::time_point now)
-    {
-        return send_due(own, false, now);
-    }
+    std::vector<outgoing_message> on_tick(const host_status& own, base::time_point now);
     /// Returns a status for all hosts of the data centre, because of new evidence or a new
     /// configuration.
     std::vector<outgoing_message> on_urgent(const host_status& own, base::time_point now);
-    /// Returns true when the next status may be sent early: the one before was not, and `early_pause` has passed.
-    bool takes_early_status(base::time_point now) const { return statuses_.can_advance(options_.early_pause, now); }
-    /// Returns the next status, early and thus in place of a later one, because upstreams reject flows. `own`: as in
-    /// `on_tick`, with rates of a short time.
-    std::vector<outgoing_message> on_shortage(const host_status& own, base::time_point now);
-    /// When the early summary and digest are due; empty when there are none.
-    std::optional<base::time_point> early_pages_due() const
-    {
-        return is_early_page_ ? std::optional{pages_.next()} : std::nullopt;
-    }
-    /// Number of summaries and digests that were sent early, for metrics.
-    std::uint64_t early_page_count() const noexcept { return early_pages_; }
     /// Returns the datagrams with changes that this host read from the store: to the hosts of
     /// the data centre, and to a collector of each one where no host can read the store.
     std::vector<outgoing_message> on_changes(const upstream_changes& changes, base::time_point now) const;
@@ -277,10 +253,6 @@
     /// Makes the next summary and digest due, unless the last ones are too recent.
     void expedite(base::time_point now);
 
-    /// Makes the next summary and digest due early when this host collects and its sums show a shortage. Returns true
-    /// when it did.
-    bool advance_pages(base::time_point now);
-
     /// Decides whether this host collects; a leaving one hands over at once.
     void update_role(const host_status& own, base::time_point now);
     bool is_joining(base::time_point now) const;
@@ -294,8 +266,6 @@
     template <std::ranges::input_range Loads> std::size_t max_loads(const Loads& loads) const;
     /// Adds the heaviest loads to a status.
     host_status with_loads(host_status status) const;
-    /// Returns the messages of `on_tick`. `is_early`: the status is sent before its time.
-    std::vector<outgoing_message> send_due(const host_status& own, bool is_early, base::time_point now);
     /// Returns the status with loads for the collectors and the one without for the others.
     void add_statuses(const host_status& own, bool to_all, std::vector<outgoing_message>& out, base::time_point now);
     /// Returns a status that asks for other hosts.
@@ -303,8 +273,7 @@
     void add_summaries(const host_status& own, std::vector<outgoing_message>& out, base::time_point now);
     void add_digest(std::vector<outgoing_message>& out, base::time_point now);
     collector_stamp make_stamp(base::time_point now);
-    /// Returns one host for a summary by data centre: a live collector, or any known host. An early summary goes to
-    /// all live collectors.
+    /// Returns one host for a summary by data centre: a live collector, or any known host.
     std::vector<base::endpoint> summary_targets(base::time_point now);
     /// Live collectors of the other data centres, or nullopt, where `is_wanted` holds.
     template <typename Predicate>
@@ -341,14 +310,10 @@
     std::uint32_t digest_remote_hosts_ = 0;
     page_cursor summary_cursor_;
     page_cursor digest_cursor_;
-    message_schedule statuses_;
+    base::time_point next_status_{};
     base::time_point next_status_to_all_{};
     base::time_point next_joining_{};
-    /// Summaries and digests.
-    message_schedule pages_;
-    /// The next summary and digest are sent early.
-    bool is_early_page_ = false;
-    std::uint64_t early_pages_ = 0;
+    base::time_point next_page_{};
     base::time_point last_expedited_{};
     base::time_point quarantine_until_{};
 };
--- a/include/galenabay/steer/admission.hpp
+++ b/include/galenabay/steer/admission.hpp
@@ -60,11 +60,8 @@
     /// Admits everything because there are no sums. Returns true when there was a shortage.
     bool suspend();
 
-    /// Returns this host's own demand; it is what `update` takes for this host's part of later sums. `span`: time
-    /// that its rates cover.
-    service_demand report(std::uint64_t key, std::uint32_t open_requests, rate_span span, base::time_point now);
-    /// Returns true when upstreams rejected half of this host's flows of the last 400 to 500 ms.
-    bool has_rejections(base::time_point now);
+    /// Returns this host's own demand; it is what `update` takes for this host's part of later sums.
+    service_demand report(std::uint64_t key, std::uint32_t open_requests, base::time_point now);
     /// The report that a sum of the given age contains, approximately.
     const service_demand& reported(base::duration age, base::time_point now) const;
 
@@ -91,8 +88,6 @@
     void refill(base::time_point now);
     /// Largest number of flows in the budget.
     double budget_size() const;
-    /// Returns true when what was offered to this host just now is certainly within its part of the admitted rate.
-    bool fits_now(base::time_point now);
     /// Limit of positions at the moment.
     double current_limit() const;
 
--- a/include/galenabay/steer/capacity_estimate.hpp
+++ b/include/galenabay/steer/capacity_estimate.hpp
@@ -19,8 +19,6 @@
     double occupancy = 0;
     /// Occupancy up to which answers are in time.
     double occupancy_limit = 1;
-    /// Slots of the upstreams that new flows may use, as this host knows them at the moment.
-    double slots = 0;
     /// Hosts that the sums add up.
     std::uint32_t hosts = 0;
 
@@ -46,8 +44,6 @@
 
 private:
     void begin(const load_observation& seen, base::time_point now);
-    /// Raises the estimate at once when upstreams have come back or were added.
-    void follow_slots(double slots, base::time_point now);
     /// Corrects the estimate, at most once within the time that a correction takes to show.
     void correct(const load_observation& seen, base::time_point now);
 
@@ -57,8 +53,6 @@
     /// Since when less is offered than the estimate.
     std::optional<base::time_point> enough_since_;
     std::uint32_t hosts_ = 0;
-    /// Most slots since the begin of the shortage.
-    double slots_ = 0;
 };
 
 } // namespace galenabay::steer
--- a/include/galenabay/steer/rate_window.hpp
+++ b/include/galenabay/steer/rate_window.hpp
@@ -10,13 +10,6 @@
 namespace galenabay::steer
 {
 
-/// Time that a rate covers: the last second, or the last 400 to 500 ms.
-enum class rate_span
-{
-    second,
-    latest
-};
-
 /// Rate of events over the last second. Not thread-safe.
 class rate_window
 {
@@ -28,15 +21,12 @@
     }
 
     /// Events per second.
-    double rate(base::time_point now, rate_span span = rate_span::second)
+    double rate(base::time_point now)
     {
         advance(now);
         const auto in_newest = now.time_since_epoch() % bucket_time;
-        const auto buckets = span == rate_span::second ? bucket_count : latest_buckets;
-        const std::chrono::duration<double> covered = bucket_time * (buckets - 1) + in_newest;
-        const auto events =
-            span == rate_span::second ? std::accumulate(buckets_.begin(), buckets_.end(), 0U) : latest(now);
-        return events / covered.count();
+        const std::chrono::duration<double> covered = bucket_time * (bucket_count - 1) + in_newest;
+        return std::accumulate(buckets_.begin(), buckets_.end(), 0.0) / covered.count();
     }
 
     /// Mean time that `latest` covers.
--- a/include/galenabay/steer/service_demand.hpp
+++ b/include/galenabay/steer/service_demand.hpp
@@ -37,13 +37,6 @@
 /// Returns the number by which messages name a service; the same on every host.
 std::uint64_t service_key(std::string_view name) noexcept;
 
-/// Share of the flows that upstreams reject from which on there is a shortage: 16 of 1,000 requests then fail
-/// although their callers try three times. At 0.2, chance began shortages at 0.95 of the capacity.
-constexpr double shortage_rejected_share = 0.25;
-
-/// Returns true when upstreams reject so many flows that the service may be short of room.
-bool shows_shortage(const service_demand& demand);
-
 /// Returns true when the service has no traffic, so that nothing is reported for it.
 bool is_idle(const service_demand& demand);
 
--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -113,10 +113,7 @@
     std::vector<std::size_t> on_demands(const std::optional<fleet_demand>& known, base::time_point now);
     /// Returns this host's own demand for the services with admission that have traffic, ordered by
     /// service, to be reported to the other hosts.
-    std::vector<service_demand> report_demands(base::time_point now, rate_span span = rate_span::second);
-    /// Returns true when upstreams of a service with admission rejected half of this host's flows of the last 400 to
-    /// 500 ms.
-    bool sees_rejections(base::time_point now);
+    std::vector<service_demand> report_demands(base::time_point now);
     /// Returns the room of a service, as an index of `admission::services`, by the given sums.
     service_room room_of(std::size_t service, const fleet_demand& known, base::time_point now) const;
     admission& admissions() noexcept { return admission_; }
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -67,10 +67,6 @@
                                 "Other data centres whose upstreams do not answer this host")},
       trial_flows{counter(registry_, "galenabay_trial_flows_total",
                           "New flows sent to a silent data centre to find out whether it answers again")},
-      early_statuses{counter(registry_, "galenabay_early_statuses_total",
-                             "Statuses that were sent early because upstreams rejected flows")},
-      early_digests{counter(registry_, "galenabay_early_digests_total",
-                            "Summaries and digests that were sent early because the sums showed a shortage")},
       rejected_flows{
           counter(registry_, "galenabay_rejected_flows_total", "Flows that upstreams rejected by a short answer")},
       limited_retries{counter(registry_, "galenabay_limited_retries_total",
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -94,8 +94,6 @@
     prometheus::Gauge& silent_data_centres;
     /// New flows sent to such a data centre to find out whether it answers again.
     prometheus::Counter& trial_flows;
-    prometheus::Counter& early_statuses;
-    prometheus::Counter& early_digests;
     /// Flows that upstreams ended at once by a short answer.
     prometheus::Counter& rejected_flows;
     /// Retransmitted SYNs that stayed on their upstream for lack of room on others.
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -143,8 +143,7 @@
 void packet_worker::wait()
 {
     wakeup_.prepare();
-    const auto next = std::min(next_tick_, peers_.exchange().early_pages_due().value_or(next_tick_));
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(next - base::steady_now());
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(next_tick_ - base::steady_now());
     const bool has_updates =
         probes_.has_completed() || warm_ups_.has_reports() || state_.answer_times.is_requested() ||
         std::any_of(updates_.begin(), updates_.end(), [](const update_ring& ring) { return ring.size() > 0; });
@@ -285,7 +284,6 @@
     report_slowed(now);
     report_avoidance(now);
     report_collisions();
-    report_rejections(now);
     apply_demands(now);
     if (snapshot_due_ && steerer_.is_ready())
     {
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -142,8 +142,6 @@
     /// Passes the sums of the demand for each service to the `steerer`, and logs and measures
     /// shortages.
     void apply_demands(base::time_point now);
-    /// Sends the next status early when upstreams reject flows, so that sums show a shortage without delay.
-    void report_rejections(base::time_point now);
     /// Logs that a shortage has begun or ended. `service`: index of `admission::services`.
     void report_shortage(std::size_t service, const std::optional<steer::fleet_demand>& known, base::time_point now);
     void measure_admission(const steer::admitted_service& service, steer::service_admission& state);
@@ -151,8 +149,8 @@
     void catch_up(base::time_point now);
     /// Logs and measures that this host knows of a newer configuration and does not get it.
     void report_behind(base::time_point now);
-    /// Returns the status of this host for the others. `span`: time that the rates of its demands cover.
-    peers::host_status status(base::time_point now, steer::rate_span span = steer::rate_span::second);
+    /// Returns the status of this host for the others.
+    peers::host_status status(base::time_point now);
     /// Replaces the state that this host serves to other hosts.
     void publish_snapshot();
     /// Requests a current list of the upstreams where the `steerer` waits for one, and ends its wait.
--- a/src/edge/packet_worker_admission.cpp
+++ b/src/edge/packet_worker_admission.cpp
@@ -45,17 +45,6 @@
     }
 }
 
-void packet_worker::report_rejections(base::time_point now)
-{
-    auto& exchange = peers_.exchange();
-    if (steerer_.sees_rejections(now) && exchange.takes_early_status(now))
-    {
-        metrics_.early_statuses.Increment();
-        peers_.send(exchange.on_shortage(status(now, steer::rate_span::latest), now));
-    }
-    metrics_.early_digests.Increment(static_cast<double>(exchange.early_page_count()) - metrics_.early_digests.Value());
-}
-
 void packet_worker::report_shortage(std::size_t service, const std::optional<steer::fleet_demand>& known,
                                     base::time_point now)
 {
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -32,11 +32,9 @@
 
 void packet_worker::exchange_with_peers(base::time_point now)
 {
-    bool shows_shortage = false;
     const bool any_status = peers_.receive(now,
-                                           [&](const peers::fleet_exchange::effects& effects)
+                                           [this, now](const peers::fleet_exchange::effects& effects)
                                            {
-                                               shows_shortage = shows_shortage || effects.shows_shortage;
                                                if (effects.changes)
                                                {
                                                    apply_changes(*effects.changes);
@@ -56,11 +54,6 @@
         catch_up(now);
         apply_remote_view(now);
     }
-    if (shows_shortage)
-    {
-        next_demands_ = now;
-        apply_demands(now);
-    }
     auto& exchange = peers_.exchange();
     if (steerer_.silence_count() != reported_silence_count_ && now >= next_urgent_)
     {
@@ -234,7 +227,7 @@
     }
 }
 
-peers::host_status packet_worker::status(base::time_point now, steer::rate_span span)
+peers::host_status packet_worker::status(base::time_point now)
 {
     peers::host_status own;
     own.follows_store = state_.follows.load() && state_.store_reachable();
@@ -244,7 +237,7 @@
     own.upstreams_revision = upstreams_position_.revision();
     own.upstreams_digest = steerer_.registry().digest();
     own.evacuations = known_evacuations();
-    own.demands = steerer_.report_demands(now, span);
+    own.demands = steerer_.report_demands(now);
     steerer_.registry().for_each(
         [&](const steer::upstream_incarnation& upstream)
         {
--- a/src/peers/fleet_exchange.cpp
+++ b/src/peers/fleet_exchange.cpp
@@ -71,7 +71,7 @@
         if (peers_.on_listed(one, in_store, now) && one.data_centre == self_.data_centre)
         {
             // The new host gets a status, and answers with its own.
-            statuses_.make_due(now);
+            next_status_ = now;
             next_status_to_all_ = now;
         }
     }
@@ -164,11 +164,6 @@
     {
         expedite(now);
     }
-    const auto& demands = status.demands;
-    if (std::any_of(demands.begin(), demands.end(), [](const auto& demand) { return demand.rejected > 0; }))
-    {
-        caused.shows_shortage = advance_pages(now);
-    }
     return caused;
 }
 
@@ -267,7 +262,7 @@
     {
         expedite(now);
     }
-    return {.messages = {}, .view_changed = true, .changes = {}, .shows_shortage = advance_pages(now)};
+    return {.messages = {}, .view_changed = true, .changes = {}};
 }
 
 fleet_exchange::effects fleet_exchange::relay(const load_summary& summary, base::time_point now) const
@@ -301,13 +296,7 @@
     digests_.remote_demands = digest.remote_demands;
     digests_.demands_at = now;
     digest_remote_hosts_ = digest.remote_hosts;
-    const auto& local = digest.local_demands.services;
-    const auto& remote = digest.remote_demands.services;
-    return {.messages = {},
-            .view_changed = true,
-            .changes = {},
-            .shows_shortage = std::any_of(local.begin(), local.end(), steer::shows_shortage) ||
-                              std::any_of(remote.begin(), remote.end(), steer::shows_shortage)};
+    return {.messages = {}, .view_changed = true, .changes = {}};
 }
 
 fleet_exchange::effects fleet_exchange::on_changes_received(const upstream_changes& changes)
--- a/src/peers/fleet_exchange_demands.cpp
+++ b/src/peers/fleet_exchange_demands.cpp
@@ -58,34 +58,4 @@
                                .received_ago = now - digests_.demands_at};
 }
 
-std::vector<outgoing_message> fleet_exchange::on_shortage(const host_status& own, base::time_point now)
-{
-    statuses_.advance(now, now);
-    auto out = send_due(own, true, now);
-    // The sums of a collector contain its own status.
-    advance_pages(now);
-    return out;
-}
-
-bool fleet_exchange::advance_pages(base::time_point now)
-{
-    if (!collects_ || relies_on_digests(now) || !pages_.can_advance(options_.early_pause, now))
-    {
-        return false;
-    }
-    const auto known = collected_demands(now);
-    const auto is_short = [](const steer::demand_sum& sum)
-    { return std::any_of(sum.services.begin(), sum.services.end(), steer::shows_shortage); };
-    // Sums of other data centres are older, so that the total shows a shortage later than the local one. The first
-    // collector tells the other data centres at once; the others wait for what these tell.
-    const bool is_first = peers_.ranks_among(1, now);
-    if (!is_short(known.total()) && !(is_first && is_short(known.local)))
-    {
-        return false;
-    }
-    pages_.advance(is_first ? now : now + options_.second_digest_delay, now);
-    is_early_page_ = true;
-    return true;
-}
-
 } // namespace galenabay::peers
--- a/src/peers/fleet_exchange_messages.cpp
+++ b/src/peers/fleet_exchange_messages.cpp
@@ -159,7 +159,7 @@
     if (collects_ && now - last_expedited_ >= options_.urgent_interval)
     {
         last_expedited_ = now;
-        pages_.make_due(now);
+        next_page_ = now;
     }
 }
 
@@ -195,18 +195,16 @@
     return status;
 }
 
-std::vector<outgoing_message> fleet_exchange::send_due(const host_status& own, bool is_early, base::time_point now)
+std::vector<outgoing_message> fleet_exchange::on_tick(const host_status& own, base::time_point now)
 {
     update_role(own, now);
     std::vector<outgoing_message> out;
-    if (statuses_.is_due(now))
+    if (now >= next_status_)
     {
-        const auto interval = status_interval(own, now);
-        const auto to_collectors = collector_interval(interval, now);
-        // Where all hosts get each status, they get an early one, too: the next one is later.
-        const bool to_all = now >= next_status_to_all_ || (is_early && interval == to_collectors);
+        const bool to_all = now >= next_status_to_all_;
         add_statuses(own, to_all, out, now);
-        statuses_.on_sent(to_collectors, now);
+        const auto interval = status_interval(own, now);
+        next_status_ = now + collector_interval(interval, now);
         if (to_all)
         {
             next_status_to_all_ = now + interval;
@@ -218,16 +216,14 @@
         next_joining_ = now + (is_new ? options_.status_interval : options_.rejoin_interval);
         add_joining(own, out, now);
     }
-    if (pages_.is_due(now))
+    if (now >= next_page_)
     {
-        pages_.on_sent(page_interval(now), now);
+        next_page_ = now + page_interval(now);
         if (collects_ && now >= quarantine_until_)
         {
             add_summaries(own, out, now);
             add_digest(out, now);
-            early_pages_ += is_early_page_ ? 1 : 0;
         }
-        is_early_page_ = false;
     }
     return out;
 }
@@ -316,11 +312,6 @@
     }
     for (const auto& [data_centre, addresses] : collectors)
     {
-        if (is_early_page_)
-        {
-            targets.insert(targets.end(), addresses.begin(), addresses.end());
-            continue;
-        }
         targets.push_back(addresses[summaries_sent_ % addresses.size()]);
     }
     return targets;
--- a/src/steer/admission.cpp
+++ b/src/steer/admission.cpp
@@ -19,14 +19,11 @@
 /// each admitted so much in excess when a shortage began that it had to admit too little afterwards.
 constexpr double smallest_budget = 1;
 
-/// Share of this host's own flows that upstreams reject from which on it reports early and does not wait for the sums:
-/// one request in eight then fails although its caller tries three times. With early reports of any rejection, 126
-/// flows were refused at 0.9 of the capacity in a trial. Fewer rejections than `fewest_own_rejected` come by chance:
-/// four refused some flows at 0.9 of the capacity.
+/// Share of this host's own flows that upstreams reject from which on it does not wait for the sums:
+/// one request in eight then fails although its caller tries three times. Fewer rejections than
+/// `fewest_own_rejected` come by chance: four refused some flows at 0.9 of the capacity.
 constexpr double own_rejected_share = 1.0 / 2;
 constexpr std::uint32_t fewest_own_rejected = 6;
-/// Recent flows of this host from which on it can tell that its part of a burst is over before the sums show it.
-constexpr std::uint32_t fewest_offered = 6;
 /// Time constant of the occupancy: the interval of the reports. A single one is a snapshot of an instant.
 constexpr double smoothing_seconds = 0.5;
 /// Time for which own reports are kept: the age of the oldest sums that are used.
@@ -137,12 +134,6 @@
     own_limit_until_ = now + admission::longest_silence;
 }
 
-bool service_admission::has_rejections(base::time_point now)
-{
-    const auto rejected = rejected_.latest(now);
-    return rejected > 0 && rejected >= own_rejected_share * admitted_.latest(now);
-}
-
 double service_admission::budget_size() const
 {
     return std::max(smallest_budget, range_->flows_per_second * budget_seconds);
@@ -164,17 +155,6 @@
     return std::max(full_ranks, range_->limit + shift);
 }
 
-bool service_admission::fits_now(base::time_point now)
-{
-    std::uint32_t offered = 0;
-    for (std::size_t rank = 0; rank < ranks_; ++rank)
-    {
-        offered += offered_[rank].latest(now);
-    }
-    const std::chrono::duration<double> covered = rate_window::latest_time;
-    return offered >= fewest_offered && offered <= range_->flows_per_second * covered.count();
-}
-
 bool service_admission::update(const service_demand& total, base::duration age, const room& available,
                                std::uint32_t hosts, base::duration target, base::time_point now)
 {
@@ -190,7 +170,6 @@
                                 .occupancy_limit =
                                     occupancy_limit(std::max(0.0, admitted - rejected),
                                                     std::min(available.slots, available.open_requests), target),
-                                .slots = available.slots,
                                 .hosts = hosts};
     const bool has_changed = capacity_.update(seen, now);
     updated_at_ = now;
@@ -202,15 +181,12 @@
         }
         return has_changed;
     }
-    const bool has_begun = !range_;
-    range_ = divide_capacity(*capacity_.flows_per_second(), offered, per_second(reported(age, now).offered, ranks_));
-    if (has_begun)
+    if (!range_)
     {
-        // What was admitted before the sums showed the shortage fills the queues, and what of it was rejected comes
-        // again. With an empty budget instead, urgent flows get up to 0.02 less of their worth over 8 s.
-        budget_ = fits_now(now) ? 0 : -budget_size();
+        budget_ = 0;
         refilled_at_ = now;
     }
+    range_ = divide_capacity(*capacity_.flows_per_second(), offered, per_second(reported(age, now).offered, ranks_));
     return has_changed;
 }
 
@@ -230,17 +206,16 @@
     return capacity_.reset();
 }
 
-service_demand service_admission::report(std::uint64_t key, std::uint32_t open_requests, rate_span span,
-                                         base::time_point now)
+service_demand service_admission::report(std::uint64_t key, std::uint32_t open_requests, base::time_point now)
 {
     service_demand made{.service = key,
                         .open_requests = open_requests,
-                        .admitted = in_units(admitted_.rate(now, span)),
-                        .rejected = in_units(rejected_.rate(now, span)),
+                        .admitted = in_units(admitted_.rate(now)),
+                        .rejected = in_units(rejected_.rate(now)),
                         .offered = {}};
     for (std::size_t rank = 0; rank < ranks_; ++rank)
     {
-        made.offered.push_back(in_units(offered_[rank].rate(now, span)));
+        made.offered.push_back(in_units(offered_[rank].rate(now)));
     }
     std::erase_if(reports_, [&](const auto& one) { return now - one.first > report_retention; });
     reports_.emplace_back(now, made);
--- a/src/steer/capacity_estimate.cpp
+++ b/src/steer/capacity_estimate.cpp
@@ -1,10 +1,7 @@
 #include <galenabay/steer/capacity_estimate.hpp>
 
-#include <galenabay/steer/service_demand.hpp>
-
 #include <algorithm>
 #include <chrono>
-#include <utility>
 
 namespace galenabay::steer
 {
@@ -18,7 +15,9 @@
 /// One request in progress and two that wait for each slot. No slot is idle between two requests, and
 /// of a queue of four for each slot, half is left for an uneven spread.
 constexpr double full_occupancy = 3;
-/// Rejected flows per second up to which their share says nothing.
+/// Share of the flows that upstreams reject from which on there is a shortage: 16 of 1,000 requests then fail
+/// although their callers try three times. At 0.2, chance began shortages at 0.95 of the capacity.
+constexpr double rejected_share = 0.25;
 constexpr double fewest_rejected = 1;
 /// Share of rejected flows below which upstreams may queue without a limit, or rejections not be recognised.
 constexpr double least_counted_share = 0.01;
@@ -44,9 +43,6 @@
 constexpr double largest_decrease = 0.6;
 /// Largest correction when slots are free.
 constexpr double largest_increase = 1.3;
-/// Growth of the slots from which on the estimate follows it at once. Hosts avoid upstreams for moments, and answer
-/// times vary, so that a smaller one says little.
-constexpr double least_growth = 1.25;
 /// Largest estimate, relative to what is served.
 constexpr double largest_excess = 1.5;
 
@@ -65,7 +61,7 @@
 /// rejections are due to an uneven spread, against which refusals would not help.
 bool is_rejecting(const load_observation& seen)
 {
-    return seen.occupancy >= 1 && seen.rejected > std::max(fewest_rejected, shortage_rejected_share * seen.admitted);
+    return seen.occupancy >= 1 && seen.rejected > std::max(fewest_rejected, rejected_share * seen.admitted);
 }
 
 /// Returns the flows per second at which `tolerated_share` would be rejected, if what is served stayed the same.
@@ -108,19 +104,6 @@
     corrected_at_ = now;
     enough_since_.reset();
     hosts_ = seen.hosts;
-    slots_ = seen.slots;
-}
-
-void capacity_estimate::follow_slots(double slots, base::time_point now)
-{
-    if (slots_ <= 0 || slots <= least_growth * slots_)
-    {
-        return;
-    }
-    *capacity_ *= slots / std::exchange(slots_, slots);
-    // The sums still contain flows that were rejected for lack of these slots.
-    begun_at_ = std::min(begun_at_, now - settling_time);
-    corrected_at_ = now;
 }
 
 bool capacity_estimate::update(const load_observation& seen, base::time_point now)
@@ -139,7 +122,6 @@
     {
         return reset();
     }
-    follow_slots(seen.slots, now);
     correct(seen, now);
     // Refused callers try again, so that more may be offered than there is demand. Short queues and no rejections show
     // that the service takes more.
--- a/src/steer/service_demand.cpp
+++ b/src/steer/service_demand.cpp
@@ -22,11 +22,6 @@
     return base::hash_text(name);
 }
 
-bool shows_shortage(const service_demand& demand)
-{
-    return demand.rejected > rate_unit && demand.rejected > shortage_rejected_share * demand.admitted;
-}
-
 bool is_idle(const service_demand& demand)
 {
     return demand.open_requests == 0 && demand.admitted == 0 && demand.rejected == 0 &&
--- a/src/steer/steerer_admission.cpp
+++ b/src/steer/steerer_admission.cpp
@@ -56,26 +56,13 @@
     }
 }
 
-bool steerer::sees_rejections(base::time_point now)
-{
-    const auto& services = admission_.services();
-    for (std::size_t i = 0; i < services.size(); ++i)
-    {
-        if (admission_.of(i).has_rejections(now) && answer_times_->has_short_flows(services[i].name))
-        {
-            return true;
-        }
-    }
-    return false;
-}
-
-std::vector<service_demand> steerer::report_demands(base::time_point now, rate_span span)
+std::vector<service_demand> steerer::report_demands(base::time_point now)
 {
     std::vector<service_demand> demands;
     const auto& services = admission_.services();
     for (std::size_t i = 0; i < services.size(); ++i)
     {
-        auto demand = admission_.of(i).report(services[i].key, totals_[i].open_requests, span, now);
+        auto demand = admission_.of(i).report(services[i].key, totals_[i].open_requests, now);
         if (!is_idle(demand))
         {
             demands.push_back(std::move(demand));
