Mend faults that reviews found in avoidance, relays and restarts

Repeated SYNs of all callers now count from the first unanswered one. The test fails without that. - Votes that an upstream is unreachable count although others got answers before. - A copy of a relayed SYN is dropped, not reset, when it cannot be passed on. - No SYN is passed on across a silent link. - After a relapse, a burst may have the same part of the limit as the rate. - A host of the own interface that started alone stops refusing unknown flows of a moved address once it has had peers. - A collision of tokens ends with the list that lacks the upstream. - The end of ignored evidence is logged when a service has no upstreams any more.

--- a/include/galenabay/steer/packet_header.hpp
+++ b/include/galenabay/steer/packet_header.hpp
@@ -52,6 +52,15 @@
     friend auto operator<=>(const flow_reset&, const flow_reset&) = default;
 };
 
+/// Number of the last retransmission that a caller makes of a SYN.
+constexpr std::uint32_t last_retransmission = 2;
+
+/// Returns true when an earlier copy of the SYN may have opened the flow. The last retransmission tells that none has.
+inline bool may_have_opened(const packet_header& syn)
+{
+    return syn.acknowledged > 0 && syn.acknowledged < last_retransmission;
+}
+
 } // namespace galenabay::steer
 
 template <> struct std::hash<galenabay::steer::flow_key>
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -98,6 +98,8 @@
     std::uint32_t retransmissions = 0;
     /// SYNs without an answer since `last_progress`.
     std::uint32_t unanswered_syns = 0;
+    /// When the first of them was found unanswered.
+    base::time_point unanswered_since{};
     /// Until this time the upstream counts as silent because of this host's own flows or
     /// probes.
     base::time_point silent_until{};
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -191,7 +191,7 @@
 {
     if (decision.action == steer::steering_action::relay && !pass_on(datagram.payload(), decision.relay, now))
     {
-        decision.action = steer::steering_action::reset;
+        decision.action = steer::may_have_opened(header) ? steer::steering_action::drop : steer::steering_action::reset;
         decision.reason = steer::steering_reason::warm_up_limit;
     }
     metrics_.decisions(decision.reason).Increment();
--- a/src/flow/packet_decision.cpp
+++ b/src/flow/packet_decision.cpp
@@ -86,7 +86,7 @@
     // The flows of a former owner that the lineage no longer shows are known to other
     // hosts only, and a host that started alone can't ask them.
     const auto& slot = index_.service(pkt.service);
-    if (slot.address_taken && !exchange_.has_peers() && started_at_ && now_ - *started_at_ < slot.idle_timeout)
+    if (slot.address_taken && started_alone_ && now_ - *started_at_ < slot.idle_timeout)
     {
         return true;
     }
--- a/src/steer/steerer_avoidance.cpp
+++ b/src/steer/steerer_avoidance.cpp
@@ -3,6 +3,7 @@
 #include "upstream_evidence.hpp"
 #include "upstream_selection.hpp"
 
+#include <algorithm>
 #include <utility>
 
 // Bound on what weak evidence excludes.
@@ -81,6 +82,18 @@
                                               .lasted = was_ignored ? now - known->second : base::duration{0}});
             }
         });
+    for (const auto& ended : ignored_since_)
+    {
+        const auto& service = ended.first;
+        const bool is_reported = std::any_of(avoidance_changes_.begin(), avoidance_changes_.end(),
+                                             [&](const avoidance_change& change) { return change.service == service; });
+        if (!ignored_since.contains(service) && !is_reported)
+        {
+            // The service has no upstreams any more.
+            avoidance_changes_.push_back(
+                {.service = service, .ignored = false, .counts = {}, .lasted = now - ended.second});
+        }
+    }
     ignored_since_ = std::move(ignored_since);
 }
 
--- a/src/steer/steerer_failure_detection.cpp
+++ b/src/steer/steerer_failure_detection.cpp
@@ -59,6 +59,10 @@
 
 bool steerer::does_answer_others(const upstream_incarnation& upstream, base::time_point now) const
 {
+    if (upstream.unreachable_votes >= options_.confirming_votes)
+    {
+        return false;
+    }
     const auto voted_since = upstream.voted_since.value_or(now);
     // The age of an answer does not contain the time that reports are under way; a process with a CPU quota may not run
     // for a tenth of a second.
--- a/src/steer/steerer_new_flows.cpp
+++ b/src/steer/steerer_new_flows.cpp
@@ -9,20 +9,13 @@
 
 #include <galenabay/base/invariant.hpp>
 
+#include <algorithm>
 #include <utility>
 
 // Decisions about SYNs of callers, and about those that other hosts passed on.
 namespace galenabay::steer
 {
 
-namespace
-{
-
-/// Number of the last retransmission that a caller makes of a SYN.
-constexpr std::uint32_t last_retransmission = 2;
-
-} // namespace
-
 steering_decision steerer::refuse(const packet_header& header, steering_reason reason, bool may_be_open)
 {
     // The starting upstream that got the earlier SYN may have opened the flow just now. The last
@@ -35,7 +28,8 @@
                                            const relayed_syn* relayed, bool may_relay, base::time_point now)
 {
     const auto passes = passes_of(relayed);
-    const bool may_be_open = relays_->was_passed_on(header.flow, passes, now);
+    const bool is_relayed_copy = relayed != nullptr && may_have_opened(header);
+    const bool may_be_open = is_relayed_copy || relays_->was_passed_on(header.flow, passes, now);
     if (const auto target = may_relay ? select_relay(header, service, passes, now) : std::nullopt)
     {
         relays_->record(header.flow, passes, now);
@@ -99,7 +93,11 @@
             return take_warm_up_token(*tried, now) ? forward(*tried, steering_reason::new_flow)
                                                    : drop(steering_reason::warm_up_limit);
         }
-        on_retransmission(*tried, known->last_seen, now);
+        // Each copy of a SYN may go to another upstream. A full one refuses SYNs, so that callers do not repeat them:
+        // if they do, all that were not answered count.
+        const auto waited_since =
+            tried->unanswered_syns > 0 ? std::min(known->last_seen, tried->unanswered_since) : known->last_seen;
+        on_retransmission(*tried, waited_since, now);
     }
     // Copies of a SYN that was passed on follow it, so that they do not open the flow on two upstreams.
     // The last one may not, since the host that they were passed on to may be lost.
--- a/src/steer/steerer_starting.cpp
+++ b/src/steer/steerer_starting.cpp
@@ -108,7 +108,8 @@
     for (const auto* upstream : registry_.of_service(service))
     {
         const bool is_only_holder = holders == 1 && warm_ups_.owns(upstream->token);
-        if (is_limited(*upstream, now) && takes_new_flows(*upstream, evacuations_) && !is_only_holder)
+        const bool is_reachable = !links_.is_silent(upstream->entry.data_centre);
+        if (is_limited(*upstream, now) && takes_new_flows(*upstream, evacuations_) && !is_only_holder && is_reachable)
         {
             (upstream->entry.data_centre == options_.data_centre ? local : remote).push_back(upstream->token);
         }
--- a/src/steer/upstream_evidence.hpp
+++ b/src/steer/upstream_evidence.hpp
@@ -78,6 +78,7 @@
 inline bool record_unanswered_syn(upstream_incarnation& upstream, bool has_votes, base::time_point now,
                                   base::duration avoid_time)
 {
+    upstream.unanswered_since = upstream.unanswered_syns == 0 ? now : upstream.unanswered_since;
     ++upstream.unanswered_syns;
     const bool is_enough = upstream.unanswered_syns >= required_unanswered_syns || has_votes;
     const bool was_doubted = is_doubted(upstream, now);
--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -275,6 +275,10 @@
     // A list of unknown epoch may be stale, so it tells nothing about what it does not contain
     // beyond the registrations that are older.
     const bool is_certain = revision.epoch != 0;
+    if (is_certain)
+    {
+        std::erase_if(colliding_, [&](const auto& colliding) { return !listed.contains(colliding.first); });
+    }
     for (const auto& [id, incarnation] : by_id_)
     {
         if (listed.contains(id))
--- a/src/steer/warm_up_claims.cpp
+++ b/src/steer/warm_up_claims.cpp
@@ -293,7 +293,10 @@
     // Holders that are fewer than the limit allows wait for flows with more tokens each.
     constexpr double largest_rate = 1e6;
     const auto spare = spare_flows(claimed.rate, options_.overshoot, options_.slack);
-    const auto allowed = (static_cast<std::size_t>(std::min(claimed.rate, largest_rate)) + spare) / holders;
+    // After a relapse the rate is a part of the stated one, and so is what a burst may have.
+    const double part = std::min(1.0, rate / claimed.rate);
+    const double most = std::floor(std::min(claimed.rate, largest_rate)) + static_cast<double>(spare);
+    const auto allowed = static_cast<std::size_t>(most * part) / holders;
     const bool catches_up = holders > 1 || (spare > 0 && !claimed.budget.is_unused());
     claimed.budget.take(rate / static_cast<double>(holders), now,
                         catches_up ? warm_up_budget::pacing::catch_up : warm_up_budget::pacing::depth_one, allowed);
--- a/tests/steer/failure_detection_test.cpp
+++ b/tests/steer/failure_detection_test.cpp
@@ -2,7 +2,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
 #include <set>
+#include <string>
+#include <vector>
 
 using namespace galenabay;
 using namespace galenabay::steer;
@@ -347,3 +350,53 @@
     CHECK(host.core.is_avoided_locally(upstream, at(1'300ms)));
     CHECK_FALSE(host.core.is_avoided_locally(upstream, at(1'310ms)));
 }
+
+// Failure: six of ten upstreams hang, so that they accept attempts to connect and answer no SYN. Unanswered SYNs did
+// not exclude them, since they are more than half, and they looked less loaded than the others: 60 of 100 flows a
+// second went there for as long as it lasted.
+TEST(failure_detection, upstreams_that_hang_are_avoided_even_if_they_are_the_most)
+{
+    constexpr std::size_t upstream_count = 10;
+    constexpr std::size_t hanging_count = 6;
+    std::vector<upstream_entry> entries;
+    for (std::size_t i = 1; i <= upstream_count; ++i)
+    {
+        entries.push_back(make_upstream("h-" + std::to_string(i), 100 + i));
+    }
+    test_host fleet{entries};
+    std::multimap<base::duration, packet_header> repeated;
+    int late_syns = 0;
+    std::uint16_t port = 1;
+    const auto open = [&](const packet_header& first, base::duration now)
+    {
+        const auto decision = fleet.core.on_packet(first, at(now));
+        if (decision.upstream_number <= 100 + hanging_count)
+        {
+            late_syns += now >= 2s ? 1 : 0;
+            auto next = first;
+            ++next.acknowledged;
+            repeated.emplace(now + 200ms * next.acknowledged, next);
+            return;
+        }
+        fleet.core.on_packet(data(first.flow.caller_port, decision.token, 1, 500), at(now));
+        fleet.core.on_packet(fin(first.flow.caller_port, decision.token, 101, 2'500), at(now));
+    };
+    for (auto now = 0ms; now < 6s; now += 10ms)
+    {
+        fleet.run_until(now);
+        for (const auto& request : fleet.core.take_probe_requests())
+        {
+            fleet.core.on_probe(request.token, probe_result::reachable, at(now));
+        }
+        for (; !repeated.empty() && repeated.begin()->first <= now; repeated.erase(repeated.begin()))
+        {
+            if (repeated.begin()->second.acknowledged <= last_retransmission)
+            {
+                open(repeated.begin()->second, now);
+            }
+        }
+        open(syn(port++), now);
+    }
+    // Each is tried again every `avoid_time`, by the flows of half a second.
+    CHECK(late_syns < 100);
+}
--- a/tests/steer/starting_fleet.hpp
+++ b/tests/steer/starting_fleet.hpp
@@ -41,7 +41,7 @@
     };
 
     starting_fleet(settings what, std::uint64_t seed)
-        : settings_{std::move(what)}, random_{seed}, ranks_{settings_.hosts}
+        : settings_{std::move(what)}, random_{seed}, packet_random_{base::mix(seed, 1)}, ranks_{settings_.hosts}
     {
         for (std::size_t i = 0; i < upstream_count; ++i)
         {
@@ -112,9 +112,10 @@
     {
         return random_.unit() < per_second * std::chrono::duration<double>(step).count();
     }
-    base::duration random_time(base::duration limit)
+    base::duration random_time(base::duration limit) { return random_time(limit, random_); }
+    static base::duration random_time(base::duration limit, base::random_source& random)
     {
-        return base::duration{random_.below(static_cast<std::uint64_t>(limit.count()))};
+        return base::duration{random.below(static_cast<std::uint64_t>(limit.count()))};
     }
     bool runs(const host& one) const { return one.core && now_ >= one.paused_until; }
 
@@ -329,10 +330,11 @@
                                            .receiver = host_key(std::to_string(to)),
                                            .service = relay.service,
                                            .passes_left = relay.passes_left};
-        for (double copy = settings_.faults ? random_.unit() : 0.5; copy > 0.25; copy -= 0.25)
+        for (double copy = settings_.faults ? packet_random_.unit() : 0.5; copy > 0.25; copy -= 0.25)
         {
-            const auto delay = random_.unit() < 0.1 ? random_time(10s) : random_time(60ms);
-            const auto index = random_.unit() < 0.1 ? random_.below(settings_.hosts) : to;
+            const auto delay =
+                packet_random_.unit() < 0.1 ? random_time(10s, packet_random_) : random_time(60ms, packet_random_);
+            const auto index = packet_random_.unit() < 0.1 ? packet_random_.below(settings_.hosts) : to;
             after(settings_.faults ? delay : step,
                   [this, relayed, index = settings_.faults ? index : to] { decide(index, relayed.header, &relayed); });
         }
@@ -363,7 +365,8 @@
         }
         else if (decision.action == steering_action::forward && now_ < warm_at_.at(decision.token))
         {
-            syns_.on_forwarded(decision.token, header.flow.caller_port, now_ + random_time(settings_.link_delay + 1us));
+            syns_.on_forwarded(decision.token, header.flow.caller_port,
+                               now_ + random_time(settings_.link_delay + 1us, packet_random_));
         }
         else if (decision.action == steering_action::reset && decision.reason != steering_reason::warm_up_limit)
         {
@@ -422,6 +425,8 @@
 
     settings settings_;
     base::random_source random_;
+    /// Of its own, so that a decision about a packet does not change the faults that follow.
+    base::random_source packet_random_;
     host_ranks ranks_;
     base::duration now_ = 0s;
     std::vector<upstream_entry> entries_;
