Refuse unknown flows of a moved address on a host without peers again

The rule costs a host without peers the new flows of a service whose address moved for the service's idle timeout after its start.

--- a/src/flow/packet_decision.cpp
+++ b/src/flow/packet_decision.cpp
@@ -83,10 +83,10 @@
 
 bool steering::state::in_transition(const packet& pkt) const
 {
-    // The flows of a former owner that the lineage no longer shows are known to other
-    // hosts only, and a host that started alone can't ask them.
+    // The flows of a former owner that the lineage no longer shows are known to other hosts only, and a host without
+    // peers can't ask them. Having had peers does not help: they may have known as little (torture_flow seed 1064).
     const auto& slot = index_.service(pkt.service);
-    if (slot.address_taken && started_alone_ && now_ - *started_at_ < slot.idle_timeout)
+    if (slot.address_taken && !exchange_.has_peers() && started_at_ && now_ - *started_at_ < slot.idle_timeout)
     {
         return true;
     }
--- a/src/flow/steering_state.cpp
+++ b/src/flow/steering_state.cpp
@@ -56,7 +56,6 @@
 void steering::state::on_hosts(std::span<const membership::live_host> hosts, base::time_point now)
 {
     now_ = now;
-    const bool is_first = !started_at_;
     started_at_ = started_at_.value_or(now);
     const bool had_peers = exchange_.has_peers();
     update_settled_versions();
@@ -74,7 +73,6 @@
     std::copy_if(hosts.begin(), hosts.end(), std::back_inserter(peers),
                  [&](const membership::live_host& host) { return host.name != settings_.self; });
     exchange_.set_peers(peers, ranking_.set_hash(), now);
-    started_alone_ = peers.empty() && (is_first || started_alone_);
     if (peers.empty() && (had_peers || !without_peers_since_))
     {
         without_peers_since_ = now;
--- a/src/flow/steering_state.hpp
+++ b/src/flow/steering_state.hpp
@@ -187,8 +187,6 @@
     std::optional<base::time_point> without_peers_since_;
     /// Time of the first list of hosts.
     std::optional<base::time_point> started_at_;
-    /// There were no peers in any list of hosts.
-    bool started_alone_ = false;
     /// Time at which the process last resumed after a pause.
     std::optional<base::time_point> resumed_at_;
     /// Time since which a peer whose answer is required has not answered.
