Remove repeated checks and lookups in avoidance, samples and relays

- The check for a missing registration stood in three places: upstream_registry::is_missing.
- What is left of the earlier map tells which services have no upstreams any more, instead of a search in the reported changes.
- has_short_flows looked its service up twice for each SYN.
- The address of a holder came from a datagram that was made for it: address_of.
- check_abandoned_requests is split; the bucket of relays is no second base::token_bucket.
- Three comments say what happens in plain words.

--- a/include/galenabay/peers/fleet_exchange.hpp
+++ b/include/galenabay/peers/fleet_exchange.hpp
@@ -185,6 +185,12 @@
     std::vector<steer::share_holder> holders_for(std::uint64_t key, std::size_t count, base::time_point now) const;
     /// As in `peer_view`.
     std::vector<member> remote_members() const { return peers_.remote_members(); }
+    /// Returns the address of a process of this data centre, or nothing when it is not live.
+    std::optional<base::endpoint> address_of(const steer::share_holder& process, base::time_point now) const
+    {
+        const auto known = peers_.addresses_of({process}, now);
+        return known.empty() ? std::nullopt : std::optional{known.front()};
+    }
     /// Returns the datagram with a list of this host for the other processes in it.
     outgoing_message on_shares(const steer::warm_up_shares& shares, base::time_point now) const
     {
--- a/include/galenabay/steer/steerer.hpp
+++ b/include/galenabay/steer/steerer.hpp
@@ -302,6 +302,8 @@
     /// Stops counting requests that their callers have neither repeated nor got an answer to, and takes those of one
     /// packet for rejected.
     void check_abandoned_requests(base::time_point now);
+    /// Returns true when the request counts as open and is to be checked again. Stops counting it when it is abandoned.
+    bool may_be_answered(const flow_key& key, upstream_token token, base::time_point sent_at, base::time_point now);
     /// Returns the time for which a request of several packets of the service may wait for its answer; empty where
     /// flows carry many requests or no answer was seen.
     std::optional<base::duration> answer_wait(const std::string& service) const;
--- a/include/galenabay/steer/upstream_registry.hpp
+++ b/include/galenabay/steer/upstream_registry.hpp
@@ -213,6 +213,11 @@
     /// Returns true when the registration went missing shortly after the store failed, so
     /// that it may have expired although the upstream is alive.
     bool may_have_expired(const upstream_incarnation& incarnation) const;
+    /// Returns true when the registration is missing and cannot have expired alone.
+    bool is_missing(const upstream_incarnation& incarnation) const
+    {
+        return incarnation.missing_since && !may_have_expired(incarnation);
+    }
 
     /// Calls `visit` with each incarnation, ended ones included.
     template <typename Visitor> void for_each(Visitor visit)
--- a/src/edge/packet_worker_warm_ups.cpp
+++ b/src/edge/packet_worker_warm_ups.cpp
@@ -184,8 +184,8 @@
         return std::nullopt;
     }
     const auto& chosen = holders[1 + target.lot % (holders.size() - 1)];
-    const auto addresses = exchange.on_shares({.id = {}, .holders = {chosen}}, now).to;
-    return addresses.empty() ? std::nullopt : std::optional{relay_host{chosen.host, addresses.front()}};
+    const auto address = exchange.address_of(chosen, now);
+    return address ? std::optional{relay_host{chosen.host, *address}} : std::nullopt;
 }
 
 bool packet_worker::pass_on(std::span<const std::byte> packet, const steer::relay_target& target, base::time_point now)
--- a/src/flow/steering_state.hpp
+++ b/src/flow/steering_state.hpp
@@ -111,8 +111,8 @@
     /// Returns true when the entry was confirmed before the last pause of the
     /// process, so that other hosts may have moved the flow meanwhile.
     bool predates_pause(const packet& pkt, const flow_entry& entry) const;
-    /// Returns true when the process has just resumed and has not heard from its
-    /// peers yet.
+    /// Returns true when the process has just resumed and has not received a message
+    /// from its peers yet.
     bool is_resuming() const;
     /// Returns false when another host may have moved the flow since the entry
     /// was confirmed.
--- a/src/steer/answer_time_sampler.cpp
+++ b/src/steer/answer_time_sampler.cpp
@@ -53,14 +53,19 @@
     // Some seconds of new flows of a small host, in which long flows have sent several requests each.
     constexpr std::uint32_t required_flows = 64;
     const auto known = services_.find(service);
-    return known != services_.end() && known->second.first >= required_flows && may_have_short_flows(service);
+    return known != services_.end() && known->second.first >= required_flows && known->second.are_short();
 }
 
 bool answer_time_sampler::may_have_short_flows(const std::string& service) const
 {
-    constexpr std::uint32_t flows_per_later_request = 4;
     const auto known = services_.find(service);
-    return known != services_.end() && known->second.later * flows_per_later_request < known->second.first;
+    return known != services_.end() && known->second.are_short();
+}
+
+bool answer_time_sampler::recent_requests::are_short() const noexcept
+{
+    constexpr std::uint32_t flows_per_later_request = 4;
+    return later * flows_per_later_request < first;
 }
 
 base::duration answer_time_sampler::longest_answer(const std::string& service) const
--- a/src/steer/answer_time_sampler.hpp
+++ b/src/steer/answer_time_sampler.hpp
@@ -46,15 +46,18 @@
 
 private:
     /// Requests of recent flows of one service, and the longest of their answer times, which fades.
-    struct request_counts
+    struct recent_requests
     {
         std::uint32_t first = 0;
         std::uint32_t later = 0;
         base::duration longest_answer{0};
+
+        /// Returns true when most flows carry one request.
+        bool are_short() const noexcept;
     };
 
     std::string data_centre_;
-    std::unordered_map<std::string, request_counts> services_;
+    std::unordered_map<std::string, recent_requests> services_;
     base::time_point resumed_at_{};
 };
 
--- a/src/steer/steerer_avoidance.cpp
+++ b/src/steer/steerer_avoidance.cpp
@@ -3,7 +3,6 @@
 #include "upstream_evidence.hpp"
 #include "upstream_selection.hpp"
 
-#include <algorithm>
 #include <utility>
 
 // Bound on what weak evidence excludes.
@@ -21,8 +20,7 @@
     avoidance_counts counts;
     for (const auto* upstream : upstreams)
     {
-        const bool is_missing = upstream->missing_since && !registry_.may_have_expired(*upstream);
-        if (is_missing || !takes_new_flows(*upstream, evacuations_))
+        if (registry_.is_missing(*upstream) || !takes_new_flows(*upstream, evacuations_))
         {
             continue;
         }
@@ -42,7 +40,7 @@
 
 void steerer::update_avoidance(base::time_point now)
 {
-    std::map<std::string, base::time_point> ignored_since;
+    auto earlier = std::exchange(ignored_since_, {});
     ignored_doubt_count_ = 0;
     avoided_count_ = 0;
     usable_count_ = 0;
@@ -60,41 +58,31 @@
                 upstream->doubts_ignored = ignored && !has_strong_evidence(*upstream, now);
                 if (takes_new_flows(*upstream, evacuations_))
                 {
-                    const bool is_missing = upstream->missing_since && !registry_.may_have_expired(*upstream);
-                    const bool avoided =
-                        is_missing || is_avoided(*upstream, now) || links_.is_silent(upstream->entry.data_centre);
+                    const bool avoided = registry_.is_missing(*upstream) || is_avoided(*upstream, now) ||
+                                         links_.is_silent(upstream->entry.data_centre);
                     ++(avoided ? avoided_count_ : usable_count_);
                 }
             }
             const auto& service = upstreams.front()->entry.service;
-            const auto known = ignored_since_.find(service);
-            const bool was_ignored = known != ignored_since_.end();
+            const auto known = earlier.extract(service);
+            const bool was_ignored = !known.empty();
+            const auto since = was_ignored ? known.mapped() : now;
             if (ignored)
             {
                 ignored_doubt_count_ += counts.doubted;
-                ignored_since.emplace(service, was_ignored ? known->second : now);
+                ignored_since_.emplace(service, since);
             }
             if (ignored != was_ignored)
             {
-                avoidance_changes_.push_back({.service = service,
-                                              .ignored = ignored,
-                                              .counts = counts,
-                                              .lasted = was_ignored ? now - known->second : base::duration{0}});
+                avoidance_changes_.push_back(
+                    {.service = service, .ignored = ignored, .counts = counts, .lasted = now - since});
             }
         });
-    for (const auto& ended : ignored_since_)
+    // These services have no upstreams any more.
+    for (const auto& [service, since] : earlier)
     {
-        const auto& service = ended.first;
-        const bool is_reported = std::any_of(avoidance_changes_.begin(), avoidance_changes_.end(),
-                                             [&](const avoidance_change& change) { return change.service == service; });
-        if (!ignored_since.contains(service) && !is_reported)
-        {
-            // The service has no upstreams any more.
-            avoidance_changes_.push_back(
-                {.service = service, .ignored = false, .counts = {}, .lasted = now - ended.second});
-        }
+        avoidance_changes_.push_back({.service = service, .ignored = false, .counts = {}, .lasted = now - since});
     }
-    ignored_since_ = std::move(ignored_since);
 }
 
 } // namespace galenabay::steer
--- a/src/steer/steerer_load.cpp
+++ b/src/steer/steerer_load.cpp
@@ -38,38 +38,12 @@
 {
     std::vector<sent_packet_queue::sent_packet> still_waiting;
     unanswered_requests_->pop_older(now - abandonment_limit,
-                                    [&](const sent_packet_queue::sent_packet& sent)
+                                    [&](sent_packet_queue::sent_packet sent)
                                     {
-                                        auto* flow = flows_->find(sent.flow);
-                                        auto* upstream = registry_.find(sent.token);
-                                        if (flow == nullptr || upstream == nullptr || upstream->ended ||
-                                            flow->token != sent.token || !flow->waiting)
+                                        if (may_be_answered(sent.flow, sent.token, sent.sent_at, now))
                                         {
-                                            return;
-                                        }
-                                        // An upstream acknowledges every second packet, so a caller repeats a request
-                                        // of one packet unless it is answered. One that did neither got a reset from
-                                        // the upstream, which this host does not see: the upstream had no room. Such
-                                        // requests counted as open until the flow's idle timeout, so that a service
-                                        // looked full for 15 s after a burst.
-                                        if (flow->sent_at == sent.sent_at && flow->retransmissions == 0)
-                                        {
-                                            stop_waiting(*flow, *upstream);
-                                            record_rejection(*upstream, now);
-                                            ++shortage_->rejected_flows;
-                                        }
-                                        else if (const auto limit = answer_wait(upstream->entry.service); !limit)
-                                        {
-                                            return;
-                                        }
-                                        else if (now - flow->last_seen >= *limit)
-                                        {
-                                            stop_waiting(*flow, *upstream);
-                                        }
-                                        else
-                                        {
-                                            still_waiting.push_back(
-                                                {.flow = sent.flow, .token = sent.token, .sent_at = now});
+                                            sent.sent_at = now;
+                                            still_waiting.push_back(sent);
                                         }
                                     });
     for (const auto& sent : still_waiting)
@@ -78,6 +52,33 @@
     }
 }
 
+bool steerer::may_be_answered(const flow_key& key, upstream_token token, base::time_point sent_at, base::time_point now)
+{
+    auto* flow = flows_->find(key);
+    auto* upstream = registry_.find(token);
+    if (flow == nullptr || upstream == nullptr || upstream->ended || flow->token != token || !flow->waiting)
+    {
+        return false;
+    }
+    // An upstream acknowledges every second packet, so a caller repeats a request of one packet unless it is answered.
+    // One that did neither got a reset from the upstream, which this host does not see: the upstream had no room. Such
+    // requests counted as open until the flow's idle timeout, so that a service looked full for 15 s after a burst.
+    if (flow->sent_at == sent_at && flow->retransmissions == 0)
+    {
+        stop_waiting(*flow, *upstream);
+        record_rejection(*upstream, now);
+        ++shortage_->rejected_flows;
+        return false;
+    }
+    const auto limit = answer_wait(upstream->entry.service);
+    if (limit && now - flow->last_seen >= *limit)
+    {
+        stop_waiting(*flow, *upstream);
+        return false;
+    }
+    return limit.has_value();
+}
+
 std::optional<base::duration> steerer::answer_wait(const std::string& service) const
 {
     const auto longest = answer_times_->longest_answer(service);
--- a/src/steer/syn_relays.hpp
+++ b/src/steer/syn_relays.hpp
@@ -86,7 +86,8 @@
         std::bitset<max_passes + 1> passes;
         base::time_point at{};
     };
-    struct token_bucket
+    /// Unlike `base::token_bucket`, its rate may change with each call and be a fraction, and it may be in debt.
+    struct variable_bucket
     {
         double tokens = 0;
         base::time_point at{};
@@ -109,9 +110,9 @@
         }
     };
 
-    token_bucket datagrams_;
+    variable_bucket datagrams_;
     /// By service.
-    std::unordered_map<std::string, token_bucket> budgets_;
+    std::unordered_map<std::string, variable_bucket> budgets_;
     std::unordered_map<flow_key, passed_on_flow> passed_on_;
 };
 
--- a/src/steer/upstream_selection.cpp
+++ b/src/steer/upstream_selection.cpp
@@ -57,7 +57,7 @@
 
 candidate_class class_of(const upstream_registry& registry, const upstream_incarnation& upstream, base::time_point now)
 {
-    if (upstream.missing_since && !registry.may_have_expired(upstream))
+    if (registry.is_missing(upstream))
     {
         return missing;
     }
--- a/tests/flow/steering_test.cpp
+++ b/tests/flow/steering_test.cpp
@@ -299,7 +299,7 @@
     LONGS_EQUAL(0, count_moved());
 }
 
-// A host that heard of two versions forgot the later one when the earlier one arrived,
+// A host to which two versions were announced forgot the later one when the earlier one arrived,
 // and its period of grace for the draining upstream began anew.
 TEST(steering_fleet, grace_of_a_draining_upstream_does_not_start_anew_with_the_second_of_two_versions)
 {
--- a/tests/steer/host_ranks.hpp
+++ b/tests/steer/host_ranks.hpp
@@ -12,7 +12,7 @@
 namespace galenabay::steer::test
 {
 
-/// The order in which hosts claim each upstream, by what each host believes of the others.
+/// The order in which hosts claim each upstream, by the view that each host has of the others.
 class host_ranks
 {
 public:
