--- a/review/stand_ins_2/hosts.hpp
+++ b/review/stand_ins_2/hosts.hpp
@@ -28,12 +28,23 @@
     std::uint16_t first_peer = 17'720;
 };
 
+/// Bounds of the settings that differ between deployments.
+struct host_bounds
+{
+    int stable_window_ms = 4'000;
+    int drain_ms = 3'000;
+    int config_ms = 3'000;
+};
+
 /// Processes of the deploy file's program, one a host, and the platform's routers: they probe each host twice a second,
 /// and take one that misses two probes out of the rotation. Thread-safe after `add`.
 class hosts
 {
 public:
-    hosts(record& out, std::string directory) : out_{out}, directory_{std::move(directory)} {}
+    hosts(record& out, std::string directory, host_bounds bounds = {})
+        : out_{out}, directory_{std::move(directory)}, bounds_{bounds}
+    {
+    }
     hosts(const hosts&) = delete;
     hosts& operator=(const hosts&) = delete;
     ~hosts()
@@ -192,8 +203,10 @@
             << "discovery: \"platform\"\nentry: \"advertise\"\nheartbeat-ms: 1200\ncontracts:\n  - \"base\"\n"
             << "  - \"drain\"\n  - \"config\"\n  - \"cost\"\n  - \"recover\"\n  - \"flows\"\n  - \"platform\"\n"
             << "fault-tolerance:\n  machines: 1\n  zones: 1\n  regions: 0\nbounds:\n  seed-lag-s: 3\n"
-            << "  reuse-after-s: 2\n  stable-window-ms: 4000\n  ack-ms: 5000\n  catchup-s: 4\n  drain-ms: 3000\n"
-            << "  grace-s: 6\n  loss-slack-ms: 200\n  config-ms: 3000\n  rollback-slack-ms: 250\n"
+            << "  reuse-after-s: 2\n  stable-window-ms: " << bounds_.stable_window_ms
+            << "\n  ack-ms: 5000\n  catchup-s: 4\n  drain-ms: " << bounds_.drain_ms << "\n"
+            << "  grace-s: 6\n  loss-slack-ms: 200\n  config-ms: " << bounds_.config_ms
+            << "\n  rollback-slack-ms: 250\n"
             << "  max-skew-ms: 12000\n  recovery-s: 12\n  reorder-ms: 2000\n  flow-ttl-s: 60\nhash: \"mod\"\n"
             << "forwarding-mode: \"echo\"\nplatform:\n  address: \"" << one.store.text()
             << "\"\n  forwarding-mode: \"objects\"\n  writes-per-s: 400\n  reads-per-s: 2000\n  retention-s: 20\n"
@@ -259,6 +272,7 @@
 
     record& out_;
     std::string directory_;
+    host_bounds bounds_;
     host_ports ports_;
     std::vector<host> all_;
     mutable std::mutex mutex_;
--- a/review/stand_ins_2/store.hpp
+++ b/review/stand_ins_2/store.hpp
@@ -75,6 +75,22 @@
         silent_ = std::move(at);
         changed_.notify_all();
     }
+    /// From now on, calls for the configuration and the targets get 503 at the first addresses of each group from which
+    /// such a call comes, up to `limit` of a group. An empty `groups` ends that.
+    void turn_away_callers(std::map<endpoint, std::string> groups, std::size_t limit)
+    {
+        const std::lock_guard lock{mutex_};
+        groups_ = std::move(groups);
+        limit_ = limit;
+        rejected_.clear();
+        changed_.notify_all();
+    }
+    /// The addresses at which calls are turned away.
+    std::set<endpoint> turned_away() const
+    {
+        const std::lock_guard lock{mutex_};
+        return rejected_;
+    }
     /// The addresses at which a watch of the kind is waiting, each with the time at which the watch began.
     std::map<endpoint, double> watching(const std::string& kind) const
     {
@@ -155,6 +171,23 @@
         return silent_.contains(local);
     }
 
+    /// Returns true when a call for objects of the kind is answered with 503.
+    bool rejects(const endpoint& local, const std::string& kind)
+    {
+        if (groups_.empty() || (kind != "config" && kind != "servers"))
+        {
+            return false;
+        }
+        const auto& group = groups_[local];
+        const auto members = std::count_if(rejected_.begin(), rejected_.end(),
+                                           [&](const endpoint& one) { return groups_[one] == group; });
+        if (static_cast<std::size_t>(members) < limit_)
+        {
+            rejected_.insert(local);
+        }
+        return rejected_.contains(local);
+    }
+
     /// Waits until the peer closes the connection, or the case ends.
     void hold(const descriptor& connection) const
     {
@@ -246,6 +279,13 @@
             name = kind.substr(slash + 1);
             kind.resize(slash);
         }
+        {
+            const std::lock_guard lock{mutex_};
+            if (rejects(local, kind))
+            {
+                return {503, "{}"};
+            }
+        }
         if (method == "GET")
         {
             return parameters.contains("watch") ? watch(local, kind, parameters) : list(kind, parameters["after"]);
@@ -275,11 +315,16 @@
         watching_[kind][local] = now_ms();
         const auto is_new = [&](const event& one) { return one.kind == kind && one.revision > after; };
         changed_.wait_for(lock, wait,
-                          [&] {
-                              return stopping_ || silent_.contains(local) ||
+                          [&]
+                          {
+                              return stopping_ || silent_.contains(local) || rejects(local, kind) ||
                                      std::any_of(events_.begin(), events_.end(), is_new);
                           });
         watching_[kind].erase(local);
+        if (rejects(local, kind))
+        {
+            return {503, "{}"};
+        }
         std::string found;
         for (const auto& one : events_)
         {
@@ -329,6 +374,9 @@
     std::vector<event> events_;
     std::uint64_t revision_ = 1;
     std::set<endpoint> silent_;
+    std::map<endpoint, std::string> groups_;
+    std::size_t limit_ = 0;
+    std::set<endpoint> rejected_;
     std::map<std::string, std::map<endpoint, double>> watching_;
     bool stopping_ = false;
     std::atomic<int> calls_{0};
