--- a/review/stand_ins_2/store.hpp
+++ b/review/stand_ins_2/store.hpp
@@ -76,7 +76,7 @@
         changed_.notify_all();
     }
     /// From now on, calls for the configuration and the targets get 503 at the first addresses of each group from which
-    /// such a call comes, up to `limit` of a group. An empty `groups` ends that.
+    /// such a call comes, up to `limit` of a group. Addresses without a group are served. An empty `groups` ends that.
     void turn_away_callers(std::map<endpoint, std::string> groups, std::size_t limit)
     {
         const std::lock_guard lock{mutex_};
@@ -174,7 +174,7 @@
     /// Returns true when a call for objects of the kind is answered with 503.
     bool rejects(const endpoint& local, const std::string& kind)
     {
-        if (groups_.empty() || (kind != "config" && kind != "servers"))
+        if (!groups_.contains(local) || (kind != "config" && kind != "servers"))
         {
             return false;
         }
