Every host checks within a bounded time whether the store serves it

Callers: while the store turned away the first four hosts of each data centre by rank (503 for 9 s), the 24 other hosts opened flows of a removed route and on a leaving upstream up to 8.7 s after the change (5 s are allowed).

Cause: a host did not take over the watch of the store when four hosts that rank before it reported that they cannot read it. That was meant for a store that is down for all; a store may turn away any of the hosts. The four went on trying, so that nothing ended the state.

Change: while no host of a data centre watches the store, each one checks once per window (a third of the configuration bound) whether the store serves it, at a time that follows from its rank; the first one that is served watches and says so at once. Hosts say at once that they have lost the watch; hosts that were turned away no longer send statuses to all at the shortest interval.

Ruled out: that hosts learn of the change and do not apply it. The hosts had made no call and received no newer version.

--- a/include/galenabay/peers/fleet_exchange.hpp
+++ b/include/galenabay/peers/fleet_exchange.hpp
@@ -47,6 +47,9 @@
     /// Time for which a load that another collector reported is used: a full turn of the
     /// pages of some hundred upstreams, and one lost page.
     base::duration load_lifetime = std::chrono::milliseconds{4'500};
+    /// Time for which a host that has begun or ceased to watch the store sends statuses to all hosts of the data centre
+    /// at the shortest interval: some of them may be lost.
+    base::duration watch_change_time = std::chrono::milliseconds{2'000};
     /// Time for which a host that begins to collect still uses the digests of the other
     /// collectors, until the summaries of the other data centres reach it.
     base::duration handover_time = std::chrono::milliseconds{2'500};
@@ -147,8 +150,11 @@
     /// the data centre, and to a collector of each one where no host can read the store.
     std::vector<outgoing_message> on_changes(const upstream_changes& changes, base::time_point now) const;
 
-    /// As `peer_view::update_following` and `peer_view::expire`.
-    bool update_following(base::time_point now) { return peers_.update_following(now); }
+    /// As in `peer_view`.
+    bool update_watch(bool is_served, base::time_point now) { return peers_.update_watch(is_served, now); }
+    bool take_store_check(base::time_point now) { return peers_.take_store_check(now); }
+    void on_store_checked(bool is_served, base::time_point now) { peers_.on_store_checked(is_served, now); }
+    bool is_turned_away() const noexcept { return peers_.is_turned_away(); }
     std::vector<std::string> expire(base::time_point now) { return peers_.expire(now); }
 
     /// As in `peer_view`.
@@ -299,6 +305,9 @@
     peer_view peers_;
     bool collects_ = false;
     base::time_point collects_since_{};
+    /// `host_status::follows_store` of this host's last status, and when it changed.
+    bool follows_store_ = false;
+    std::optional<base::time_point> watch_changed_at_;
     std::optional<base::time_point> started_;
     std::uint64_t sequence_ = 0;
     /// Number of summaries sent; selects the next collector of each data centre.
--- a/include/galenabay/peers/host_status.hpp
+++ b/include/galenabay/peers/host_status.hpp
@@ -44,7 +44,7 @@
     std::string data_centre;
     /// The host watches the store, and its last calls succeeded.
     bool follows_store = false;
-    /// The host is to watch the store, and its last calls failed.
+    /// The store turned away the host's last call, and the host knows no other one that watches the store.
     bool store_lost = false;
     /// The host is about to stop.
     bool leaving = false;
--- a/include/galenabay/peers/peer_view.hpp
+++ b/include/galenabay/peers/peer_view.hpp
@@ -6,6 +6,7 @@
 #include <galenabay/peers/host_status.hpp>
 #include <galenabay/peers/load_sums.hpp>
 #include <galenabay/peers/load_table.hpp>
+#include <galenabay/peers/watch_takeover.hpp>
 #include <galenabay/steer/warm_up_shares.hpp>
 
 #include <cstddef>
@@ -21,23 +22,7 @@
 /// Times and limits of the exchange between hosts.
 struct peer_options
 {
-    /// Number of hosts of a data centre that watch the store for the others. One is
-    /// enough, since those of other data centres send their changes here, too.
-    std::size_t followers_per_data_centre = 1;
-    /// Time after its start before which a host neither watches the store nor collects loads:
-    /// longer than the interval of statuses and the answer of a host that it joins through,
-    /// so that it has received the status of a watcher if there is one.
-    base::duration startup_wait = std::chrono::milliseconds{1'000};
-    /// Time that a host waits for each candidate that ranks before it to take over the
-    /// watch: longer than the interval of statuses.
-    base::duration takeover_delay = std::chrono::milliseconds{600};
-    /// Number of hosts of a data centre that keep trying when all of them fail to read the
-    /// store: every call costs, and the changes come from other data centres meanwhile. More
-    /// than one, since the store may turn away only some hosts.
-    std::size_t max_failing_followers = 4;
-    /// Upper limit of the candidates to wait for: with it, the timeout of a status and
-    /// `startup_wait`, a host takes over within the configuration bound of 3 s.
-    std::size_t max_awaited_hosts = 2;
+    takeover_options takeover{};
     /// Time without a status after which a host is not live, in intervals of its statuses:
     /// three statuses may be lost.
     double status_timeout_intervals = 3.2;
@@ -52,8 +37,7 @@
 /// another. Does no I/O; not thread-safe; owned by the `fleet_exchange`.
 ///
 /// Every host ranks the hosts of its data centre in the same order, so the one that
-/// watches the store needs no election: a host watches while too few that rank before it
-/// report that they do, and takes over after those before it had time to. The first hosts
+/// watches the store needs no election: `watch_takeover` decides by its rank. The first hosts
 /// by the same order collect the loads of the others.
 class peer_view
 {
@@ -74,8 +58,12 @@
     /// cut off.
     std::vector<std::string> expire(base::time_point now);
 
-    /// Decides whether this host should watch the store; call it at each status interval.
-    bool update_following(base::time_point now);
+    /// As `watch_takeover::update`.
+    bool update_watch(bool is_served, base::time_point now);
+    /// As in `watch_takeover`.
+    bool take_store_check(base::time_point now) { return takeover_.take_check(now); }
+    void on_store_checked(bool is_served, base::time_point now) { takeover_.on_checked(is_served, now); }
+    bool is_turned_away() const noexcept { return takeover_.is_turned_away(); }
 
     /// Records that this host is about to stop: it has no rank any more.
     void set_leaving(bool leaving) noexcept { leaving_ = leaving; }
@@ -152,19 +140,14 @@
     std::optional<base::endpoint> select_peer(Predicate is_wanted, base::random_source& random,
                                               base::time_point now) const;
 
-    /// Counts the live hosts of this data centre that are not leaving, rank before this one
-    /// and satisfy `is_counted`.
-    template <typename Predicate> std::size_t count_ranked_before(Predicate is_counted, base::time_point now) const;
+    watch_view view_of_watch(base::time_point now) const;
 
     std::string name_;
     std::string data_centre_;
     peer_options options_;
     std::unordered_map<std::string, peer> peers_;
-    bool follows_ = false;
+    watch_takeover takeover_;
     bool leaving_ = false;
-    std::optional<base::time_point> started_;
-    /// When the number of hosts that watch fell below the required one.
-    std::optional<base::time_point> too_few_followers_since_;
 };
 
 } // namespace galenabay::peers
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -3,6 +3,7 @@
 #include "packet_worker.hpp"
 #include "peer_state.hpp"
 #include "registration_worker.hpp"
+#include "store_check_worker.hpp"
 #include "store_worker.hpp"
 
 #include <galenabay/base/hash.hpp>
@@ -78,6 +79,17 @@
     return options;
 }
 
+/// Limits the time in which a data centre without a watcher gets one to a third of the shortest bound on changes: the
+/// rest is for noticing that the watcher is gone, and for what the new one reads and sends.
+peers::exchange_options exchange_options_of(const adapter::settings& settings)
+{
+    constexpr base::duration shortest_window = milliseconds{200};
+    const auto bound = std::min(settings.config_bound, settings.evacuation_bound.value_or(settings.config_bound));
+    peers::exchange_options options;
+    options.peers.takeover.window = std::max(shortest_window, bound / 3);
+    return options;
+}
+
 std::uint64_t unix_microseconds()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -164,6 +176,7 @@
                                                                  unix_microseconds(), settings.peers},
                                                                 settings.seeds,
                                                                 steering_options_of(settings, features),
+                                                                exchange_options_of(settings),
                                                                 make_seed(settings),
                                                                 state_,
                                                                 metrics_}
@@ -236,6 +249,7 @@
                                                base::mix(make_seed(settings_), static_cast<std::uint64_t>(kind)),
                                                state_, metrics_, packets_.updates(kind), packets_.wakeup()));
         }
+        store_check_ = std::make_unique<store_check_worker>(state_, metrics_, packets_.wakeup());
         registration_ = std::make_unique<registration_worker>(
             peers::member{settings_.host, settings_.peers, settings_.data_centre}, state_, metrics_,
             packets_.updates(adapter::object_kind::hosts), packets_.wakeup());
@@ -289,6 +303,7 @@
     edge_metrics metrics_;
     packet_worker packets_;
     std::vector<std::unique_ptr<store_worker>> store_workers_;
+    std::unique_ptr<store_check_worker> store_check_;
     std::unique_ptr<net::status_server> readiness_;
     std::unique_ptr<net::status_server> metrics_server_;
     base::endpoint metrics_address_;
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -145,6 +145,12 @@
                          .Register(registry_);
     opened_syns_ = &received.Add({{"result", "opened"}});
     unopened_syns_ = &received.Add({{"result", "not_opened"}});
+    auto& checked = prometheus::BuildCounter()
+                        .Name("galenabay_store_checks_total")
+                        .Help("Checks whether the store serves this host, while no host watches it, by result")
+                        .Register(registry_);
+    served_checks_ = &checked.Add({{"result", "served"}});
+    failed_checks_ = &checked.Add({{"result", "turned_away"}});
     auto& calls = prometheus::BuildCounter()
                       .Name("galenabay_store_calls_total")
                       .Help("Calls to the store by kind of object")
--- a/src/edge/edge_metrics.hpp
+++ b/src/edge/edge_metrics.hpp
@@ -44,6 +44,8 @@
         return *warm_up_claims_[static_cast<std::size_t>(result)];
     }
     prometheus::Counter& store_calls(adapter::object_kind kind) { return *store_calls_[index(kind)]; }
+    /// Checks whether the store serves this host, by result.
+    prometheus::Counter& store_checks(bool is_served) { return is_served ? *served_checks_ : *failed_checks_; }
     prometheus::Counter& store_failures(adapter::object_kind kind) { return *store_failures_[index(kind)]; }
 
     /// Returns all values in the text format of Prometheus.
@@ -60,6 +62,8 @@
     std::array<prometheus::Counter*, steer::claim_result_count> warm_up_claims_{};
     prometheus::Counter* opened_syns_ = nullptr;
     prometheus::Counter* unopened_syns_ = nullptr;
+    prometheus::Counter* served_checks_ = nullptr;
+    prometheus::Counter* failed_checks_ = nullptr;
     std::array<prometheus::Counter*, adapter::object_kind_count> store_calls_{};
     std::array<prometheus::Counter*, adapter::object_kind_count> store_failures_{};
 
--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -43,9 +43,10 @@
 
 packet_worker::packet_worker(net::udp_socket socket, net::udp_socket peers, identity self,
                              std::vector<base::endpoint> seeds, const steer::steering_options& options,
-                             std::uint64_t seed, shared_state& state, edge_metrics& metrics)
+                             const peers::exchange_options& exchange, std::uint64_t seed, shared_state& state,
+                             edge_metrics& metrics)
     : socket_{std::move(socket)}, state_{state}, metrics_{metrics}, steerer_{with_self(options, self), seed},
-      peers_{std::move(peers), peers::fleet_exchange{self, std::move(seeds), {}, base::mix(seed, 1)}, metrics},
+      peers_{std::move(peers), peers::fleet_exchange{self, std::move(seeds), exchange, base::mix(seed, 1)}, metrics},
       data_centre_{options.data_centre},
       has_evacuations_{options.evacuation_bound.has_value()}, probes_{state, wakeup_, metrics.thread_failures},
       warm_ups_{{.host = std::move(self.name), .process_started_us = self.started_us}, state, metrics, wakeup_},
--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -39,8 +39,8 @@
     /// `socket` receives the routers' datagrams, `peers` those of the other hosts. `seeds`:
     /// hosts through which this one finds the others.
     packet_worker(net::udp_socket socket, net::udp_socket peers, identity self, std::vector<base::endpoint> seeds,
-                  const steer::steering_options& options, std::uint64_t seed, shared_state& state,
-                  edge_metrics& metrics);
+                  const steer::steering_options& options, const peers::exchange_options& exchange, std::uint64_t seed,
+                  shared_state& state, edge_metrics& metrics);
     packet_worker(const packet_worker&) = delete;
     packet_worker& operator=(const packet_worker&) = delete;
     ~packet_worker();
@@ -117,7 +117,9 @@
     void exchange_with_peers(base::time_point now);
     /// Tells the `steerer` when neither this host nor another one of its data centre watches the store successfully.
     void check_watch(base::time_point now);
-    /// Decides whether this host watches the store and collects loads, and logs a change.
+    /// Decides whether this host watches the store, and tells the others of a change.
+    void update_watch(base::time_point now);
+    /// Decides whether this host collects loads, and logs a change.
     void update_roles(base::time_point now);
     /// Passes requested probes to the probe thread and applies the results.
     void exchange_probes(base::time_point now);
@@ -186,6 +188,7 @@
     int apply_attempts_ = 0;
     peer_link peers_;
     bool collects_ = false;
+    base::time_point next_watch_update_{};
     /// Result of the last `check_watch`.
     bool is_unwatched_ = false;
     /// The `steerer` waits for a current list of the upstreams.
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -21,6 +21,9 @@
 constexpr base::duration awaited_view_interval = std::chrono::milliseconds{50};
 /// Shortest time between two statuses that are sent because an upstream became silent.
 constexpr base::duration urgent_interval = std::chrono::milliseconds{300};
+/// Interval at which a host decides whether it watches the store: a fraction of the time between the checks of two
+/// hosts of a small data centre.
+constexpr base::duration watch_update_interval = std::chrono::milliseconds{100};
 /// Pause between two reads of the configuration: longer than another host takes to answer.
 constexpr base::duration read_pause = std::chrono::milliseconds{300};
 /// Time after which a newer configuration of another host should long be in force here.
@@ -61,6 +64,7 @@
         next_urgent_ = now + urgent_interval;
         peers_.send(exchange.on_urgent(status(now), now));
     }
+    update_watch(now);
     if (!exchange.is_due(now))
     {
         return;
@@ -69,18 +73,42 @@
     peers_.send(exchange.on_tick(status(now), now));
 }
 
-void packet_worker::update_roles(base::time_point now)
+void packet_worker::update_watch(base::time_point now)
 {
+    if (!state_.watch_has_news.exchange(false) && now < next_watch_update_)
+    {
+        return;
+    }
+    next_watch_update_ = now + watch_update_interval;
     auto& exchange = peers_.exchange();
-    const auto peer_count = exchange.live_count(now);
-    const bool follows = exchange.update_following(now);
-    state_.alone.store(peer_count == 0);
+    if (const auto is_served = state_.take_store_check())
+    {
+        exchange.on_store_checked(*is_served, now);
+        if (*is_served)
+        {
+            state_.set_store_reachable();
+        }
+    }
+    const bool follows = exchange.update_watch(state_.store_reachable(), now);
+    if (exchange.take_store_check(now))
+    {
+        state_.request_store_check();
+    }
     if (follows != state_.follows.exchange(follows))
     {
-        log_event{log_level::info, follows ? "follow_begun" : "follow_ended"}.with("peers", peer_count);
+        log_event{log_level::info, follows ? "follow_begun" : "follow_ended"}.with("peers", exchange.live_count(now));
         metrics_.follows_store.Set(follows ? 1 : 0);
         state_.wake();
+        // The others check whether the store serves them once they know that no host watches it.
+        peers_.send(exchange.on_urgent(status(now), now));
     }
+}
+
+void packet_worker::update_roles(base::time_point now)
+{
+    auto& exchange = peers_.exchange();
+    const auto peer_count = exchange.live_count(now);
+    state_.alone.store(peer_count == 0);
     if (exchange.collects() != std::exchange(collects_, exchange.collects()))
     {
         log_event{log_level::info, collects_ ? "collect_begun" : "collect_ended"}
@@ -231,7 +259,7 @@
 {
     peers::host_status own;
     own.follows_store = state_.follows.load() && state_.store_reachable();
-    own.store_lost = state_.follows.load() && !state_.store_reachable();
+    own.store_lost = peers_.exchange().is_turned_away();
     own.leaving = state_.draining.load();
     own.configuration_version = steerer_.routes().version();
     own.upstreams_revision = upstreams_position_.revision();
--- a/src/edge/shared_state.hpp
+++ b/src/edge/shared_state.hpp
@@ -39,6 +39,8 @@
     std::atomic<bool> should_register{false};
     /// Latest known epoch of the store.
     std::atomic<std::uint64_t> store_epoch{0};
+    /// The result of a check or of a call of the watch waits for the packet thread.
+    std::atomic<bool> watch_has_news{false};
     /// No other host is live.
     std::atomic<bool> alone{true};
     /// Time of the last packet from a router, in microseconds of the steady clock.
@@ -74,6 +76,41 @@
                store_reachable_[index(adapter::object_kind::upstreams)].load();
     }
 
+    /// Records that the store serves this host, before the first call of its watch has shown it.
+    void set_store_reachable()
+    {
+        for (const auto kind : {adapter::object_kind::configuration, adapter::object_kind::upstreams})
+        {
+            store_reachable(kind).store(true);
+        }
+    }
+    /// Requests a check whether the store serves this host.
+    void request_store_check()
+    {
+        store_check_requested_.store(true);
+        wake();
+    }
+    /// Sleeps until a check is requested or the process stops, for at most `limit`. Returns true, once per request,
+    /// when it is requested.
+    bool wait_for_store_check(std::chrono::milliseconds limit)
+    {
+        std::unique_lock lock{mutex_};
+        changed_.wait_for(lock, limit, [&] { return stop_.load() || store_check_requested_.load(); });
+        return store_check_requested_.exchange(false);
+    }
+    /// Passes the result of a check to the packet thread.
+    void publish_store_check(bool is_served)
+    {
+        store_check_.store(is_served ? store_check::served : store_check::turned_away);
+        watch_has_news.store(true);
+    }
+    /// Takes the result of the last check, so that each one is used once.
+    std::optional<bool> take_store_check()
+    {
+        const auto result = store_check_.exchange(store_check::none);
+        return result == store_check::none ? std::nullopt : std::optional{result == store_check::served};
+    }
+
     /// Requests one read of a kind from `peer`, which has newer state, although this host
     /// does not watch the store.
     void request_read(adapter::object_kind kind, const base::endpoint& peer)
@@ -172,6 +209,13 @@
     }
 
 private:
+    enum class store_check
+    {
+        none,
+        served,
+        turned_away,
+    };
+
     static std::size_t index(adapter::object_kind kind) { return static_cast<std::size_t>(kind); }
     static constexpr std::size_t kind_count = adapter::object_kind_count;
 
@@ -179,6 +223,8 @@
     std::array<std::atomic<bool>, kind_count> store_reachable_{};
     std::array<std::atomic<bool>, kind_count> list_requested_{};
     std::atomic<bool> current_list_wanted_{false};
+    std::atomic<bool> store_check_requested_{false};
+    std::atomic<store_check> store_check_{store_check::none};
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::array<std::optional<base::endpoint>, kind_count> newer_peers_{};
--- a/src/edge/store_worker.cpp
+++ b/src/edge/store_worker.cpp
@@ -126,7 +126,17 @@
     {
         on_watch(client.watch(call.revision, to_milliseconds(watch_wait)));
     }
-    state_.store_reachable(kind_).store(watch_.failures() == 0);
+    set_reachable();
+}
+
+void store_worker::set_reachable()
+{
+    const bool is_reachable = watch_.failures() == 0;
+    if (state_.store_reachable(kind_).exchange(is_reachable) != is_reachable)
+    {
+        state_.watch_has_news.store(true);
+        consumer_.notify();
+    }
 }
 
 bool store_worker::read_from_peer(const base::endpoint& peer)
--- a/src/edge/store_worker.hpp
+++ b/src/edge/store_worker.hpp
@@ -31,6 +31,8 @@
     /// Makes the next call, or waits until there is one to make.
     void run_step();
     void perform(adapter::store_client& client, const store_call& call, base::duration watch_wait);
+    /// Tells the packet thread whether the last call succeeded.
+    void set_reachable();
     /// Reads from a host that has newer state, which saves calls to the store. Returns false
     /// when that failed.
     bool read_from_peer(const base::endpoint& peer);
--- a/src/peers/fleet_exchange_messages.cpp
+++ b/src/peers/fleet_exchange_messages.cpp
@@ -113,12 +113,18 @@
     started_ = started_.value_or(now);
     evacuations_ = own.evacuations;
     peers_.set_leaving(own.leaving);
-    const bool collected = std::exchange(collects_, now - *started_ >= options_.peers.startup_wait &&
+    const bool collected = std::exchange(collects_, now - *started_ >= options_.peers.takeover.startup_wait &&
                                                         peers_.ranks_among(options_.collectors, now));
     if (collects_ && !collected)
     {
         collects_since_ = now;
     }
+    if (own.follows_store != std::exchange(follows_store_, own.follows_store))
+    {
+        watch_changed_at_ = now;
+        next_status_ = std::min(next_status_, now + options_.status_interval);
+        next_status_to_all_ = std::min(next_status_to_all_, now + options_.status_interval);
+    }
 }
 
 bool fleet_exchange::should_register(base::time_point now) const
@@ -133,7 +139,8 @@
 
 base::duration fleet_exchange::status_interval(const host_status& own, base::time_point now) const
 {
-    const bool is_awaited = collects_ || own.follows_store || own.store_lost || own.leaving || !own.silent.empty() ||
+    const bool has_watch_changed = watch_changed_at_ && now - *watch_changed_at_ < options_.watch_change_time;
+    const bool is_awaited = collects_ || own.follows_store || has_watch_changed || own.leaving || !own.silent.empty() ||
                             !own.unreachable.empty() || is_joining(now);
     const auto spaced = options_.status_spacing * static_cast<std::int64_t>(peers_.live_count(now));
     return is_awaited ? options_.status_interval
--- a/src/peers/peer_view.cpp
+++ b/src/peers/peer_view.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 peer_view::peer_view(std::string name, std::string data_centre, peer_options options)
-    : name_{std::move(name)}, data_centre_{std::move(data_centre)}, options_{options}
+    : name_{std::move(name)}, data_centre_{std::move(data_centre)}, options_{options}, takeover_{options.takeover}
 {
 }
 
@@ -119,23 +119,13 @@
     }
 }
 
-template <typename Predicate>
-std::size_t peer_view::count_ranked_before(Predicate is_counted, base::time_point now) const
-{
-    const auto own_rank = rank_of(name_);
-    const auto before = std::count_if(peers_.begin(), peers_.end(),
-                                      [&](const auto& row)
-                                      {
-                                          const auto& [name, other] = row;
-                                          return is_local(other) && is_live(other, now) && !other.status.leaving &&
-                                                 rank_of(name) < own_rank && is_counted(other.status);
-                                      });
-    return static_cast<std::size_t>(before);
-}
-
 bool peer_view::ranks_among(std::size_t count, base::time_point now) const
 {
-    return !leaving_ && count_ranked_before([](const host_status&) { return true; }, now) < count;
+    const auto own_rank = rank_of(name_);
+    std::size_t before = 0;
+    for_each_live(now, [&](const peer& other)
+                  { before += !other.status.leaving && rank_of(other.status.name) < own_rank ? 1 : 0; });
+    return !leaving_ && before < count;
 }
 
 std::optional<std::size_t> peer_view::rank_for(std::uint64_t key, base::time_point now) const
@@ -220,24 +210,30 @@
     return found;
 }
 
-bool peer_view::update_following(base::time_point now)
+watch_view peer_view::view_of_watch(base::time_point now) const
 {
-    started_ = started_.value_or(now);
-    const auto followers = count_ranked_before([](const host_status& status) { return status.follows_store; }, now);
-    const auto failing = count_ranked_before([](const host_status& status) { return status.store_lost; }, now);
-    if (followers >= options_.followers_per_data_centre || failing >= options_.max_failing_followers)
-    {
-        too_few_followers_since_.reset();
-        follows_ = false;
-        return follows_;
-    }
-    too_few_followers_since_ = too_few_followers_since_.value_or(now);
-    const auto candidates = count_ranked_before([](const host_status& status) { return !status.store_lost; }, now);
-    const auto awaited = std::min(candidates, options_.max_awaited_hosts);
-    const auto delay = options_.takeover_delay * static_cast<std::int64_t>(awaited);
-    const auto takeover_at = std::max(*too_few_followers_since_, *started_ + options_.startup_wait) + delay;
-    follows_ = follows_ || now >= takeover_at;
-    return follows_;
+    const auto own_rank = rank_of(name_);
+    watch_view view;
+    for_each_live(now,
+                  [&](const peer& other)
+                  {
+                      const auto& status = other.status;
+                      if (status.leaving)
+                      {
+                          return;
+                      }
+                      const bool is_before = rank_of(status.name) < own_rank;
+                      ++view.others;
+                      view.candidates_before += is_before && !status.store_lost ? 1 : 0;
+                      view.is_watched = view.is_watched || status.follows_store;
+                      view.is_watched_before = view.is_watched_before || (is_before && status.follows_store);
+                  });
+    return view;
+}
+
+bool peer_view::update_watch(bool is_served, base::time_point now)
+{
+    return takeover_.update(view_of_watch(now), is_served, now);
 }
 
 std::vector<member> peer_view::local_members() const
--- /dev/null
+++ b/tests/store_stub/turned_away_hosts_test.cpp
@@ -0,0 +1,154 @@
+#include "test_host.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <numeric>
+#include <vector>
+
+using namespace galenabay;
+using namespace galenabay::store_test;
+
+/// The hosts of one data centre, each with an address of its own for the store, which turns some of them away.
+TEST_GROUP(turned_away_hosts)
+{
+    struct placed_host
+    {
+        base::endpoint store = next_endpoint();
+        test_host host;
+    };
+
+    static constexpr std::size_t host_count = 7;
+    /// More than 64 KiB in the encoding that hosts send to one another.
+    static constexpr std::size_t many_routes = 1'400;
+    std::vector<placed_host> placed{host_count};
+    edge_soak::store_stub store{next_endpoint()};
+    std::size_t route_count = 1;
+
+    std::string text(std::uint64_t version) const
+    {
+        std::string routes;
+        for (std::size_t i = 0; i < route_count; ++i)
+        {
+            routes += std::string{routes.empty() ? "" : ","} + R"({"name":"feed-)" + std::to_string(i) +
+                      R"(","host":"198.18.0.1","path-prefix":"/)" + std::to_string(8'443 + i) +
+                      R"(/","service":"feed"})";
+        }
+        return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
+               R"(],"services":[],"limits":{}})";
+    }
+    /// Starts the hosts and waits until all have version 1 in force and one of them watches the store.
+    void start(std::size_t routes, std::optional<base::duration> evacuation_bound = {})
+    {
+        route_count = routes;
+        store.put("config", "main", text(1));
+        store.put("servers", "i-1", registration("ready", 1));
+        for (auto& one : placed)
+        {
+            store.listen(one.store);
+        }
+        for (std::size_t i = 0; i < placed.size(); ++i)
+        {
+            placed[i].host.start("edge-" + std::to_string(i), placed[i].store, {placed[0].host.peers}, "east",
+                                 evacuation_bound);
+        }
+        for (const auto& one : placed)
+        {
+            CHECK(holds_within(2 * start_bound, [&] { return one.host.is_ready(); }));
+        }
+        // Until the hosts know one another, several of them watch.
+        std::this_thread::sleep_for(start_bound);
+    }
+    void turn_away(std::size_t index, edge_soak::store_fault fault)
+    {
+        store.set_fault_at(placed[index].store.to_string(), fault);
+    }
+    /// Turns away all hosts but one.
+    void serve_only(std::size_t served, edge_soak::store_fault fault)
+    {
+        for (std::size_t i = 0; i < placed.size(); ++i)
+        {
+            turn_away(i, i == served ? edge_soak::store_fault::none : fault);
+        }
+    }
+    /// Turns away each host that watches the store, until one is left. Returns that one.
+    std::size_t turn_away_watchers(edge_soak::store_fault fault)
+    {
+        std::vector<std::size_t> served(placed.size());
+        std::iota(served.begin(), served.end(), std::size_t{0});
+        while (served.size() > 1)
+        {
+            auto watcher = served.end();
+            const auto has_watcher = [&]
+            {
+                watcher = std::find_if(served.begin(), served.end(),
+                                       [&](std::size_t index) { return placed[index].host.watches_store(); });
+                return watcher != served.end();
+            };
+            // Without a watcher, any other host is as good for the check that follows.
+            watcher = holds_within(in_force_bound, has_watcher) ? watcher : served.begin();
+            turn_away(*watcher, fault);
+            served.erase(watcher);
+        }
+        return served.front();
+    }
+    bool has_draining_upstream(std::size_t index) const
+    {
+        const auto known = placed[index].host.upstream();
+        return known && known->draining;
+    }
+    /// Writes a version and a registration, and checks that they are in force within the bound on the host that the
+    /// store serves.
+    void check_change(std::size_t served, std::uint64_t version)
+    {
+        store.put("config", "main", text(version));
+        store.put("servers", "i-1", registration(version % 2 == 0 ? "draining" : "ready", version));
+        CHECK(holds_within(in_force_bound,
+                           [&] {
+                               return placed[served].host.adopted_version() == version &&
+                                      has_draining_upstream(served) == (version % 2 == 0);
+                           }));
+    }
+};
+
+// Failure: after four hosts that the store turned away, no other one called it (review/6).
+TEST(turned_away_hosts, the_only_host_that_the_store_serves_gets_changes_in_time)
+{
+    start(1);
+    for (std::size_t served = 0; served < host_count; served += 2)
+    {
+        serve_only(served, edge_soak::store_fault::busy);
+        check_change(served, 2 + served / 2);
+    }
+}
+
+// Failure: a configuration of more than 64 KiB did not reach the hosts of a data centre when the store turned away four
+// of them, although it served the hosts of another one (review/7).
+TEST(turned_away_hosts, a_host_that_the_store_serves_gets_a_large_configuration_in_time)
+{
+    const auto west_store = next_endpoint();
+    store.listen(west_store);
+    test_host west;
+    start(many_routes);
+    west.start("edge-west", west_store, {placed[0].host.peers}, "west");
+    CHECK(holds_within(start_bound, [&] { return west.is_ready(); }));
+    const auto served = turn_away_watchers(edge_soak::store_fault::busy);
+    check_change(served, 2);
+    check_change(served, 3);
+}
+
+TEST(turned_away_hosts, a_store_that_is_down_for_all_is_noticed_when_it_returns)
+{
+    start(1);
+    store.set_fault(edge_soak::store_fault::busy);
+    std::this_thread::sleep_for(3s);
+    const auto before = store.calls();
+    std::this_thread::sleep_for(5s);
+    // A call of each host per second, and half as many for what other threads retry.
+    CHECK(store.calls() - before <= host_count * 5 * 3 / 2);
+    store.set_fault(edge_soak::store_fault::none);
+    for (std::size_t i = 0; i < host_count; ++i)
+    {
+        check_change(i, 2 + i);
+    }
+}
