The host that watches the store registers, too

Cause: only collectors, the first two hosts of a data centre by rank, write an entry to the store. While the store turns both of them away, no host does, and a host that starts without a usable seed does not find the others.

Evidence: watch_takeover.a_host_that_the_store_serves_registers_when_the_collectors_are_turned_away failed before and passes.

--- a/src/peers/fleet_exchange_messages.cpp
+++ b/src/peers/fleet_exchange_messages.cpp
@@ -129,7 +129,9 @@
 
 bool fleet_exchange::should_register(base::time_point now) const
 {
-    return collects_ && now - collects_since_ >= options_.registration_delay;
+    const bool has_collected = collects_ && now - collects_since_ >= options_.registration_delay;
+    const bool has_watched = follows_store_ && now - *watch_changed_at_ >= options_.registration_delay;
+    return has_collected || has_watched;
 }
 
 bool fleet_exchange::is_joining(base::time_point now) const
--- a/tests/peers/watch_takeover_test.cpp
+++ b/tests/peers/watch_takeover_test.cpp
@@ -226,6 +226,26 @@
     }
 }
 
+// Failure: while the store turned away both collectors of a data centre, no host of it registered, and a host that
+// started without a usable seed did not find the others.
+TEST(watch_takeover, a_host_that_the_store_serves_registers_when_the_collectors_are_turned_away)
+{
+    virtual_fleet fleet{3, 24};
+    fleet.run(6s);
+    for (auto& one : fleet.hosts())
+    {
+        one.is_served = !one.exchange->collects() && !one.own.follows_store;
+    }
+    fleet.run(takeover_bound + exchange_options{}.registration_delay);
+    for (const auto& [data_centre, hosts] : by_data_centre(fleet))
+    {
+        CHECK_TEXT(std::any_of(hosts.begin(), hosts.end(),
+                               [&](const auto* one)
+                               { return one->is_served && one->exchange->should_register(fleet.now()); }),
+                   data_centre.c_str());
+    }
+}
+
 // A store may answer a check and fail the calls of the watch: this must not cost more than a try per window.
 TEST(watch_takeover, a_watch_that_fails_at_once_is_tried_once_per_window)
 {
