The host that watches the store notices a silent one by checks

Callers: while the store gave no answer to the three of nine hosts that watched it, the other hosts opened flows on a leaving upstream up to 4.1 s after its report (3 s are allowed).

Cause: a watch that waits and one whose store is silent look the same for the wait and the timeout, 2.5 s in all, during which the host says that it watches the store. What a new watcher finds by a list reached the others with its next status only.

The store stub keeps waiting watches open when it becomes silent, as a silent store does, instead of closing them.

--- a/include/galenabay/peers/watch_takeover.hpp
+++ b/include/galenabay/peers/watch_takeover.hpp
@@ -12,6 +12,9 @@
 /// Times of a `watch_takeover`.
 struct takeover_options
 {
+    /// Interval at which the host that watches the store checks whether it is served: a waiting watch of a store that
+    /// has become silent shows nothing before its timeout.
+    base::duration check_interval = std::chrono::milliseconds{500};
     /// Time within which every host of a data centre without a watcher checks once whether the store serves it.
     base::duration window = std::chrono::milliseconds{1'000};
     /// Time after its start before which a host does not check: longer than the interval of statuses and the answer of
@@ -52,7 +55,7 @@
     bool update(const watch_view& view, bool is_served, base::time_point now);
     /// Returns true when this host is to check now whether the store serves it; record the result with `on_checked`.
     bool take_check(base::time_point now);
-    /// Records a check. A host that is served watches, unless another one does by now.
+    /// Records a check. A host that is served watches, unless another one does by now; one that is not loses the watch.
     void on_checked(bool is_served, base::time_point now);
 
     bool watches() const noexcept { return watched_since_.has_value(); }
@@ -60,6 +63,8 @@
     bool is_turned_away() const noexcept { return is_turned_away_; }
 
 private:
+    /// Ends the watch of this host, which the store has turned away.
+    void lose_watch(base::time_point now);
     /// Returns the time between the checks of two hosts with adjacent ranks.
     base::duration spacing(const watch_view& view) const;
 
@@ -67,7 +72,7 @@
     std::optional<base::time_point> started_;
     /// When this host began to watch the store; empty when it does not.
     std::optional<base::time_point> watched_since_;
-    /// When this host checks next; empty while any host watches.
+    /// When this host checks next; empty while another host watches.
     std::optional<base::time_point> next_check_;
     bool awaits_check_ = false;
     bool is_turned_away_ = false;
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -75,14 +75,15 @@
     return options;
 }
 
-/// Limits the time in which a data centre without a watcher gets one to a third of the shortest bound on changes: the
-/// rest is for noticing that the watcher is gone, and for what the new one reads and sends.
+/// Limits the time in which a data centre without a watcher gets one to a third of the shortest bound on changes, and
+/// that in which a silent store is noticed to as much: the rest is for what the new watcher reads and sends.
 peers::exchange_options exchange_options_of(const adapter::settings& settings)
 {
     constexpr base::duration shortest_window = milliseconds{200};
     const auto bound = std::min(settings.config_bound, settings.evacuation_bound.value_or(settings.config_bound));
     peers::exchange_options options;
     options.peers.takeover.window = std::max(shortest_window, bound / 3);
+    options.peers.takeover.check_interval = options.peers.takeover.window / 2;
     return options;
 }
 
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -147,7 +147,7 @@
     unopened_syns_ = &received.Add({{"result", "not_opened"}});
     auto& checked = prometheus::BuildCounter()
                         .Name("galenabay_store_checks_total")
-                        .Help("Checks whether the store serves this host, while no host watches it, by result")
+                        .Help("Checks whether the store serves this host, by result")
                         .Register(registry_);
     served_checks_ = &checked.Add({{"result", "served"}});
     failed_checks_ = &checked.Add({{"result", "turned_away"}});
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -84,7 +84,7 @@
     if (const auto is_served = state_.take_store_check())
     {
         exchange.on_store_checked(*is_served, now);
-        if (*is_served)
+        if (*is_served && !state_.follows.load())
         {
             state_.set_store_reachable();
         }
--- a/src/edge/packet_worker_updates.cpp
+++ b/src/edge/packet_worker_updates.cpp
@@ -271,6 +271,11 @@
             }
         }
         process_outcome(steerer_.on_upstream_list(entries, update.revision, now), update.revision, now);
+        if (state_.follows.load() && previous_revision < upstreams_position_.revision())
+        {
+            // A list does not say which of its entries are new to the others: they read the state of this host.
+            peers_.send(peers_.exchange().on_urgent(status(now), now));
+        }
         return;
     }
     for (const auto& object : update.objects)
--- a/src/peers/watch_takeover.cpp
+++ b/src/peers/watch_takeover.cpp
@@ -23,11 +23,7 @@
     }
     if (watches())
     {
-        // The store may answer a check and not the calls of the watch.
-        const bool is_lasting = now - *watched_since_ >= options_.window;
-        next_check_ = now + (is_lasting ? options_.retry_pause : options_.window);
-        watched_since_.reset();
-        is_turned_away_ = true;
+        lose_watch(now);
     }
     if (!next_check_)
     {
@@ -37,6 +33,15 @@
     return false;
 }
 
+void watch_takeover::lose_watch(base::time_point now)
+{
+    // The store may answer a check and not the calls of the watch.
+    const bool is_lasting = now - *watched_since_ >= options_.window;
+    next_check_ = now + (is_lasting ? options_.retry_pause : options_.window);
+    watched_since_.reset();
+    is_turned_away_ = true;
+}
+
 bool watch_takeover::take_check(base::time_point now)
 {
     if (awaits_check_ || !next_check_ || now < *next_check_)
@@ -57,8 +62,13 @@
     is_turned_away_ = !is_served;
     if (is_served)
     {
-        watched_since_ = now;
-        next_check_.reset();
+        watched_since_ = watched_since_.value_or(now);
+        next_check_ = now + options_.check_interval;
+        return;
+    }
+    if (watches())
+    {
+        lose_watch(now);
         return;
     }
     // Counted from the last turn, so that the hosts stay spread over the window.
--- a/tests/peers/virtual_fleet.hpp
+++ b/tests/peers/virtual_fleet.hpp
@@ -34,6 +34,9 @@
         bool frozen = false;
         /// The store answers its calls.
         bool is_served = true;
+        /// The store is silent towards the host: its waiting watch does not show that it is not served.
+        bool is_silent = false;
+        /// Checks while it does not watch the store.
         std::uint64_t store_checks = 0;
         std::uint64_t starts = 0;
         std::uint64_t bytes_sent = 0;
@@ -222,13 +225,13 @@
     void update_watch(host& one)
     {
         auto& exchange = *one.exchange;
-        auto watches = exchange.update_watch(one.is_served, now_);
+        auto watches = exchange.update_watch(one.is_served || one.is_silent, now_);
         if (exchange.take_store_check(now_))
         {
-            ++one.store_checks;
+            one.store_checks += watches ? 0 : 1;
             on_store_check(one);
             exchange.on_store_checked(one.is_served, now_);
-            watches = exchange.update_watch(one.is_served, now_);
+            watches = exchange.update_watch(one.is_served || one.is_silent, now_);
         }
         one.own.store_lost = exchange.is_turned_away();
         if (watches != std::exchange(one.own.follows_store, watches))
--- a/tests/peers/watch_takeover_test.cpp
+++ b/tests/peers/watch_takeover_test.cpp
@@ -100,6 +100,22 @@
     }
 }
 
+// Failure: hosts that the store had become silent to went on as watchers until their calls timed out (review/8).
+TEST(watch_takeover, a_silent_store_is_noticed_in_time)
+{
+    for (const auto& [data_centres, hosts_each] : sizes)
+    {
+        virtual_fleet fleet{data_centres, hosts_each};
+        fleet.run(6s);
+        for (auto& one : fleet.hosts())
+        {
+            one.is_served = !one.own.follows_store;
+            one.is_silent = !one.is_served;
+        }
+        check_takeover(fleet);
+    }
+}
+
 TEST(watch_takeover, the_store_turns_away_the_first_callers_of_each_data_centre)
 {
     for (const auto& [data_centres, hosts_each] : sizes)
--- a/tests/store_stub/turned_away_hosts_test.cpp
+++ b/tests/store_stub/turned_away_hosts_test.cpp
@@ -71,6 +71,17 @@
             turn_away(i, i == served ? edge_soak::store_fault::none : fault);
         }
     }
+    void serve_all()
+    {
+        for (std::size_t i = 0; i < placed.size(); ++i)
+        {
+            turn_away(i, edge_soak::store_fault::none);
+        }
+    }
+    static bool watches(const placed_host& one)
+    {
+        return one.host.watches_store();
+    }
     /// Turns away each host that watches the store, until one is left. Returns that one.
     std::size_t turn_away_watchers(edge_soak::store_fault fault)
     {
@@ -122,6 +133,27 @@
     }
 }
 
+// Failure: the store became silent to the watcher, whose waiting calls showed that late, and a change was in force late
+// on hosts that the store served (review/8).
+TEST(turned_away_hosts, a_store_that_is_silent_to_the_watcher_is_noticed_in_time)
+{
+    constexpr std::uint64_t rounds = 4;
+    // After a change the watch pauses; then it waits for as long as it may.
+    constexpr auto watch_begins = 450ms;
+    start(1);
+    for (std::uint64_t version = 2; version < 2 + 2 * rounds; version += 2)
+    {
+        serve_all();
+        const auto watcher = [&] { return std::find_if(placed.begin(), placed.end(), watches) - placed.begin(); };
+        CHECK(holds_within(in_force_bound, [&] { return watcher() < static_cast<std::ptrdiff_t>(host_count); }));
+        const auto silent = static_cast<std::size_t>(watcher());
+        check_change(silent, version);
+        std::this_thread::sleep_for(watch_begins);
+        turn_away(silent, edge_soak::store_fault::silent);
+        check_change((silent + 1) % host_count, version + 1);
+    }
+}
+
 // Failure: a configuration of more than 64 KiB did not reach the hosts of a data centre when the store turned away four
 // of them, although it served the hosts of another one (review/7).
 TEST(turned_away_hosts, a_host_that_the_store_serves_gets_a_large_configuration_in_time)
--- a/tools/edge_soak/store_stub.cpp
+++ b/tools/edge_soak/store_stub.cpp
@@ -344,6 +344,10 @@
                                  std::any_of(events_.begin(), events_.end(), is_new);
                       });
     const auto fault = fault_at(address, kind);
+    if (fault == store_fault::silent)
+    {
+        return stay_silent(lock, address, kind);
+    }
     if (stopping_ || epoch_ != initial_epoch || watch_cuts_ != initial_cuts ||
         (fault != initial_fault && fault != store_fault::slow))
     {
--- a/tools/edge_soak/store_stub.hpp
+++ b/tools/edge_soak/store_stub.hpp
@@ -115,6 +115,8 @@
     store_fault fault_at(const std::string& address, const std::string& kind) const;
     /// Blocks while the fault requires it; returns the answer if the fault determines it.
     std::optional<answer> apply_fault(const std::string& address, const std::string& kind);
+    /// Blocks until the store is no longer silent to the address, for at most 3 s; then the connection is closed.
+    answer stay_silent(std::unique_lock<std::mutex>& lock, const std::string& address, const std::string& kind);
     /// Carries out a write whose answer is lost.
     answer lose_write(store_fault fault, const std::function<answer()>& write);
     answer read(const std::string& kind, const std::string& name);
--- a/tools/edge_soak/store_stub_faults.cpp
+++ b/tools/edge_soak/store_stub_faults.cpp
@@ -62,9 +62,7 @@
     switch (fault_at(address, kind))
     {
     case store_fault::silent:
-        changed_.wait_for(lock, max_silence,
-                          [&] { return stopping_ || fault_at(address, kind) != store_fault::silent; });
-        return answer{.status = 0, .body = {}, .epoch = 0, .lost = true};
+        return stay_silent(lock, address, kind);
     case store_fault::slow:
         changed_.wait_for(lock, slow_answer, [&] { return stopping_; });
         return std::nullopt;
@@ -79,6 +77,13 @@
     }
 }
 
+store_stub::answer store_stub::stay_silent(std::unique_lock<std::mutex>& lock, const std::string& address,
+                                           const std::string& kind)
+{
+    changed_.wait_for(lock, max_silence, [&] { return stopping_ || fault_at(address, kind) != store_fault::silent; });
+    return {.status = 0, .body = {}, .epoch = 0, .lost = true};
+}
+
 store_stub::answer store_stub::lose_write(store_fault fault, const std::function<answer()>& write)
 {
     if (fault == store_fault::late_writes)
