Soak: the store serves one host only, and the configuration changes

The soak turned away a third of the hosts at random, which seldom hits all hosts that watch the store, and left the configuration as it was. Half of these faults now turn away all hosts but one, and each comes with a change of the configuration, at times of 1,400 routes.

--- a/tools/edge_soak/store_faults.cpp
+++ b/tools/edge_soak/store_faults.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds longest_stale_age{6'000};
 constexpr std::size_t usual_routes = 60;
 constexpr std::size_t many_routes = 420;
+/// A configuration that hosts serve to one another at a limited rate.
+constexpr std::size_t large_routes = 1'400;
 constexpr std::size_t quick_versions = 25;
 constexpr double quick_gap_s = 0.06;
 
@@ -130,14 +132,18 @@
 
 void store_faults::disturb_some(double now)
 {
-    if (!schedule_.begin("store_refuses_some"))
+    const bool serves_one = schedule_.chance(0.5);
+    if (!schedule_.begin(serves_one ? "store_serves_one" : "store_refuses_some"))
     {
         return;
     }
     const double until = now + schedule_.between(2, 9);
+    const auto served = schedule_.random.below(hosts_.size());
+    const auto extra = schedule_.chance(0.3) ? large_routes : schedule_.random.below(usual_routes);
+    schedule_.add(now + schedule_.between(0, 2), [this, extra](double) { write_configuration(extra); });
     for (std::size_t i = 0; i < hosts_.size(); ++i)
     {
-        if (schedule_.chance(0.35))
+        if (serves_one ? i != served : schedule_.chance(0.35))
         {
             const auto address = hosts_.store_of(i).to_string();
             hosts_.disturb(i, until);
--- a/tools/edge_soak/store_faults.hpp
+++ b/tools/edge_soak/store_faults.hpp
@@ -32,7 +32,8 @@
 private:
     /// Disturbs the store for all hosts.
     void disturb_all(double now, store_fault fault, double seconds);
-    /// Disturbs the store for a third of the hosts, in different ways.
+    /// Disturbs the store for a third of the hosts, or for all but one, in different ways, and changes the
+    /// configuration.
     void disturb_some(double now);
     void lose_history(double now);
     /// Returns the store to a copy of this moment, after a while in which changes are made.
