--- a/include/galenabay/edge/edge_host.hpp
+++ b/include/galenabay/edge/edge_host.hpp
@@ -20,7 +20,7 @@
 /// routers send to it, and follows the platform's store.
 ///
 /// Owns its threads: one for packets, one for probes, one for each kind of object that it
-/// follows, one for its registration and those of the status servers. Call all members on
+/// follows, one for checks of the store, one for its registration and those of the status servers. Call all members on
 /// the thread that started it.
 class edge_host
 {
--- a/include/galenabay/peers/peer_view.hpp
+++ b/include/galenabay/peers/peer_view.hpp
@@ -140,6 +140,7 @@
     std::optional<base::endpoint> select_peer(Predicate is_wanted, base::random_source& random,
                                               base::time_point now) const;
 
+    /// Returns what this host knows of the others, for `watch_takeover`.
     watch_view view_of_watch(base::time_point now) const;
 
     std::string name_;
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -40,6 +40,7 @@
 constexpr milliseconds drain_poll_interval{50};
 /// Interval at which the port of /metrics is tried again while another program holds it.
 constexpr std::chrono::seconds metrics_retry_interval{5};
+
 /// Returns a random seed that differs between hosts and starts; hosts need not agree on
 /// anything that depends on it.
 std::uint64_t make_seed(const adapter::settings& settings)
