--- a/include/galenabay/peers/fleet_exchange.hpp
+++ b/include/galenabay/peers/fleet_exchange.hpp
@@ -67,8 +67,8 @@
     /// Time without a summary or digest of its own after a pause of the process, in which the
     /// statuses that were queued meanwhile are replaced by current ones.
     base::duration pause_quarantine = std::chrono::milliseconds{1'000};
-    /// Time for which a host collects or watches before the store lists it: a host that has not yet found the others does
-    /// both for a moment, too.
+    /// Time for which a host collects or watches before the store lists it: a host that has not yet found the others
+    /// does both for a moment, too.
     base::duration registration_delay = std::chrono::seconds{2};
     /// Loads in a status or a page: with 11 bytes each they fit into a datagram of 1,400
     /// bytes.
@@ -162,8 +162,8 @@
 
     /// Returns true when this host collects the loads of its data centre.
     bool collects() const noexcept { return collects_; }
-    /// Returns true when this host has collected or watched the store for `registration_delay`, so that the store should
-    /// list it: other hosts find the fleet through the listed ones. The store may turn away all collectors.
+    /// Returns true when this host has collected or watched the store for `registration_delay`, so that the store
+    /// should list it: other hosts find the fleet through the listed ones. The store may turn away all collectors.
     bool should_register(base::time_point now) const;
     /// Number of other live hosts in all data centres.
     std::size_t live_count(base::time_point now) const;
