--- a/tests/edge/peer_state_responder_test.cpp
+++ b/tests/edge/peer_state_responder_test.cpp
@@ -34,6 +34,11 @@
     }
 };
 
+TEST(peer_state_responder, serves_nothing_before_the_host_has_a_state)
+{
+    LONGS_EQUAL(net::status_unavailable, respond(0s).status);
+}
+
 TEST(peer_state_responder, serves_a_small_state_at_any_rate)
 {
     publish(10);
@@ -64,3 +69,11 @@
     publish(30'000);
     LONGS_EQUAL(net::status_unavailable, respond(0s).status);
 }
+
+TEST(peer_state_responder, serves_the_latest_state)
+{
+    publish(10);
+    const auto before = respond(0s).body;
+    publish(11);
+    CHECK(before != respond(0s).body);
+}
--- a/tests/peers/virtual_fleet.hpp
+++ b/tests/peers/virtual_fleet.hpp
@@ -111,6 +111,9 @@
         return found;
     }
 
+    /// Called before each check of the store.
+    std::function<void(host&)> on_store_check = [](host&) {};
+
     void send(host& from, const std::vector<outgoing_message>& messages)
     {
         for (const auto& one : messages)
@@ -226,6 +229,7 @@
         if (exchange.take_store_check(now_))
         {
             one.store_checks += watches ? 0 : 1;
+            on_store_check(one);
             exchange.on_store_checked(one.is_served, now_);
             watches = exchange.update_watch(one.is_served || one.is_silent, now_);
         }
--- a/tests/peers/watch_takeover_test.cpp
+++ b/tests/peers/watch_takeover_test.cpp
@@ -21,7 +21,8 @@
 /// Runs `scenario` with one data centre and with many, from 2 to 195 hosts, after the hosts have found one another.
 template <typename Scenario> void with_each_size(Scenario scenario)
 {
-    constexpr std::pair<std::size_t, std::size_t> sizes[] = {{1, 2}, {1, 9}, {1, 71}, {1, 195}, {3, 24}, {13, 15}};
+    constexpr std::pair<std::size_t, std::size_t> sizes[] = {{1, 2}, {1, 9},  {1, 71}, {1, 195},
+                                                             {3, 3}, {3, 24}, {3, 65}, {13, 15}};
     for (const auto& [data_centres, hosts_each] : sizes)
     {
         virtual_fleet fleet{data_centres, hosts_each};
@@ -69,32 +70,90 @@
 {
     base::random_source random{1};
 
-    /// Lets the store serve each host with a probability of `percent`; with 0, one host of the fleet.
-    void serve_some(virtual_fleet & fleet, std::uint64_t percent)
+    /// Lets the store serve one host of each data centre.
+    void serve_one_each(virtual_fleet & fleet)
     {
+        std::map<std::string, std::vector<virtual_fleet::host*>> by_data_centre;
         for (auto& one : fleet.hosts())
         {
-            one.is_served = random.below(100) < percent;
+            one.is_served = false;
+            by_data_centre[one.data_centre].push_back(&one);
+        }
+        for (const auto& [data_centre, hosts] : by_data_centre)
+        {
+            hosts[random.below(hosts.size())]->is_served = true;
         }
-        fleet.hosts()[random.below(fleet.hosts().size())].is_served = true;
     }
 };
 
 // Failure: after four hosts of a data centre that the store turned away, no other one called it (review/6).
-TEST(watch_takeover, a_host_that_the_store_serves_takes_over_in_time)
+TEST(watch_takeover, the_only_host_that_the_store_serves_takes_over_in_time)
 {
     with_each_size(
         [this](virtual_fleet& fleet)
         {
             fleet.is_lost = [this](const auto&, const auto&) { return random.below(20) == 0; };
-            for (const auto percent : {0, 0, 10, 50, 10})
+            for (int round = 0; round < 2; ++round)
             {
-                serve_some(fleet, static_cast<std::uint64_t>(percent));
+                serve_one_each(fleet);
                 check_takeover(fleet);
+                fleet.run(1s);
             }
         });
 }
 
+TEST(watch_takeover, the_store_turns_away_the_first_callers_of_each_data_centre)
+{
+    with_each_size(
+        [](virtual_fleet& fleet)
+        {
+            std::map<std::string, std::size_t> served;
+            for (auto& one : fleet.hosts())
+            {
+                one.is_served = !one.own.follows_store;
+                served[one.data_centre] += one.is_served ? 1 : 0;
+            }
+            fleet.on_store_check = [&](virtual_fleet::host& one)
+            {
+                auto& left = served[one.data_centre];
+                one.is_served = one.is_served && left <= 1;
+                left -= left > 1 ? 1 : 0;
+            };
+            check_takeover(fleet);
+        });
+}
+
+TEST(watch_takeover, sets_of_hosts_that_change_while_the_store_turns_them_away)
+{
+    with_each_size(
+        [this](virtual_fleet& fleet)
+        {
+            fleet.is_lost = [this](const auto&, const auto&) { return random.below(20) == 0; };
+            for (int round = 0; round < 4; ++round)
+            {
+                const auto percent = random.below(100);
+                for (auto& one : fleet.hosts())
+                {
+                    one.is_served = random.below(100) >= percent;
+                }
+                check_takeover(fleet);
+            }
+        });
+}
+
+// Messages are lost while the watch moves: a host that misses the news of its loss must not wait for it.
+TEST(watch_takeover, a_tenth_of_the_messages_is_lost)
+{
+    virtual_fleet fleet{3, 24};
+    fleet.is_lost = [this](const auto&, const auto&) { return random.below(10) == 0; };
+    fleet.run(6s);
+    for (int round = 0; round < 8; ++round)
+    {
+        serve_one_each(fleet);
+        check_takeover(fleet);
+    }
+}
+
 // Failure: hosts that the store had become silent to went on as watchers until their calls timed out (review/8).
 TEST(watch_takeover, a_silent_store_is_noticed_in_time)
 {
@@ -140,6 +199,12 @@
                                       static_cast<double>(checks) / static_cast<double>(seconds))
                          .asCharString());
             CHECK(checks <= fleet.hosts().size() * (seconds + 1));
+            CHECK(checks >= fleet.hosts().size() * (seconds - 1));
+            for (auto& one : fleet.hosts())
+            {
+                one.is_served = true;
+            }
+            check_takeover(fleet);
         });
 }
 
--- a/tests/store_stub/turned_away_hosts_test.cpp
+++ b/tests/store_stub/turned_away_hosts_test.cpp
@@ -134,6 +134,7 @@
     serve_only(watcher());
     store.put("config", "main", text(2));
     CHECK(holds_within(in_force_bound, [&] { return has_adopted(2); }));
+    CHECK(test_host::read(placed[0].host.peers, "/state/config").size() > (64U << 10U));
     // The store serves the other data centre only, which takes one more exchange between collectors.
     serve_only(host_count);
     store.put("config", "main", text(3));
@@ -170,5 +171,8 @@
     // A check of each host per second, and half as many calls for what other threads retry.
     CHECK(store.calls() - before <= host_count * 5 * 3 / 2);
     store.set_fault(edge_soak::store_fault::none);
-    check_change(0, 2);
+    for (std::size_t i = 0; i < host_count; ++i)
+    {
+        check_change(i, 2 + i);
+    }
 }
