--- a/src/edge/packet_worker.hpp
+++ b/src/edge/packet_worker.hpp
@@ -117,6 +117,8 @@
     void exchange_with_peers(base::time_point now);
     /// Tells the `steerer` when neither this host nor another one of its data centre watches the store successfully.
     void check_watch(base::time_point now);
+    /// Sends this host's status to the others without waiting for the next exchange.
+    void send_urgent_status(base::time_point now);
     /// Decides whether this host watches the store, and tells the others of a change.
     void update_watch(base::time_point now);
     /// Decides whether this host collects loads, and logs a change.
--- a/src/edge/packet_worker_peers.cpp
+++ b/src/edge/packet_worker_peers.cpp
@@ -62,7 +62,7 @@
     {
         reported_silence_count_ = steerer_.silence_count();
         next_urgent_ = now + urgent_interval;
-        peers_.send(exchange.on_urgent(status(now), now));
+        send_urgent_status(now);
     }
     update_watch(now);
     if (!exchange.is_due(now))
@@ -100,10 +100,15 @@
         metrics_.follows_store.Set(follows ? 1 : 0);
         state_.wake();
         // The others check whether the store serves them once they know that no host watches it.
-        peers_.send(exchange.on_urgent(status(now), now));
+        send_urgent_status(now);
     }
 }
 
+void packet_worker::send_urgent_status(base::time_point now)
+{
+    peers_.send(peers_.exchange().on_urgent(status(now), now));
+}
+
 void packet_worker::update_roles(base::time_point now)
 {
     auto& exchange = peers_.exchange();
--- a/src/edge/packet_worker_updates.cpp
+++ b/src/edge/packet_worker_updates.cpp
@@ -199,7 +199,7 @@
     mark_ready();
     if (state_.follows.load())
     {
-        peers_.send(peers_.exchange().on_urgent(status(now), now));
+        send_urgent_status(now);
     }
 }
 
@@ -245,8 +245,7 @@
         if (object.configuration)
         {
             adopt(*object.configuration, update.revision);
-            const auto now = base::steady_now();
-            peers_.send(peers_.exchange().on_urgent(status(now), now));
+            send_urgent_status(base::steady_now());
         }
     }
 }
@@ -274,7 +273,7 @@
         if (state_.follows.load() && previous_revision < upstreams_position_.revision())
         {
             // A list does not say which of its entries are new to the others: they read the state of this host.
-            peers_.send(peers_.exchange().on_urgent(status(now), now));
+            send_urgent_status(now);
         }
         return;
     }
--- a/src/peers/peer_view.cpp
+++ b/src/peers/peer_view.cpp
@@ -13,10 +13,10 @@
 namespace
 {
 
-/// Sort key of the order in which hosts take over the watch of the store.
+/// Sort key of the order in which hosts take over the watch of the store. It refers to `name`.
 auto rank_of(const std::string& name)
 {
-    return std::pair{base::hash_text(name), name};
+    return std::pair{base::hash_text(name), std::string_view{name}};
 }
 
 } // namespace
--- a/tests/store_stub/test_host.hpp
+++ b/tests/store_stub/test_host.hpp
@@ -101,16 +101,8 @@
     /// Returns the state of one kind of objects that the host serves to other hosts.
     std::optional<peers::edge_state> state(const std::string& kind) const
     {
-        const auto answer = net::http_session::make(peers, 500ms)
-                                .call({.step = "read_state",
-                                       .method = "GET",
-                                       .path = "/state/" + kind,
-                                       .body = {},
-                                       .expected_version = {},
-                                       .timeout = 500ms,
-                                       .max_response = 1U << 20U});
-        const auto read = answer ? peers::decode_state(answer.value().body) : answer.error();
-        return read ? std::optional{read.value()} : std::nullopt;
+        const auto known = peers::decode_state(read(peers, "/state/" + kind));
+        return known ? std::optional{known.value()} : std::nullopt;
     }
     /// Returns the answer of one of the host's status servers; empty when there is none.
     static std::string read(const base::endpoint& server, const std::string& path)
--- a/tests/store_stub/turned_away_hosts_test.cpp
+++ b/tests/store_stub/turned_away_hosts_test.cpp
@@ -92,28 +92,29 @@
                                       has_draining_upstream(served) == (version % 2 == 0);
                            }));
     }
+    /// Lets the store serve each host alone in turn, and checks that it gets changes in time.
+    void check_each_host_alone()
+    {
+        for (std::size_t served = 0; served < host_count; ++served)
+        {
+            serve_only(served);
+            check_change(served, 2 + served);
+        }
+    }
 };
 
 // Failure: after four hosts that the store turned away, no other one called it (review/6).
 TEST(turned_away_hosts, the_only_host_that_the_store_serves_gets_changes_in_time)
 {
     start(1);
-    for (std::size_t served = 0; served < host_count; ++served)
-    {
-        serve_only(served);
-        check_change(served, 2 + served);
-    }
+    check_each_host_alone();
 }
 
 // Failure: the same with a configuration that the hosts of other data centres did not serve (review/7).
 TEST(turned_away_hosts, the_only_host_that_the_store_serves_gets_a_large_configuration_in_time)
 {
     start(many_routes);
-    for (std::size_t served = 0; served < host_count; ++served)
-    {
-        serve_only(served);
-        check_change(served, 2 + served);
-    }
+    check_each_host_alone();
 }
 
 // Failure: a configuration of more than 64 KiB did not reach hosts while the store turned them away, since hosts did
