--- a/tests/store_stub/turned_away_hosts_test.cpp
+++ b/tests/store_stub/turned_away_hosts_test.cpp
@@ -64,11 +64,11 @@
         store.set_fault_at(placed[index].store.to_string(), fault);
     }
     /// Turns away all hosts but one; `host_count`: all hosts.
-    void serve_only(std::size_t served)
+    void serve_only(std::size_t served, edge_soak::store_fault others = edge_soak::store_fault::busy)
     {
         for (std::size_t i = 0; i < placed.size(); ++i)
         {
-            turn_away(i, i == served ? edge_soak::store_fault::none : edge_soak::store_fault::busy);
+            turn_away(i, i == served ? edge_soak::store_fault::none : others);
         }
     }
     /// Returns the first host that watches the store, or `host_count`.
@@ -100,11 +100,11 @@
                            }));
     }
     /// Lets the store serve each host alone in turn, and checks that it gets changes in time.
-    void check_each_host_alone()
+    void check_each_host_alone(edge_soak::store_fault others = edge_soak::store_fault::busy)
     {
         for (std::size_t served = 0; served < host_count; ++served)
         {
-            serve_only(served);
+            serve_only(served, others);
             check_change(served, 2 + served);
         }
     }
@@ -117,6 +117,13 @@
     check_each_host_alone();
 }
 
+// As in review/6, with a store that answers the other hosts nothing at all.
+TEST(turned_away_hosts, the_only_host_that_the_store_answers_gets_changes_in_time)
+{
+    start(1);
+    check_each_host_alone(edge_soak::store_fault::silent);
+}
+
 // Failure: the same with a configuration that the hosts of other data centres did not serve (review/7).
 TEST(turned_away_hosts, the_only_host_that_the_store_serves_gets_a_large_configuration_in_time)
 {
