All hosts give a token that two upstreams have to the same one

Cause: a host gives a token to the upstream that it learns of first. Hosts that ran learnt of the two as they registered; a host that started read both from a list, which is sorted by name.

Evidence: upstream_registry.hosts_that_read_a_list_give_a_token_to_the_upstream_that_had_it failed before (the restarted registry had the other upstream) and passes.

--- a/src/steer/upstream_registry.cpp
+++ b/src/steer/upstream_registry.cpp
@@ -4,6 +4,7 @@
 #include <galenabay/base/invariant.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <unordered_set>
 #include <utility>
 
@@ -23,6 +24,20 @@
     return base::mix(digest, (std::uint64_t{entry.slots} << 1U) | (entry.draining ? 1U : 0U));
 }
 
+/// Returns the entries in the order in which the upstreams started. Hosts that have run since before learnt of them in
+/// this order; so all give a token that two of them have to the same one.
+std::vector<const upstream_entry*> by_start(const std::vector<upstream_entry>& entries)
+{
+    std::vector<const upstream_entry*> ordered;
+    ordered.reserve(entries.size());
+    for (const auto& entry : entries)
+    {
+        ordered.push_back(&entry);
+    }
+    std::ranges::sort(ordered, {}, [](const auto* entry) { return std::tie(entry->started_ms, entry->id); });
+    return ordered;
+}
+
 } // namespace
 
 const char* name_of(upstream_change change)
@@ -45,13 +60,6 @@
     return "unknown";
 }
 
-upstream_token token_of(const upstream_entry& entry) noexcept
-{
-    const auto mixed = base::mix(base::hash_text(entry.id), entry.started_ms);
-    const auto token = static_cast<upstream_token>(mixed ^ (mixed >> 32U));
-    return token == 0 ? 1 : token;
-}
-
 bool upstream_registry::is_newer(const upstream_entry& entry, const known_change& known)
 {
     const auto order = entry.sequence <=> known.sequence;
@@ -264,10 +272,10 @@
     observe_epoch(revision.epoch, now);
     std::vector<change> changes;
     std::unordered_set<std::string_view> listed;
-    for (const auto& entry : entries)
+    for (const auto* entry : by_start(entries))
     {
-        listed.insert(entry.id);
-        if (const auto made = put(entry, now); made.kind != upstream_change::none)
+        listed.insert(entry->id);
+        if (const auto made = put(*entry, now); made.kind != upstream_change::none)
         {
             changes.push_back(made);
         }
--- a/tests/steer/upstream_registry_test.cpp
+++ b/tests/steer/upstream_registry_test.cpp
@@ -268,6 +268,25 @@
     CHECK(registry.find(token_of(started_at(2'600, 12))) == nullptr);
 }
 
+// Failure: a host that had started again read both upstreams from a list, and gave their token to the other one than
+// the hosts that had run since before (review/9).
+TEST(upstream_registry, hosts_that_read_a_list_give_a_token_to_the_upstream_that_had_it)
+{
+    auto first = make_upstream("i-7f8beb0f3c", 1);
+    first.started_ms = 1'764'999'000'000;
+    auto second = make_upstream("i-55e504092b", 2);
+    second.started_ms = 1'764'999'002'000;
+    const auto token = token_of(first);
+    LONGS_EQUAL(token, token_of(second));
+    registry.put(first, at(0s));
+    registry.put(second, at(1s));
+    upstream_registry restarted{{}};
+    restarted.replace_all({second, first}, {1, 9}, at(2s));
+    STRCMP_EQUAL(first.id.c_str(), registry.find(token)->entry.id.c_str());
+    STRCMP_EQUAL(first.id.c_str(), restarted.find(token)->entry.id.c_str());
+    LONGS_EQUAL(1, restarted.collision_count());
+}
+
 // Failure: an upstream whose token another one had got no flows, and nothing said so.
 TEST(upstream_registry, an_upstream_whose_token_is_in_use_is_reported_once)
 {
