--- a/tests/store_stub/turned_away_hosts_test.cpp
+++ b/tests/store_stub/turned_away_hosts_test.cpp
@@ -18,7 +18,7 @@
     };
 
     static constexpr std::size_t host_count = 7;
-    /// More than 64 KiB in the encoding that hosts send to one another.
+    /// More than 64 KiB in the encoding that hosts send to one another, before compression.
     static constexpr std::size_t many_routes = 1'400;
     /// Almost as much as the store takes, 1 MiB.
     static constexpr std::size_t most_routes = 10'000;
--- a/tools/edge_soak/store_faults.cpp
+++ b/tools/edge_soak/store_faults.cpp
@@ -18,7 +18,7 @@
 constexpr std::chrono::milliseconds longest_stale_age{6'000};
 constexpr std::size_t usual_routes = 60;
 constexpr std::size_t many_routes = 420;
-/// A configuration that hosts serve to one another at a limited rate.
+/// A configuration that hosts send to one another compressed.
 constexpr std::size_t large_routes = 1'400;
 constexpr std::size_t quick_versions = 25;
 constexpr double quick_gap_s = 0.06;
