Pass a new epoch of the store on to the registration thread at once

Callers saw: none directly. After the store had returned from an older copy, the entry of a host that does not watch it was missing for more than 4 s. A host that starts meanwhile without usable seeds does not find the others. Cause: such a host learns the epoch with the state of another host. Its packet thread passed the epoch on once in 5 s, with the metrics, and the registration thread looked at it once a second. Change: the packet thread passes it on at each tick, and a new one ends the wait of the registration thread. The calls to the store stay the same.

--- a/src/edge/packet_worker.cpp
+++ b/src/edge/packet_worker.cpp
@@ -275,6 +275,7 @@
 void packet_worker::tick(base::time_point now)
 {
     next_tick_ = now + steer::steerer::tick_interval;
+    state_.observe_store_epoch(upstreams_position_.revision().epoch);
     check_watch(now);
     process_outcome(steerer_.on_tick(now), {}, now);
     update_list_wait(now);
@@ -304,7 +305,6 @@
     metrics_.flows.Set(static_cast<double>(steerer_.flow_count()));
     metrics_.slow_upstreams.Set(static_cast<double>(steerer_.slow_count()));
     report_behind(now);
-    state_.observe_store_epoch(upstreams_position_.revision().epoch);
     metrics_.store_epoch.Set(static_cast<double>(state_.store_epoch.load()));
     metrics_.evacuated_flows.Increment(static_cast<double>(steerer_.moved_flow_count()) -
                                        metrics_.evacuated_flows.Value());
--- a/src/edge/registration_worker.cpp
+++ b/src/edge/registration_worker.cpp
@@ -56,7 +56,8 @@
 void registration_worker::run_step()
 {
     using step = registration_schedule::step;
-    switch (schedule_.next(situation(), base::steady_now()))
+    const auto seen = situation();
+    switch (schedule_.next(seen, base::steady_now()))
     {
     case step::list:
         report(refresh(adapter::read_freshness::may_be_stale));
@@ -71,7 +72,7 @@
         break;
     }
     const auto limit = std::chrono::ceil<milliseconds>(schedule_.longest_wait(situation()));
-    remove_entries(state_.wait_for_registration_work(schedule_.awaits_role(), limit));
+    remove_entries(state_.wait_for_registration_work(schedule_.awaits_role(), seen.store_epoch, limit));
 }
 
 void registration_worker::report(const base::result<void>& done)
--- a/src/edge/shared_state.hpp
+++ b/src/edge/shared_state.hpp
@@ -50,13 +50,18 @@
     /// New flows refused for lack of room while slots were free by the latest sums.
     std::atomic<std::uint64_t> refused_with_free_slots{0};
 
-    /// Records an epoch of the store that this or another host has seen.
+    /// Records an epoch of the store that this or another host has seen, and wakes the threads that wait for work if it
+    /// is a new one.
     void observe_store_epoch(std::uint64_t epoch)
     {
         auto known = store_epoch.load();
         while (epoch > known && !store_epoch.compare_exchange_weak(known, epoch))
         {
         }
+        if (epoch > known)
+        {
+            wake();
+        }
     }
 
     bool stopping() const noexcept { return stop_.load(); }
@@ -166,14 +171,18 @@
         }
         changed_.notify_all();
     }
-    /// Sleeps until removals are requested, the process stops or, if `awaits_role`, the store
-    /// should list this host, for at most `limit`. Returns the names of the lost hosts.
-    std::vector<std::string> wait_for_registration_work(bool awaits_role, std::chrono::milliseconds limit)
+    /// Sleeps until removals are requested, the store is known to have an epoch after `known_epoch`, the process stops
+    /// or, if `awaits_role`, the store should list this host, for at most `limit`. Returns the names of the lost hosts.
+    std::vector<std::string> wait_for_registration_work(bool awaits_role, std::uint64_t known_epoch,
+                                                        std::chrono::milliseconds limit)
     {
         std::unique_lock lock{mutex_};
         changed_.wait_for(lock, limit,
                           [&]
-                          { return stop_.load() || !lost_hosts_.empty() || (awaits_role && should_register.load()); });
+                          {
+                              return stop_.load() || !lost_hosts_.empty() || store_epoch.load() > known_epoch ||
+                                     (awaits_role && should_register.load());
+                          });
         return std::exchange(lost_hosts_, {});
     }
     /// Wakes the threads that wait for work.
--- a/tests/edge/shared_state_test.cpp
+++ b/tests/edge/shared_state_test.cpp
@@ -1,7 +1,11 @@
 #include "../../src/edge/shared_state.hpp"
 
+#include <galenabay/base/steady_clock.hpp>
+
 #include <CppUTest/TestHarness.h>
 
+#include <thread>
+
 using namespace galenabay;
 using namespace galenabay::edge;
 using adapter::object_kind;
@@ -41,10 +45,26 @@
 TEST(shared_state, removals_are_taken_once_and_an_empty_request_adds_none)
 {
     state.request_removal({});
-    CHECK(state.wait_for_registration_work(false, 1ms).empty());
+    CHECK(state.wait_for_registration_work(false, 0, 1ms).empty());
     state.request_removal({"edge-1", "edge-2"});
-    LONGS_EQUAL(2, state.wait_for_registration_work(false, 10s).size());
-    CHECK(state.wait_for_registration_work(false, 1ms).empty());
+    LONGS_EQUAL(2, state.wait_for_registration_work(false, 0, 10s).size());
+    CHECK(state.wait_for_registration_work(false, 0, 1ms).empty());
+}
+
+// Failure: the registration thread learned of a new epoch of the store when its wait had ended.
+TEST(shared_state, a_new_epoch_of_the_store_ends_the_wait_for_registration_work)
+{
+    state.observe_store_epoch(1);
+    CHECK(state.wait_for_registration_work(false, 1, 1ms).empty());
+    const auto begun = base::steady_now();
+    std::thread observer{[&]
+                         {
+                             std::this_thread::sleep_for(20ms);
+                             state.observe_store_epoch(2);
+                         }};
+    CHECK(state.wait_for_registration_work(false, 1, 10s).empty());
+    observer.join();
+    CHECK(base::steady_now() - begun < 5s);
 }
 
 TEST(shared_state, a_host_does_not_follow_the_store_at_its_start)
--- a/tests/store_stub/restored_store_test.cpp
+++ b/tests/store_stub/restored_store_test.cpp
@@ -120,6 +120,26 @@
     CHECK(holds_within(start_bound, are_listed));
 }
 
+// A host that does not watch the store told its registration thread of a new epoch up to 5 s late.
+TEST(restored_store, entries_of_hosts_are_written_again_after_each_restore)
+{
+    constexpr int restores = 3;
+    store.put("servers", "i-1", registration("ready", 1));
+    store.put("config", "main", configuration(1));
+    store.save_copy();
+    test_host other;
+    host.start("edge-1", store_address, {other.peers});
+    other.start("edge-2", store_address, {host.peers});
+    const auto are_listed = [&] { return lists_host("edge-1") && lists_host("edge-2"); };
+    CHECK(holds_within(2 * start_bound, are_listed));
+    for (int i = 0; i < restores; ++i)
+    {
+        store.restore();
+        CHECK_FALSE(are_listed());
+        CHECK(holds_within(start_bound, are_listed));
+    }
+}
+
 // Hosts that started after the restore kept the older configuration of the store's copy while
 // another data centre had the accepted one: a host that watches the store did not read it.
 TEST(restored_store, a_new_host_takes_the_accepted_configuration_that_the_copy_lacks)
