Tests of lost entries share their start and their check

Change: both call start_with_entries_after_the_copy and check_entries_after_restore. Checks and bounds are the same.

--- a/tests/store_stub/restored_store_test.cpp
+++ b/tests/store_stub/restored_store_test.cpp
@@ -17,6 +17,27 @@
     {
         return store.handle("GET", "/objects/galenabay-hosts", "").body.find(name) != std::string::npos;
     }
+    bool lists_both_hosts()
+    {
+        return lists_host("edge-1") && lists_host("edge-2");
+    }
+    /// Starts two hosts, whose entries the store's copy lacks, and waits until the store lists both.
+    void start_with_entries_after_the_copy(test_host & other)
+    {
+        store.put("servers", "i-1", registration("ready", 1));
+        store.put("config", "main", configuration(1));
+        store.save_copy();
+        host.start("edge-1", store_address, {other.peers});
+        other.start("edge-2", store_address, {host.peers});
+        CHECK(holds_within(2 * start_bound, [&] { return lists_both_hosts(); }));
+    }
+    /// Restores the copy, and checks that both hosts write their entries again.
+    void check_entries_after_restore()
+    {
+        store.restore();
+        CHECK_FALSE(lists_both_hosts());
+        CHECK(holds_within(start_bound, [&] { return lists_both_hosts(); }));
+    }
     /// Lets the store's revision rise by `count`.
     void advance(int count)
     {
@@ -107,36 +128,20 @@
 // the entries of the collecting hosts, which wrote them again only after a minute.
 TEST(restored_store, entries_of_hosts_are_written_again)
 {
-    store.put("servers", "i-1", registration("ready", 1));
-    store.put("config", "main", configuration(1));
-    store.save_copy();
     test_host other;
-    host.start("edge-1", store_address, {other.peers});
-    other.start("edge-2", store_address, {host.peers});
-    const auto are_listed = [&] { return lists_host("edge-1") && lists_host("edge-2"); };
-    CHECK(holds_within(2 * start_bound, are_listed));
-    store.restore();
-    CHECK_FALSE(are_listed());
-    CHECK(holds_within(start_bound, are_listed));
+    start_with_entries_after_the_copy(other);
+    check_entries_after_restore();
 }
 
 // A host that does not watch the store told its registration thread of a new epoch up to 5 s late.
 TEST(restored_store, entries_of_hosts_are_written_again_after_each_restore)
 {
     constexpr int restores = 3;
-    store.put("servers", "i-1", registration("ready", 1));
-    store.put("config", "main", configuration(1));
-    store.save_copy();
     test_host other;
-    host.start("edge-1", store_address, {other.peers});
-    other.start("edge-2", store_address, {host.peers});
-    const auto are_listed = [&] { return lists_host("edge-1") && lists_host("edge-2"); };
-    CHECK(holds_within(2 * start_bound, are_listed));
+    start_with_entries_after_the_copy(other);
     for (int i = 0; i < restores; ++i)
     {
-        store.restore();
-        CHECK_FALSE(are_listed());
-        CHECK(holds_within(start_bound, are_listed));
+        check_entries_after_restore();
     }
 }
 
